--- /dev/null
+++ b/internal/connection/mesh/mesh.go
@@ -0,0 +1,168 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutstack/internal/connection/rpc"
+	"chestnutstack/internal/request/shard"
+)
+
+// DialFunc opens a connection; net.Dialer's DialContext is one.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Mesh is an instance's end of the connections to all others.
+type Mesh struct {
+	cfg  Config
+	dial DialFunc
+	hdl  Handler
+	cnt  rpc.Counters
+
+	// mu guards the peers; it is not held while a Handler works.
+	mu    sync.Mutex
+	peers map[string]*peer
+	group *errgroup.Group
+	ctx   context.Context //nolint:containedctx // set by Run for the peers that are added later
+}
+
+// New returns a mesh without peers that works while Run does.
+func New(cfg Config, dial DialFunc, hdl Handler) *Mesh {
+	return &Mesh{cfg: cfg, dial: dial, hdl: hdl, peers: map[string]*peer{}}
+}
+
+// Stats returns the bytes and calls since the start.
+func (msh *Mesh) Stats() rpc.Stats { return msh.cnt.Stats() }
+
+// Run serves and calls until ctx is done.
+func (msh *Mesh) Run(ctx context.Context, lis net.Listener) error {
+	grp, ctx := errgroup.WithContext(ctx)
+	msh.mu.Lock()
+	msh.group, msh.ctx = grp, ctx
+	for _, per := range msh.peers {
+		grp.Go(func() error { return msh.runPeer(ctx, per) })
+	}
+	msh.mu.Unlock()
+	grp.Go(func() error { return msh.serve(ctx, lis) })
+	grp.Go(func() error { return msh.watch(ctx) })
+	return grp.Wait()
+}
+
+// SetPeers tells the mesh which instances there are, besides its own. Instances are never forgotten: one
+// that is gone costs a refused dial now and then.
+func (msh *Mesh) SetPeers(prs []Peer) {
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	for _, prm := range prs {
+		if prm.Name == msh.cfg.Name {
+			continue
+		}
+		per := msh.peer(prm.Name)
+		if prm.Life >= per.life {
+			per.address, per.life = prm.Address, prm.Life
+			signal(per.wake)
+		}
+	}
+}
+
+// peer returns the peer of a name; the lock is held.
+func (msh *Mesh) peer(name string) *peer {
+	per := msh.peers[name]
+	if per == nil {
+		per = newPeer(name)
+		msh.peers[name] = per
+		if msh.group != nil {
+			msh.group.Go(func() error { return msh.runPeer(msh.ctx, per) })
+		}
+	}
+	return per
+}
+
+func signal(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// Send has a message delivered within the session that is in progress; without one it is dropped,
+// as the Handler has been or will be told that the instance was lost.
+func (msh *Mesh) Send(to shard.InstanceID, msg Message) {
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	for _, per := range msh.peers {
+		if per.heard && per.id() == to {
+			per.outbox = append(per.outbox, msg)
+			signal(per.wake)
+			return
+		}
+	}
+}
+
+// Nudge has a beat sent to all at once.
+func (msh *Mesh) Nudge() {
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	for _, per := range msh.peers {
+		if per.heard {
+			signal(per.wake)
+		}
+	}
+}
+
+// Unheard returns how many of the known instances have no session in progress and have not refused to.
+func (msh *Mesh) Unheard() int {
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	num := 0
+	for _, per := range msh.peers {
+		if !per.heard {
+			num++
+		}
+	}
+	return num
+}
+
+// watch gives up the sessions of instances that are not heard.
+func (msh *Mesh) watch(ctx context.Context) error {
+	tck := time.NewTicker(msh.cfg.Silence / silenceChecks)
+	defer tck.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tck.C:
+		}
+		now := msh.cfg.Now()
+		msh.mu.Lock()
+		var quiet []*peer
+		for _, per := range msh.peers {
+			if per.heard && now.Sub(per.heardAt) > msh.cfg.Silence {
+				quiet = append(quiet, per)
+			}
+		}
+		msh.mu.Unlock()
+		for _, per := range quiet {
+			msh.lose(per)
+		}
+	}
+}
+
+// silenceChecks is how often within the time of silence it is looked for.
+const silenceChecks = 8
+
+// lose gives up the session with a peer.
+func (msh *Mesh) lose(per *peer) {
+	msh.mu.Lock()
+	was, had := per.reset()
+	msh.mu.Unlock()
+	if had {
+		msh.hdl.Lost(was)
+	}
+}
+
+var errPeerReset = errors.New("the peer has given up the session")
--- /dev/null
+++ b/internal/connection/mesh/send.go
@@ -0,0 +1,157 @@
+package mesh
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"chestnutstack/internal/connection/rpc"
+)
+
+// line is the connection on which a peer is called.
+type line struct {
+	cnn     *jsonrpc2.Conn
+	address string
+}
+
+// runPeer delivers batches to a peer, one at a time, whenever there is something to send or a beat is due.
+func (msh *Mesh) runPeer(ctx context.Context, per *peer) error {
+	var lin line
+	defer lin.drop()
+	for {
+		gone := lin.gone()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-per.wake:
+		case <-gone:
+			// The process at the other end may have died; a dial shows it at once.
+		case <-time.After(msh.cfg.Interval):
+		}
+		if err := msh.deliver(ctx, per, &lin); err != nil && ctx.Err() == nil {
+			lin.drop()
+			msh.failed(ctx, per, err)
+		}
+	}
+}
+
+// failed deals with a batch that has no receipt: a refused dial proves that the process is gone, anything
+// else is tried again on a fresh connection until the silence has lasted too long.
+func (msh *Mesh) failed(ctx context.Context, per *peer, err error) {
+	if errors.Is(err, errPeerReset) || errors.Is(err, syscall.ECONNREFUSED) {
+		msh.lose(per)
+	}
+	msh.mu.Lock()
+	heard := per.heard
+	msh.mu.Unlock()
+	pause := msh.cfg.Interval
+	if heard {
+		pause = retryPause
+		signal(per.wake)
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// retryPause is the pause between tries to reach a peer that was heard a moment ago.
+const retryPause = 10 * time.Millisecond
+
+func (lin *line) gone() <-chan struct{} {
+	if lin.cnn == nil {
+		return nil
+	}
+	return lin.cnn.DisconnectNotify()
+}
+
+func (lin *line) drop() {
+	if lin.cnn != nil {
+		_ = lin.cnn.Close() // It may be closed already.
+		lin.cnn = nil
+	}
+}
+
+// deliver sends what is waiting, or the batch whose receipt did not come, and takes the receipt in.
+func (msh *Mesh) deliver(ctx context.Context, per *peer, lin *line) error {
+	ctx, cancel := context.WithTimeout(ctx, msh.cfg.CallTimeout)
+	defer cancel()
+	dlv, address := msh.batch(per)
+	if address == "" {
+		return nil
+	}
+	if err := msh.connect(ctx, lin, address); err != nil {
+		return err
+	}
+	msh.cnt.Call()
+	var rcp wireReceipt
+	if err := lin.cnn.Call(ctx, methodDeliver, dlv, &rcp); err != nil {
+		return errors.Wrap(err, "deliver")
+	}
+	return msh.receipt(per, &dlv, &rcp)
+}
+
+// batch returns what is to be delivered next.
+func (msh *Mesh) batch(per *peer) (wireDelivery, string) {
+	// The beat is taken first: the Handler may call Send under its own lock.
+	bet := msh.hdl.Beat()
+	now := msh.cfg.Now()
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	if per.sending == nil {
+		per.sending, per.outbox = per.outbox, nil
+		per.sequence++
+	}
+	dlv := wireDelivery{
+		From: msh.cfg.Name, Life: msh.cfg.Life, Generation: per.generation, Sequence: per.sequence,
+		ToLife: per.inLife, Beat: fromBeat(bet),
+	}
+	if per.sending == nil {
+		per.sending = []Message{}
+	}
+	for _, msg := range per.sending {
+		dlv.Messages = append(dlv.Messages, fromMessage(now, msg))
+	}
+	return dlv, per.address
+}
+
+func (msh *Mesh) connect(ctx context.Context, lin *line, address string) error {
+	if lin.cnn != nil && lin.address == address {
+		select {
+		case <-lin.cnn.DisconnectNotify():
+		default:
+			return nil
+		}
+	}
+	lin.drop()
+	raw, err := msh.dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "dial")
+	}
+	con := rpc.Watch(raw, &msh.cnt, msh.cfg.CallTimeout)
+	// The connection outlives the call that opened it, so it isn't bound to the call's context.
+	lin.cnn = rpc.NewConn(context.Background(), con, maxMessage, rpc.RefuseAll{})
+	lin.address = address
+	return nil
+}
+
+// receipt takes in the answer to a batch.
+func (msh *Mesh) receipt(per *peer, dlv *wireDelivery, rcp *wireReceipt) error {
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	if per.generation != dlv.Generation {
+		return nil // The session was given up meanwhile.
+	}
+	if rcp.Reset || per.heard && rcp.Life != per.inLife {
+		return errPeerReset
+	}
+	per.sending = nil
+	if per.heard {
+		// The receipt is from the life of the session: it proves that the peer is there.
+		per.heardAt = msh.cfg.Now()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/connection/mesh/words.go
@@ -0,0 +1,82 @@
+package mesh
+
+import (
+	"time"
+
+	"chestnutstack/internal/request/shard"
+)
+
+// Lead says that an instance leads a shard.
+type Lead struct {
+	Shard shard.Name
+	Token int64
+	Load  shard.Load
+}
+
+// Beat is what an instance says of itself with each batch.
+type Beat struct {
+	Domain string
+	// Ready instances may take over shards; Leaving ones hand theirs over.
+	Ready, Leaving bool
+	// ConfigVersion is the newest configuration that the instance has.
+	ConfigVersion int64
+	// Round is the highest round of fencing tokens that the instance has seen.
+	Round int64
+	Leads []Lead
+}
+
+// Message is something that one instance has for another: Order, Withdrawal, Report or Configuration.
+type Message interface{ message() }
+
+// Order is an order for the leader of a shard.
+type Order struct {
+	Shard shard.Name
+	Order shard.Order
+}
+
+// Withdrawal ends an order.
+type Withdrawal struct {
+	Shard shard.Name
+	Task  string
+}
+
+// Report says what came of an order.
+type Report struct{ Report shard.Report }
+
+// Configuration passes a record of a configuration on, as the platform publishes it.
+type Configuration struct{ Data []byte }
+
+func (Order) message()         {}
+func (Withdrawal) message()    {}
+func (Report) message()        {}
+func (Configuration) message() {}
+
+// Handler takes what arrives. Its methods are called one at a time for each instance.
+type Handler interface {
+	// Beat returns what to tell the others.
+	Beat() Beat
+	// Heard takes a batch; the beat is the sender's newest.
+	Heard(from shard.InstanceID, beat Beat, msgs []Message)
+	// Lost says that an instance is not heard any more; nothing of its old session follows.
+	Lost(id shard.InstanceID)
+}
+
+// Peer is another instance as the platform's store names it.
+type Peer struct {
+	Name, Address string
+	// Life rises with each start of the instance's process.
+	Life int64
+}
+
+// Config has what a Mesh is told.
+type Config struct {
+	Name string
+	Life int64
+	// Interval is the pause between beats, Silence how long an instance may go unheard.
+	Interval, Silence time.Duration
+	// CallTimeout bounds a batch's way there and back; after it a fresh connection is tried, as an open
+	// one may have gone silent for good.
+	CallTimeout time.Duration
+	// Now is the clock of the process.
+	Now func() time.Time
+}
--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"chestnutstack/internal/connection/rpc"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/verdict"
 )
@@ -21,7 +22,7 @@
 type Client struct {
 	cfg  Config
 	dial DialFunc
-	cnt  counters
+	cnt  rpc.Counters
 
 	mu    sync.Mutex
 	lines map[dispatch.PeerID]*line
@@ -31,8 +32,8 @@
 type line struct {
 	turn    chan struct{}
 	address string
-	rpc     *jsonrpc2.Conn
-	con     *watchedConn
+	cnn     *jsonrpc2.Conn
+	con     *rpc.Conn
 }
 
 // NewClient returns a Client that has no connection yet.
@@ -41,7 +42,7 @@
 }
 
 // Stats returns the bytes and calls since the start.
-func (cli *Client) Stats() Stats { return cli.cnt.stats() }
+func (cli *Client) Stats() rpc.Stats { return cli.cnt.Stats() }
 
 // Forget closes the connection to a peer that is gone and drops what is kept for it.
 func (cli *Client) Forget(id dispatch.PeerID) {
@@ -89,20 +90,20 @@
 }
 
 func (cli *Client) callUnbounded(ctx context.Context, tgt Target, method string, params, result any) error {
-	rpc, con, err := cli.connect(ctx, tgt)
+	cnn, con, err := cli.connect(ctx, tgt)
 	if err != nil {
 		return err
 	}
-	cli.cnt.calls.Add(1)
+	cli.cnt.Call()
 	sent := time.Now()
-	err = rpc.Call(ctx, method, params, result)
+	err = cnn.Call(ctx, method, params, result)
 	if err == nil {
 		return nil
 	}
-	if silent(ctx, err) && !con.heardSince(sent) {
+	if silent(ctx, err) && !con.HeardSince(sent) {
 		// Something between the two ends may have lost track of the connection. Nothing then ever
 		// answers on it, while a new one works; so the next call dials.
-		_ = rpc.Close() // It may be closed already.
+		_ = cnn.Close() // It may be closed already.
 	}
 	return callFailure(err)
 }
@@ -111,12 +112,12 @@
 func (cli *Client) notify(ctx context.Context, tgt Target, method string, params any) error {
 	ctx, cancel := context.WithTimeout(ctx, cli.cfg.CallTimeout)
 	defer cancel()
-	rpc, _, err := cli.connect(ctx, tgt)
+	cnn, _, err := cli.connect(ctx, tgt)
 	if err != nil {
 		return err
 	}
-	cli.cnt.calls.Add(1)
-	if err := rpc.Notify(ctx, method, params); err != nil {
+	cli.cnt.Call()
+	if err := cnn.Notify(ctx, method, params); err != nil {
 		return callFailure(err)
 	}
 	return nil
@@ -127,7 +128,7 @@
 }
 
 // connect returns the connection to a peer and makes it if there is none.
-func (cli *Client) connect(ctx context.Context, tgt Target) (*jsonrpc2.Conn, *watchedConn, error) {
+func (cli *Client) connect(ctx context.Context, tgt Target) (*jsonrpc2.Conn, *rpc.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, cli.cfg.DialTimeout)
 	defer cancel()
 	lin := cli.line(tgt.ID)
@@ -138,23 +139,23 @@
 	}
 	defer func() { <-lin.turn }()
 	if lin.usable(tgt.Address) {
-		return lin.rpc, lin.con, nil
+		return lin.cnn, lin.con, nil
 	}
 	lin.drop()
-	rpc, con, err := cli.open(ctx, tgt)
+	cnn, con, err := cli.open(ctx, tgt)
 	if err != nil {
 		return nil, nil, dialFailure(err)
 	}
-	lin.address, lin.rpc, lin.con = tgt.Address, rpc, con
-	return rpc, con, nil
+	lin.address, lin.cnn, lin.con = tgt.Address, cnn, con
+	return cnn, con, nil
 }
 
 func (lin *line) usable(address string) bool {
-	if lin.rpc == nil || lin.address != address {
+	if lin.cnn == nil || lin.address != address {
 		return false
 	}
 	select {
-	case <-lin.rpc.DisconnectNotify():
+	case <-lin.cnn.DisconnectNotify():
 		return false
 	default:
 		return true
@@ -162,42 +163,42 @@
 }
 
 func (lin *line) drop() {
-	if lin.rpc == nil {
+	if lin.cnn == nil {
 		return
 	}
-	_ = lin.rpc.Close() // It may be closed already.
-	lin.rpc, lin.con = nil, nil
+	_ = lin.cnn.Close() // It may be closed already.
+	lin.cnn, lin.con = nil, nil
 }
 
-func (cli *Client) open(ctx context.Context, tgt Target) (*jsonrpc2.Conn, *watchedConn, error) {
+func (cli *Client) open(ctx context.Context, tgt Target) (*jsonrpc2.Conn, *rpc.Conn, error) {
 	raw, err := cli.dial(ctx, "tcp", tgt.Address)
 	if err != nil {
 		return nil, nil, err
 	}
-	con := watch(raw, &cli.cnt, cli.cfg.CallTimeout)
+	con := rpc.Watch(raw, &cli.cnt, cli.cfg.CallTimeout)
 	var stm net.Conn = con
 	if cli.cfg.TLS != nil {
 		stm = tls.Client(con, cli.cfg.TLS)
 	}
 	// The connection outlives the call that opened it, so it isn't bound to the call's context.
-	rpc := newConn(context.Background(), stm, cli.cfg.MaxMessage, refuseAll{})
-	if err := cli.hello(ctx, rpc, tgt); err != nil {
-		_ = rpc.Close() // The hello's error is the one that counts.
+	cnn := rpc.NewConn(context.Background(), stm, cli.cfg.MaxMessage, rpc.RefuseAll{})
+	if err := cli.hello(ctx, cnn, tgt); err != nil {
+		_ = cnn.Close() // The hello's error is the one that counts.
 		return nil, nil, err
 	}
-	return rpc, con, nil
+	return cnn, con, nil
 }
 
 // hello names this entry instance and checks that the expected one answers: an address can be used
 // again by an instance that replaced the one that was meant.
-func (cli *Client) hello(ctx context.Context, rpc *jsonrpc2.Conn, tgt Target) error {
+func (cli *Client) hello(ctx context.Context, cnn *jsonrpc2.Conn, tgt Target) error {
 	req := wireHello{
 		ID:          string(cli.cfg.Self.ID),
 		Incarnation: cli.cfg.Self.Incarnation,
 		Token:       cli.cfg.Token,
 	}
 	var rep wireHello
-	if err := rpc.Call(ctx, methodHello, req, &rep); err != nil {
+	if err := cnn.Call(ctx, methodHello, req, &rep); err != nil {
 		var rem *jsonrpc2.Error
 		if errors.As(err, &rem) {
 			return remoteFailure(rem)
@@ -209,26 +210,3 @@
 	}
 	return nil
 }
-
-func newConn(ctx context.Context, con net.Conn, maxMessage int, hdl jsonrpc2.Handler) *jsonrpc2.Conn {
-	stm := jsonrpc2.NewBufferedStream(con, boundedCodec{max: maxMessage})
-	return jsonrpc2.NewConn(ctx, stm, hdl, jsonrpc2.SetLogger(quiet{}))
-}
-
-// quiet drops the library's log lines: every failure reaches a caller as an error.
-type quiet struct{}
-
-// Printf implements jsonrpc2.Logger.
-func (quiet) Printf(string, ...any) {}
-
-// refuseAll answers requests that arrive at the calling end, which takes none.
-type refuseAll struct{}
-
-// Handle implements jsonrpc2.Handler.
-func (refuseAll) Handle(ctx context.Context, con *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if req.Notif {
-		return
-	}
-	rpc := &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end takes no calls"}
-	_ = con.ReplyWithError(ctx, req.ID, rpc) // The connection is gone; there is nobody to tell.
-}
--- a/internal/connection/peer/failure.go
+++ b/internal/connection/peer/failure.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"chestnutstack/internal/connection/rpc"
 	"chestnutstack/internal/request/verdict"
 )
 
@@ -74,11 +75,11 @@
 
 // callFailure maps an error of a call whose request may have left.
 func callFailure(err error) error {
-	var rpc *jsonrpc2.Error
+	var rem *jsonrpc2.Error
 	switch {
-	case errors.As(err, &rpc):
-		return remoteFailure(rpc)
-	case errors.Is(err, errTooLarge):
+	case errors.As(err, &rem):
+		return remoteFailure(rem)
+	case errors.Is(err, rpc.ErrTooLarge):
 		return verdict.New(verdict.NotRun, ReasonTooLarge).WithCause(err)
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return verdict.New(verdict.MayHaveRun, ReasonTimedOut).WithCause(err)
--- a/internal/connection/peer/fuzz_test.go
+++ b/internal/connection/peer/fuzz_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"chestnutstack/internal/connection/rpc"
 )
 
 // FuzzReadMessage reads frames as a peer may send them and answers what can be read: whatever the
@@ -26,11 +28,11 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
 	const bound = 1 << 10
 	f.Fuzz(func(t *testing.T, data []byte) {
-		cdc := boundedCodec{max: bound}
+		cdc := rpc.BoundedCodec{Max: bound}
 		rdr := bufio.NewReader(bytes.NewReader(data))
 		ses := &session{srv: NewServer(testConfig("b"), &recorder{}), from: Identity{ID: "a"}}
 		for {
-			if length, err := peekLength(rdr); err == nil && length > bound {
+			if length, err := rpc.PeekLength(rdr); err == nil && length > bound {
 				if cdc.ReadObject(rdr, &jsonrpc2.Request{}) == nil {
 					t.Fatalf("read a frame of %d bytes", length)
 				}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/errgroup"
 
+	"chestnutstack/internal/connection/rpc"
 	"chestnutstack/internal/request/verdict"
 )
 
@@ -21,7 +22,7 @@
 type Server struct {
 	cfg Config
 	hdl Handler
-	cnt counters
+	cnt rpc.Counters
 }
 
 // NewServer returns a Server that hands calls to hdl.
@@ -30,7 +31,7 @@
 }
 
 // Stats returns the bytes and calls since the start.
-func (srv *Server) Stats() Stats { return srv.cnt.stats() }
+func (srv *Server) Stats() rpc.Stats { return srv.cnt.Stats() }
 
 // Serve accepts connections until ctx is done, and returns once every connection and call has
 // ended; it closes lis. It returns nil after ctx is done.
@@ -87,7 +88,7 @@
 }
 
 func (srv *Server) serveConn(ctx context.Context, raw net.Conn) {
-	var stm net.Conn = watch(raw, &srv.cnt, srv.cfg.CallTimeout)
+	var stm net.Conn = rpc.Watch(raw, &srv.cnt, srv.cfg.CallTimeout)
 	if srv.cfg.TLS != nil {
 		stm = tls.Server(stm, srv.cfg.TLS)
 	}
@@ -95,14 +96,14 @@
 	defer cancel()
 	ses := &session{srv: srv, greeted: make(chan struct{})}
 	ses.calls.SetLimit(srv.cfg.MaxCalls)
-	rpc := newConn(ctx, stm, srv.cfg.MaxMessage, ses)
+	cnn := rpc.NewConn(ctx, stm, srv.cfg.MaxMessage, ses)
 	select {
 	case <-ses.greeted:
-		<-rpc.DisconnectNotify()
-	case <-rpc.DisconnectNotify():
+		<-cnn.DisconnectNotify()
+	case <-cnn.DisconnectNotify():
 	case <-time.After(srv.cfg.DialTimeout):
 		// A stranger that connects and says nothing would hold one of the bounded connections.
-		_ = rpc.Close()
+		_ = cnn.Close()
 	}
 	cancel()
 	ses.end()
@@ -145,7 +146,7 @@
 		ses.greet(ctx, con, req)
 		return
 	}
-	ses.srv.cnt.calls.Add(1)
+	ses.srv.cnt.Call()
 	// The goroutine that reads must not wait for a call: answers to others would wait behind it.
 	taken := ses.take(func() error {
 		ses.answer(ctx, con, req)
@@ -188,7 +189,7 @@
 		_ = con.ReplyWithError(ctx, req.ID, failureOf(err)) // The peer is gone; there is nobody to tell.
 		return
 	}
-	if err := con.Reply(ctx, req.ID, result); errors.Is(err, errTooLarge) {
+	if err := con.Reply(ctx, req.ID, result); errors.Is(err, rpc.ErrTooLarge) {
 		tooLarge := verdict.New(verdict.MayHaveRun, ReasonTooLarge)
 		_ = con.ReplyWithError(ctx, req.ID, failureOf(tooLarge)) // As above.
 	}
--- /dev/null
+++ b/internal/connection/rpc/codec.go
@@ -0,0 +1,97 @@
+package rpc
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	continuationBit = 0x80
+	maxLengthBytes  = 5
+	lengthBits      = 7
+)
+
+// ErrTooLarge says that a message is larger than both ends allow.
+var ErrTooLarge = errors.New("peer message too large")
+
+// NewConn speaks jsonrpc2 over a connection, with a bound on the bytes of one message.
+func NewConn(ctx context.Context, con net.Conn, maxMessage int, hdl jsonrpc2.Handler) *jsonrpc2.Conn {
+	stm := jsonrpc2.NewBufferedStream(con, BoundedCodec{Max: maxMessage})
+	return jsonrpc2.NewConn(ctx, stm, hdl, jsonrpc2.SetLogger(quiet{}))
+}
+
+// quiet drops the library's log lines: every failure reaches a caller as an error.
+type quiet struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (quiet) Printf(string, ...any) {}
+
+// RefuseAll answers requests that arrive at a calling end, which takes none.
+type RefuseAll struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (RefuseAll) Handle(ctx context.Context, con *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Notif {
+		return
+	}
+	rpc := &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end takes no calls"}
+	_ = con.ReplyWithError(ctx, req.ID, rpc) // The connection is gone; there is nobody to tell.
+}
+
+// BoundedCodec is the library's varint framing with a bound on the size of a message, so that a
+// broken peer can't make this process hold gigabytes: the library itself reads whatever length the
+// frame announces.
+type BoundedCodec struct {
+	jsonrpc2.VarintObjectCodec
+	// Max is the bound in bytes.
+	Max int
+}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (cdc BoundedCodec) WriteObject(stream io.Writer, obj any) error {
+	var buf bytes.Buffer
+	if err := cdc.VarintObjectCodec.WriteObject(&buf, obj); err != nil {
+		return err
+	}
+	if buf.Len() > cdc.Max {
+		return errors.Wrapf(ErrTooLarge, "%d bytes to write", buf.Len())
+	}
+	_, err := stream.Write(buf.Bytes())
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (cdc BoundedCodec) ReadObject(stream *bufio.Reader, obj any) error {
+	length, err := PeekLength(stream)
+	if err != nil {
+		return err
+	}
+	if length > cdc.Max {
+		return errors.Wrapf(ErrTooLarge, "%d bytes announced", length)
+	}
+	return cdc.VarintObjectCodec.ReadObject(stream, obj)
+}
+
+// PeekLength returns the length that the next frame announces and consumes nothing. It asks for one
+// byte more at a time: a short message may be all that the peer sends for a long while.
+func PeekLength(stream *bufio.Reader) (int, error) {
+	length := 0
+	for cnt := 1; cnt <= maxLengthBytes; cnt++ {
+		head, err := stream.Peek(cnt)
+		if err != nil {
+			return 0, err
+		}
+		last := head[cnt-1]
+		length |= int(last&^continuationBit) << (lengthBits * (cnt - 1))
+		if last < continuationBit {
+			return length, nil
+		}
+	}
+	return 0, errors.Wrap(ErrTooLarge, "length of more than five bytes")
+}
--- a/internal/connection/peer/conn.go
+++ b/internal/connection/rpc/conn.go
@@ -1,4 +1,4 @@
-package peer
+package rpc
 
 import (
 	"net"
@@ -13,35 +13,41 @@
 	Calls    uint64
 }
 
-type counters struct {
+// Counters count what passes one end of the transport; they are safe for concurrent use.
+type Counters struct {
 	in    atomic.Uint64
 	out   atomic.Uint64
 	calls atomic.Uint64
 }
 
-func (cnt *counters) stats() Stats {
+// Call counts a call.
+func (cnt *Counters) Call() { cnt.calls.Add(1) }
+
+// Stats returns the bytes and calls so far.
+func (cnt *Counters) Stats() Stats {
 	return Stats{BytesIn: cnt.in.Load(), BytesOut: cnt.out.Load(), Calls: cnt.calls.Load()}
 }
 
-// watchedConn counts bytes and notes when the peer was last heard.
+// Conn counts bytes and notes when the peer was last heard.
 //
 // Each write has a deadline: a peer that reads no more fills the socket's buffer, and the library
 // then holds its send lock for good, so that every later call on the connection would wait past its
 // own timeout. After the deadline the write fails and the connection is closed.
-type watchedConn struct {
+type Conn struct {
 	net.Conn
-	cnt          *counters
+	cnt          *Counters
 	writeTimeout time.Duration
 	start        time.Time
 	lastRead     atomic.Int64
 }
 
-func watch(con net.Conn, cnt *counters, writeTimeout time.Duration) *watchedConn {
-	return &watchedConn{Conn: con, cnt: cnt, writeTimeout: writeTimeout, start: time.Now()}
+// Watch returns a connection that counts, and bounds the time of each write.
+func Watch(con net.Conn, cnt *Counters, writeTimeout time.Duration) *Conn {
+	return &Conn{Conn: con, cnt: cnt, writeTimeout: writeTimeout, start: time.Now()}
 }
 
 // Read implements net.Conn.
-func (wcn *watchedConn) Read(buf []byte) (int, error) {
+func (wcn *Conn) Read(buf []byte) (int, error) {
 	num, err := wcn.Conn.Read(buf)
 	if num > 0 {
 		wcn.cnt.in.Add(uint64(num))
@@ -51,7 +57,7 @@
 }
 
 // Write implements net.Conn.
-func (wcn *watchedConn) Write(buf []byte) (int, error) {
+func (wcn *Conn) Write(buf []byte) (int, error) {
 	if err := wcn.SetWriteDeadline(time.Now().Add(wcn.writeTimeout)); err != nil {
 		return 0, err
 	}
@@ -63,7 +69,7 @@
 	return num, err
 }
 
-// heardSince reports whether the peer sent anything after a time.
-func (wcn *watchedConn) heardSince(tim time.Time) bool {
+// HeardSince reports whether the peer sent anything after a time.
+func (wcn *Conn) HeardSince(tim time.Time) bool {
 	return wcn.lastRead.Load() > int64(tim.Sub(wcn.start))
 }
--- /dev/null
+++ b/internal/process/daemon/count.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
+)
+
+// bounds are the upper ends of a histogram's buckets; the last bucket has no end.
+var bounds = [...]time.Duration{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+// histogram counts durations by bucket.
+type histogram struct {
+	buckets [len(bounds) + 1]atomic.Int64
+	total   atomic.Int64
+}
+
+func (hst *histogram) observe(dur time.Duration) {
+	idx := 0
+	for idx < len(bounds) && dur > bounds[idx] {
+		idx++
+	}
+	hst.buckets[idx].Add(1)
+	hst.total.Add(int64(dur))
+}
+
+// counters are what a daemon counts; all of them rise.
+type counters struct {
+	submissions, refusals, stops, looks, storeReads, logsDropped atomic.Int64
+	starts                                          [shard.Overfull + 1]atomic.Int64
+	answers                                         [submission.Unfinished + 1]atomic.Int64
+	startTimes, answerTimes                         histogram
+}
+
+func (cnt *counters) start(vdt shard.Verdict, took time.Duration) {
+	cnt.starts[vdt].Add(1)
+	cnt.startTimes.observe(took)
+}
+
+// handler serves the counters as text, a line each.
+func (cnt *counters) handler() http.Handler {
+	return http.HandlerFunc(func(wrt http.ResponseWriter, _ *http.Request) {
+		wrt.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		line := func(name string, val int64) {
+			_, _ = fmt.Fprintf(wrt, "%s %d\n", name, val) // The reader may have gone.
+		}
+		line("submissions", cnt.submissions.Load())
+		line("refusals", cnt.refusals.Load())
+		line("stops", cnt.stops.Load())
+		line("looks", cnt.looks.Load())
+		line("store-reads", cnt.storeReads.Load())
+		line("log-lines-dropped", cnt.logsDropped.Load())
+		for vdt := range cnt.starts {
+			line("starts-"+shard.Verdict(vdt).String(), cnt.starts[vdt].Load())
+		}
+		for res := range cnt.answers {
+			line("answers-"+submission.Result(res).String(), cnt.answers[res].Load())
+		}
+		cnt.startTimes.write("start", line)
+		cnt.answerTimes.write("answer", line)
+		if mem := expvar.Get("memstats"); mem != nil {
+			_, _ = fmt.Fprintf(wrt, "memstats %s\n", mem) // As above.
+		}
+	})
+}
+
+func (hst *histogram) write(name string, line func(string, int64)) {
+	for idx := range hst.buckets {
+		end := "more"
+		if idx < len(bounds) {
+			end = bounds[idx].String()
+		}
+		line(name+"-time-"+end, hst.buckets[idx].Load())
+	}
+	line(name+"-time-total-micros", hst.total.Load()/int64(time.Microsecond))
+}
+
+func (dmn *Daemon) answered(sub *submission.Submission, ans submission.Answer, since time.Time) {
+	took := dmn.now().Sub(since)
+	dmn.cnt.answers[ans.Result].Add(1)
+	dmn.cnt.answerTimes.observe(took)
+	dmn.log.Info().Str("request", sub.Request).Str("job", sub.ID).Str("route", sub.Route).
+		Stringer("result", ans.Result).Str("reason", ans.Reason).Dur("took", took).Msg("answered")
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,286 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutstack/internal/connection/mesh"
+	"chestnutstack/internal/process/succession"
+	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
+	"chestnutstack/internal/version/config"
+	"chestnutstack/platform"
+)
+
+// Store is what a daemon needs of the platform's metadata store.
+type Store interface {
+	Append(ctx context.Context, tpc platform.Topic, rec platform.Record) (offset int64, err error)
+	Newest(ctx context.Context, tpc platform.Topic) (recs []platform.Record, next int64, err error)
+	Read(ctx context.Context, tpc platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error)
+}
+
+// Servers is what a daemon needs of the backend servers.
+type Servers interface {
+	Start(ctx context.Context, srv platform.Server, run shard.RunID, payload string, token int64,
+		until time.Duration) (shard.Verdict, time.Duration)
+	Stop(ctx context.Context, srv platform.Server, run shard.RunID, token int64) shard.Verdict
+	Hold(ctx context.Context, srv platform.Server, token, seen int64, until, wait time.Duration) (
+		shard.Look, shard.Verdict, error)
+}
+
+// Listeners are where a daemon is reached.
+type Listeners struct {
+	Callers, Ready, Peers, Metrics net.Listener
+}
+
+// Params is what a Daemon is made of.
+type Params struct {
+	Settings platform.Settings
+	Store    Store
+	Servers  Servers
+	// Dial opens the connections to other instances.
+	Dial mesh.DialFunc
+	// Now is a clock that counts the time during which the machine was suspended.
+	Now func() time.Time
+	Log zerolog.Logger
+	// Counters are made by New if nil.
+	Counters *counters
+}
+
+// Daemon is one process of the system.
+type Daemon struct {
+	prm Params
+	log zerolog.Logger
+	now func() time.Time
+	cnt *counters
+
+	// cfg is the newest configuration; cfgData is the record it was read from, for peers that lag.
+	cfg     atomic.Pointer[config.Configuration]
+	cfgData atomic.Pointer[[]byte]
+	leaving atomic.Bool
+
+	// mu guards all that decides. No call to another process is made under it.
+	mu      sync.Mutex
+	life    int64
+	self    shard.InstanceID
+	round   int64
+	desk    *submission.Desk
+	council *succession.Council
+	leaders map[shard.Name]*shard.Leader
+	divided map[succession.Shard][]shard.ServerEntry
+	counts  map[string]int
+	entries map[shard.ServerID]shard.ServerEntry
+	callers map[submission.Call]chan submission.Answer
+	lastCal submission.Call
+	ticked  time.Time
+	// listed is set once the list of instances was read.
+	listed bool
+	// passed is when a configuration was last passed to an instance.
+	passed map[shard.InstanceID]time.Time
+	// local are actions that concern this instance itself.
+	local []func(now time.Time)
+
+	mesh  *mesh.Mesh
+	group *errgroup.Group
+	ctx   context.Context //nolint:containedctx // set by Run for the calls that decisions start
+}
+
+// New returns a daemon that works while Run does.
+func New(prm Params) *Daemon {
+	if prm.Counters == nil {
+		prm.Counters = &counters{}
+	}
+	return &Daemon{
+		prm: prm, log: prm.Log, now: prm.Now, cnt: prm.Counters,
+		leaders: map[shard.Name]*shard.Leader{}, counts: map[string]int{},
+		entries: map[shard.ServerID]shard.ServerEntry{},
+		callers: map[submission.Call]chan submission.Answer{},
+		passed:  map[shard.InstanceID]time.Time{},
+	}
+}
+
+// The times of a daemon.
+const (
+	// beatInterval and silence: an instance is missed after four beats. With the lease of 600 ms and the
+	// 200 ms for stops, the chain stays under the 1.3 s after which a caller sends its job again.
+	beatInterval = 100 * time.Millisecond
+	silence      = 400 * time.Millisecond
+	// meshTimeout bounds a batch: 30 times the way to another failure domain and back.
+	meshTimeout = 150 * time.Millisecond
+	// tickInterval is how late a decision by time alone may be.
+	tickInterval = 20 * time.Millisecond
+	// proof is silence, stop patience, lapse and a margin: when all that a lost leader ran for this
+	// instance is over.
+	proof = 1250 * time.Millisecond
+	// noLeader is how long callers are told to stay away while no shard has a leader.
+	noLeader = time.Second
+	// frozenFor is a pause of the process after which its beliefs are stale: its lease on its orders has
+	// run out elsewhere.
+	frozenFor = 300 * time.Millisecond
+)
+
+// Run works until ctx ends, then hands over and returns once every caller has its answer.
+func (dmn *Daemon) Run(ctx context.Context, lis Listeners) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	grp, work := errgroup.WithContext(work)
+	dmn.group, dmn.ctx = grp, work
+	set := &dmn.prm.Settings
+	dmn.log.Info().Str("failure-domain", set.FailureDomain).Str("callers", set.CallerAddress).
+		Float64("processor", set.Processor).Msg("started")
+	front := dmn.serveHTTP(work, lis.Callers, platform.Front(dmn))
+	dmn.serveHTTP(work, lis.Ready, platform.Ready(dmn))
+	dmn.serveHTTP(work, lis.Metrics, dmn.cnt.handler())
+	grp.Go(func() error { return dmn.follow(work, dmn.configurations()) })
+	grp.Go(func() error { return dmn.follow(work, dmn.backendServers()) })
+	grp.Go(func() error { return dmn.join(work, lis.Peers) })
+	grp.Go(func() error {
+		select {
+		case <-ctx.Done():
+			dmn.leave(front)
+		case <-work.Done():
+		}
+		stop()
+		return nil
+	})
+	err := grp.Wait()
+	dmn.log.Info().Err(err).Msg("stopped")
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// serveHTTP serves until ctx ends.
+func (dmn *Daemon) serveHTTP(ctx context.Context, lis net.Listener, hdl http.Handler) *http.Server {
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	dmn.group.Go(func() error {
+		if err := srv.Serve(lis); err != nil && ctx.Err() == nil {
+			return err
+		}
+		return nil
+	})
+	dmn.group.Go(func() error {
+		<-ctx.Done()
+		return srv.Close()
+	})
+	return srv
+}
+
+const (
+	// headerTimeout and idleTimeout are those of the configurations seen, 3 s and 15 s, doubled.
+	headerTimeout = 6 * time.Second
+	idleTimeout   = 30 * time.Second
+)
+
+// join gets this life's number from the store, finds the other instances there and talks to them.
+func (dmn *Daemon) join(ctx context.Context, lis net.Listener) error {
+	set := &dmn.prm.Settings
+	life, err := dmn.register(ctx)
+	if err != nil {
+		return nil //nolint:nilerr // only the end of ctx ends the tries
+	}
+	now := dmn.now()
+	dmn.mu.Lock()
+	dmn.life, dmn.round = life, life
+	dmn.self = mesh.ID(set.Instance, life)
+	dmn.desk = submission.NewDesk(submission.Config{
+		Self: dmn.self, Domain: set.FailureDomain, Proof: proof, NoLeader: noLeader,
+	})
+	dmn.council = succession.New(succession.DefaultConfig(), dmn.self, set.FailureDomain, now)
+	dmn.mesh = mesh.New(mesh.Config{
+		Name: set.Instance, Life: life, Interval: beatInterval, Silence: silence,
+		CallTimeout: meshTimeout, Now: dmn.now,
+	}, dmn.prm.Dial, dmn)
+	dmn.ticked = now
+	dmn.redivide(now)
+	dmn.mu.Unlock()
+	dmn.log.Info().Int64("life", life).Msg("registered")
+	dmn.group.Go(func() error { return dmn.follow(ctx, dmn.instances()) })
+	dmn.group.Go(func() error { return dmn.runTicks(ctx) })
+	return dmn.mesh.Run(ctx, lis)
+}
+
+// register appends this process to the store's list of instances, over and over until it is there. The
+// record's offset is the number of this life: no other process ever gets it, and later ones get higher ones.
+func (dmn *Daemon) register(ctx context.Context) (int64, error) {
+	rec := platform.Record{
+		Key: dmn.prm.Settings.Instance, Value: platform.EncodeInstance(dmn.prm.Settings.PeerAddress),
+	}
+	for {
+		cll, cancel := context.WithTimeout(ctx, storeTimeout)
+		off, err := dmn.prm.Store.Append(cll, platform.InstancesTopic, rec)
+		cancel()
+		if err == nil {
+			return off + 1, nil
+		}
+		dmn.log.Warn().Err(err).Msg("registering fails; trying again")
+		if !pause(ctx, storePause) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func pause(ctx context.Context, dur time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(dur):
+		return true
+	}
+}
+
+// leave stops as planned: the balancer is told, the shards go to others, and every answer is waited for.
+func (dmn *Daemon) leave(front *http.Server) {
+	dmn.leaving.Store(true)
+	dmn.log.Info().Msg("stopping")
+	dmn.mu.Lock()
+	if dmn.council != nil {
+		dmn.council.SetLeaving()
+		dmn.mesh.Nudge()
+	}
+	dmn.mu.Unlock()
+	front.SetKeepAlivesEnabled(false)
+	began := time.Now()
+	last := dmn.prm.Settings.StopTimeout - stopReserve
+	for time.Since(began) < last {
+		time.Sleep(tickInterval)
+		dmn.mu.Lock()
+		open := len(dmn.callers)
+		dmn.mu.Unlock()
+		if open == 0 && time.Since(began) > balancerNotice {
+			break
+		}
+	}
+	dmn.log.Info().Dur("after", time.Since(began)).Msg("handed over")
+}
+
+const (
+	// balancerNotice is how long the balancer may send new connections after the first failed check: it
+	// asks each second and believes the second answer.
+	balancerNotice = 2500 * time.Millisecond
+	// stopReserve is what is left of the time to the kill for the last answers to reach their callers.
+	stopReserve = 400 * time.Millisecond
+)
+
+// token returns a fencing token that no other instance ever uses, higher than all it has heard of.
+func (dmn *Daemon) token() int64 {
+	dmn.round++
+	return dmn.round<<lifeBits | dmn.life&(1<<lifeBits-1)
+}
+
+// lifeBits is the part of a token that names its holder: a million lives of instances, and as many rounds
+// stay below the 53 bits that every JSON reader keeps.
+const lifeBits = 20
+
+func (dmn *Daemon) nextCall() submission.Call {
+	dmn.lastCal++
+	return dmn.lastCal
+}
--- /dev/null
+++ b/internal/process/daemon/entry.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+
+	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
+	"chestnutstack/internal/version/config"
+)
+
+// Configuration implements platform.Entry.
+func (dmn *Daemon) Configuration() *config.Configuration { return dmn.cfg.Load() }
+
+// Serving implements platform.Entry.
+func (dmn *Daemon) Serving() bool { return !dmn.leaving.Load() }
+
+// Waiting implements platform.Entry.
+func (dmn *Daemon) Waiting(rte config.Route) int {
+	dmn.mu.Lock()
+	defer dmn.mu.Unlock()
+	if dmn.desk == nil {
+		return 0
+	}
+	return dmn.desk.Waiting(rte.Name())
+}
+
+// Refused implements platform.Entry.
+func (dmn *Daemon) Refused(request, reason string, status int) {
+	dmn.cnt.refusals.Add(1)
+	dmn.log.Info().Str("request", request).Str("reason", reason).Int("status", status).Msg("refused")
+}
+
+// Submit implements platform.Entry.
+func (dmn *Daemon) Submit(ctx context.Context, rte config.Route, sub submission.Submission) submission.Answer {
+	sub.Route = rte.Name()
+	dmn.cnt.submissions.Add(1)
+	now := dmn.enter()
+	if dmn.desk == nil {
+		dmn.exit(now)
+		return submission.Answer{
+			Result: submission.NotRun, RetryAfter: noLeader, Reason: "this instance is not registered yet",
+		}
+	}
+	cal := dmn.nextCall()
+	chn := make(chan submission.Answer, 1)
+	dmn.callers[cal] = chn
+	dmn.log.Info().Str("request", sub.Request).Str("job", sub.ID).Str("route", sub.Route).
+		Int("priority", sub.Priority).Dur("patience", sub.Patience).Int64("config", dmn.cfg.Load().Version()).
+		Msg("submitted")
+	dmn.deskDo(dmn.desk.Submit(now, cal, sub))
+	dmn.exit(now)
+	select {
+	case ans := <-chn:
+		dmn.answered(&sub, ans, now)
+		return ans
+	case <-ctx.Done():
+	}
+	gone := dmn.enter()
+	delete(dmn.callers, cal)
+	dmn.deskDo(dmn.desk.CallerGone(gone, cal))
+	dmn.exit(gone)
+	ans := submission.Answer{Result: submission.Unfinished, Reason: "the caller closed its connection"}
+	dmn.answered(&sub, ans, now)
+	return ans
+}
+
+func (dmn *Daemon) logReport(from shard.InstanceID, rep shard.Report) {
+	dmn.log.Info().Str("task", rep.Task).Str("from", string(from)).Stringer("outcome", rep.Outcome).
+		Dur("took", rep.Took).Str("server", string(rep.Server)).Msg("report")
+}
--- /dev/null
+++ b/internal/process/succession/succession.go
@@ -0,0 +1,248 @@
+package succession
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chestnutstack/internal/request/shard"
+)
+
+// Instance is what is known of an entry instance that is heard.
+type Instance struct {
+	ID             shard.InstanceID
+	Domain         string
+	Ready, Leaving bool
+	// Leads has the fencing token of each shard that the instance leads.
+	Leads map[shard.Name]int64
+}
+
+// Shard is a part of the pool and the failure domain that its backend servers stand in.
+type Shard struct {
+	Name   shard.Name
+	Domain string
+}
+
+// Config has the times that a Council works with.
+type Config struct {
+	// Patience is how long a shard may look as if it had no leader before another one takes it over: a
+	// leader that was just heard for the first time may not have said yet what it leads.
+	Patience time.Duration
+	// Alone is how long an instance that hears nobody waits before it takes over what others led: it is
+	// more likely cut off than the last one.
+	Alone time.Duration
+	// Return is how long an instance is ready before it takes over a shard of its failure domain from one
+	// outside.
+	Return time.Duration
+	// Backoff is the first pause after a shard was lost to another leader; it doubles with each loss.
+	Backoff, MaxBackoff time.Duration
+}
+
+// DefaultConfig returns the times for instances that beat each 100 ms and are missed after 400 ms.
+func DefaultConfig() Config {
+	return Config{
+		Patience:   30 * time.Millisecond,
+		Alone:      1500 * time.Millisecond,
+		Return:     500 * time.Millisecond,
+		Backoff:    300 * time.Millisecond,
+		MaxBackoff: 5 * time.Second,
+	}
+}
+
+// Council knows the instances and the shards, as seen from one instance.
+type Council struct {
+	cfg       Config
+	self      Instance
+	started   time.Time
+	readyAt   time.Time
+	others    map[shard.InstanceID]*Instance
+	everHeard bool
+	// aloneAt is when the last other instance was lost.
+	aloneAt time.Time
+	shards  []Shard
+	// vacant is since when a shard looks as if it had no leader.
+	vacant map[shard.Name]time.Time
+	losses map[shard.Name]loss
+}
+
+type loss struct {
+	until time.Time
+	times int
+}
+
+// New returns the council as an instance sees it that has heard nobody.
+func New(cfg Config, self shard.InstanceID, domain string, now time.Time) *Council {
+	return &Council{
+		cfg: cfg, self: Instance{ID: self, Domain: domain, Leads: map[shard.Name]int64{}},
+		started: now, aloneAt: now,
+		others: map[shard.InstanceID]*Instance{}, vacant: map[shard.Name]time.Time{}, losses: map[shard.Name]loss{},
+	}
+}
+
+// SetShards tells the council which shards there are.
+func (cnc *Council) SetShards(shs []Shard) { cnc.shards = shs }
+
+// SetReady tells the council that its own instance can lead.
+func (cnc *Council) SetReady(now time.Time) {
+	if !cnc.self.Ready {
+		cnc.self.Ready, cnc.readyAt = true, now
+	}
+}
+
+// SetLeaving tells the council that its own instance is to stop: others take its shards over.
+func (cnc *Council) SetLeaving() { cnc.self.Leaving = true }
+
+// Ready reports whether the own instance can lead.
+func (cnc *Council) Ready() bool { return cnc.self.Ready }
+
+// Heard takes in what an instance says of itself and reports whether it was not heard before.
+func (cnc *Council) Heard(ins Instance) bool {
+	_, known := cnc.others[ins.ID]
+	cnc.others[ins.ID] = &ins
+	cnc.everHeard = true
+	return !known
+}
+
+// Lost removes an instance that is not heard any more.
+func (cnc *Council) Lost(now time.Time, id shard.InstanceID) {
+	delete(cnc.others, id)
+	if len(cnc.others) == 0 {
+		cnc.aloneAt = now
+	}
+}
+
+// Took notes that the own instance leads a shard.
+func (cnc *Council) Took(name shard.Name, token int64) { cnc.self.Leads[name] = token }
+
+// Left notes that the own instance leads a shard no more; fenced says that another leader's token
+// was met, though nobody else was heard to lead it.
+func (cnc *Council) Left(now time.Time, name shard.Name, fenced bool) {
+	delete(cnc.self.Leads, name)
+	if !fenced {
+		return
+	}
+	los := cnc.losses[name]
+	pause := min(cnc.cfg.Backoff<<min(los.times, maxDoublings), cnc.cfg.MaxBackoff)
+	cnc.losses[name] = loss{until: now.Add(pause), times: los.times + 1}
+}
+
+const maxDoublings = 6
+
+// Leader returns who leads a shard as far as is known, and whether anybody does.
+func (cnc *Council) Leader(shd Shard) (shard.InstanceID, bool) {
+	var bst *Instance
+	if cnc.claims(&cnc.self, shd) {
+		bst = &cnc.self
+	}
+	for _, ins := range cnc.others {
+		if cnc.claims(ins, shd) && (bst == nil || cnc.stronger(ins, bst, shd)) {
+			bst = ins
+		}
+	}
+	if bst == nil {
+		return "", false
+	}
+	return bst.ID, true
+}
+
+func (cnc *Council) claims(ins *Instance, shd Shard) bool {
+	_, leads := ins.Leads[shd.Name]
+	return leads
+}
+
+// stronger reports whether one claim goes before another: an instance of the shard's own failure domain
+// keeps reaching its servers when the domain is cut off; else the newer token goes first.
+func (cnc *Council) stronger(one, two *Instance, shd Shard) bool {
+	oneNear, twoNear := one.Domain == shd.Domain, two.Domain == shd.Domain
+	if oneNear != twoNear {
+		return oneNear
+	}
+	return one.Leads[shd.Name] > two.Leads[shd.Name]
+}
+
+// Decide returns the shards to take over and those to leave to a stronger leader.
+func (cnc *Council) Decide(now time.Time) (take, leave []shard.Name) {
+	for _, shd := range cnc.shards {
+		led, known := cnc.Leader(shd)
+		_, mine := cnc.self.Leads[shd.Name]
+		if mine && led != cnc.self.ID {
+			leave = append(leave, shd.Name)
+			continue
+		}
+		if !mine && cnc.shouldTake(now, shd, led, known) {
+			take = append(take, shd.Name)
+		}
+	}
+	return take, leave
+}
+
+// shouldTake reports whether the own instance is the one to take a shard over now.
+func (cnc *Council) shouldTake(now time.Time, shd Shard, led shard.InstanceID, known bool) bool {
+	if !cnc.self.Ready || cnc.self.Leaving || now.Before(cnc.losses[shd.Name].until) {
+		return false
+	}
+	if known && !cnc.replaceable(now, shd, led) {
+		delete(cnc.vacant, shd.Name)
+		return false
+	}
+	since, waiting := cnc.vacant[shd.Name]
+	if !waiting {
+		cnc.vacant[shd.Name] = now
+		since = now
+	}
+	if now.Sub(since) < cnc.cfg.Patience || cnc.mayBeCutOff(now) {
+		return false
+	}
+	return cnc.candidate(shd) == cnc.self.ID
+}
+
+// mayBeCutOff reports whether the instance hears nobody although there were others a moment ago.
+func (cnc *Council) mayBeCutOff(now time.Time) bool {
+	return len(cnc.others) == 0 && cnc.everHeard && now.Sub(cnc.aloneAt) < cnc.cfg.Alone
+}
+
+// replaceable reports whether a shard's leader should make way: it is leaving, or it stands in another
+// failure domain while an instance of the shard's own has been ready for long enough.
+func (cnc *Council) replaceable(now time.Time, shd Shard, led shard.InstanceID) bool {
+	ins := cnc.others[led]
+	if ins == nil {
+		return false
+	}
+	if ins.Leaving {
+		return true
+	}
+	return ins.Domain != shd.Domain && cnc.self.Domain == shd.Domain && now.Sub(cnc.readyAt) >= cnc.cfg.Return
+}
+
+// candidate returns who should lead a shard: an instance of its failure domain if there is one, the one
+// that leads the fewest shards, and by hash among equals.
+func (cnc *Council) candidate(shd Shard) shard.InstanceID {
+	cds := []*Instance{}
+	for _, ins := range cnc.others {
+		if ins.Ready && !ins.Leaving {
+			cds = append(cds, ins)
+		}
+	}
+	cds = append(cds, &cnc.self)
+	first := slices.MinFunc(cds, func(one, two *Instance) int {
+		return cmp.Or(
+			-cmp.Compare(near(one, shd), near(two, shd)),
+			cmp.Compare(len(one.Leads), len(two.Leads)),
+			cmp.Compare(weight(one, shd), weight(two, shd)),
+		)
+	})
+	return first.ID
+}
+
+func near(ins *Instance, shd Shard) int {
+	if ins.Domain == shd.Domain {
+		return 1
+	}
+	return 0
+}
+
+func weight(ins *Instance, shd Shard) uint64 {
+	return xxhash.Sum64String(string(ins.ID) + " " + string(shd.Name))
+}
--- /dev/null
+++ b/internal/request/shard/events.go
@@ -0,0 +1,270 @@
+package shard
+
+import "time"
+
+// Started tells what came of a StartRun; clock is the server's, if it answered.
+func (ldr *Leader) Started(now time.Time, id ServerID, rid RunID, vdt Verdict, clock time.Duration) []Action {
+	srv, rn := ldr.find(id, rid)
+	if srv != nil {
+		srv.setClock(now, clock)
+	}
+	if rn == nil || !rn.acceptedAt.IsZero() {
+		return ldr.take()
+	}
+	switch vdt {
+	case Accepted:
+		ldr.accepted(now, srv, rn)
+	case Unknown:
+		// It may still be carried out, seconds later even. A stop that is accepted proves that it isn't.
+		ldr.stop(now, srv, rn)
+	case Fenced:
+		ldr.lose(srv)
+	case Replaced:
+		ldr.replaced(now, srv)
+	case Refused, Overfull:
+		ldr.refused(now, srv, rn)
+	}
+	ldr.advance(now)
+	return ldr.take()
+}
+
+// refused takes back a task that a server would not start. It may know a higher number of that task from
+// another leader, whose clock is ahead; and a server that refuses must not be asked in a tight loop.
+func (ldr *Leader) refused(now time.Time, srv *server, rn *run) {
+	if ord := rn.ord; ord != nil {
+		ord.notBefore = now.Add(refusalPause)
+		ord.runNumber += runNumberJump
+		ord.Avoid = append(ord.Avoid, srv.ent.ID)
+	}
+	ldr.gone(now, srv, rn)
+}
+
+const (
+	// refusalPause is about what a start takes to and fro, ten times over.
+	refusalPause = 20 * time.Millisecond
+	// runNumberJump is more than the clocks of two machines differ by, in milliseconds.
+	runNumberJump = 1 << 16
+)
+
+func (ldr *Leader) accepted(now time.Time, srv *server, rn *run) {
+	rn.acceptedAt, rn.progressAt = now, now
+	if rn.state != starting {
+		return
+	}
+	rn.state = running
+	rn.ord.srv = srv
+	ldr.report(rn.ord, Begun, 0)
+}
+
+// Stopped tells what came of a StopRun.
+func (ldr *Leader) Stopped(now time.Time, id ServerID, rid RunID, vdt Verdict) []Action {
+	srv, rn := ldr.find(id, rid)
+	if rn == nil {
+		return ldr.take()
+	}
+	rn.stopping = false
+	switch vdt {
+	case Accepted:
+		rn.stopped = now
+		// The look that shows the end is not worth waiting for when one is in progress.
+		srv.lookAt = now
+	case Fenced:
+		ldr.lose(srv)
+	case Replaced:
+		ldr.replaced(now, srv)
+	default:
+		rn.stopDue = now.Add(ldr.cfg.StopRetry)
+	}
+	ldr.advance(now)
+	return ldr.take()
+}
+
+// Looked tells what came of a Hold that was sent at a time.
+func (ldr *Leader) Looked(now time.Time, id ServerID, sent time.Time, look Look, vdt Verdict) []Action {
+	srv := ldr.servers[id]
+	if srv == nil {
+		return ldr.take()
+	}
+	srv.looking = false
+	srv.lookAt = now
+	switch vdt {
+	case Accepted:
+		ldr.seen(now, srv, sent, look)
+	case Fenced:
+		ldr.lose(srv)
+	case Replaced:
+		ldr.replaced(now, srv)
+	default:
+		if srv.state == held {
+			srv.state = silent
+		}
+		srv.lookAt = now.Add(silentPause)
+	}
+	ldr.advance(now)
+	return ldr.take()
+}
+
+// silentPause is the pause before a server that did not answer is asked again; each asking costs a new
+// connection, and a server that is back must not stand idle for long.
+const silentPause = 250 * time.Millisecond
+
+func (ldr *Leader) find(id ServerID, rid RunID) (*server, *run) {
+	srv := ldr.servers[id]
+	if srv == nil {
+		return nil, nil
+	}
+	return srv, srv.runs[rid]
+}
+
+// seen takes in what a server lists.
+func (ldr *Leader) seen(now time.Time, srv *server, sent time.Time, look Look) {
+	first := srv.state == claiming
+	srv.state = held
+	srv.setClock(now, look.Clock)
+	for _, end := range look.Ended {
+		if end.Seq > srv.seen {
+			srv.seen = end.Seq
+			ldr.ended(now, srv, end)
+		}
+	}
+	listed := make(map[RunID]bool, len(look.Running))
+	for _, prg := range look.Running {
+		listed[prg.Run] = true
+		ldr.progress(now, srv, prg)
+	}
+	for rid, rn := range srv.runs {
+		if listed[rid] || !rn.provenGone(sent) {
+			continue
+		}
+		ldr.gone(now, srv, rn)
+	}
+	if first && !ldr.settled {
+		ldr.claimWaiting(now)
+	}
+	if ldr.settled {
+		ldr.stopOrphans(now, srv)
+	}
+}
+
+// provenGone reports whether a look that was sent at a time and does not list the run proves that it is
+// over: it was accepted before, or a stop was, after which it can't start any more.
+func (rn *run) provenGone(sent time.Time) bool {
+	if !rn.stopped.IsZero() {
+		return !sent.Before(rn.stopped)
+	}
+	return !rn.acceptedAt.IsZero() && sent.After(rn.acceptedAt)
+}
+
+func (ldr *Leader) progress(now time.Time, srv *server, prg Progress) {
+	rn := srv.runs[prg.Run]
+	if rn == nil {
+		rn = &run{id: prg.Run, state: running, acceptedAt: now, sentAt: now, progressAt: now, percent: prg.Percent}
+		srv.runs[prg.Run] = rn
+		return
+	}
+	if rn.state == starting {
+		ldr.accepted(now, srv, rn)
+	}
+	if prg.Percent > rn.percent {
+		rn.percent, rn.progressAt = prg.Percent, now
+	}
+}
+
+// claimWaiting connects orders that came before the server listed what runs there.
+func (ldr *Leader) claimWaiting(now time.Time) {
+	for _, ord := range ldr.que.orders {
+		if _, waiting := ldr.orders[ord.Task]; waiting && ldr.adopt(now, ord) {
+			defer ldr.que.remove(ord)
+		}
+	}
+}
+
+// ended deals with a run that a server lists as ended.
+func (ldr *Leader) ended(now time.Time, srv *server, end End) {
+	rn := srv.runs[end.Run]
+	if rn == nil || rn.ord == nil {
+		delete(srv.runs, end.Run)
+		if !ldr.settled {
+			ldr.ends[end.Run.Task] = foundEnd{how: end.How, server: srv.ent.ID}
+		}
+		return
+	}
+	ord := rn.ord
+	stopped := rn.state == ending
+	delete(srv.runs, end.Run)
+	ord.run, ord.srv = nil, srv
+	switch end.How {
+	case EndedDone:
+		srv.succeeded()
+	case EndedFailed:
+		srv.failed(now, ord.submission(), ldr.cfg)
+	}
+	switch {
+	case ord.cancelled:
+		delete(ldr.orders, ord.Task)
+	case end.How == EndedDone:
+		ldr.finish(ord, Done, now.Sub(rn.sentAt))
+	case end.How == EndedFailed && !stopped:
+		ldr.finish(ord, Failed, now.Sub(rn.sentAt))
+	default:
+		ldr.que.push(ord)
+	}
+}
+
+func (ldr *Leader) finish(ord *order, out Outcome, took time.Duration) {
+	delete(ldr.orders, ord.Task)
+	ldr.report(ord, out, took)
+}
+
+// gone takes back an order whose run is proven to be over without an end that counts.
+func (ldr *Leader) gone(_ time.Time, srv *server, rn *run) {
+	delete(srv.runs, rn.id)
+	ord := rn.ord
+	if ord == nil {
+		return
+	}
+	ord.run, ord.srv = nil, nil
+	if ord.cancelled {
+		delete(ldr.orders, ord.Task)
+		return
+	}
+	ldr.que.push(ord)
+}
+
+// lapsed takes back all orders of a server whose lease has ended by any clock. A start that was never
+// answered may still be carried out: the run stays in the books, and no task goes to the server, until a
+// stop of it is accepted.
+func (ldr *Leader) lapsed(now time.Time, srv *server) {
+	for _, rn := range srv.runs {
+		ord := rn.ord
+		ldr.gone(now, srv, rn)
+		if ord != nil && rn.acceptedAt.IsZero() && rn.stopped.IsZero() {
+			rn.ord, rn.state = nil, ending
+			srv.runs[rn.id] = rn
+		}
+	}
+}
+
+// replaced drops a server in whose place another life answers: whatever ran is over.
+func (ldr *Leader) replaced(now time.Time, srv *server) {
+	for _, rn := range srv.runs {
+		ldr.gone(now, srv, rn)
+	}
+	delete(ldr.servers, srv.ent.ID)
+}
+
+// lose drops a server that obeys another leader. Its orders are the new leader's: their owners hear
+// that nothing is known of them here.
+func (ldr *Leader) lose(srv *server) {
+	for _, rn := range srv.runs {
+		if rn.ord == nil {
+			continue
+		}
+		delete(ldr.orders, rn.ord.Task)
+		if !rn.ord.cancelled {
+			ldr.do(Tell{Owner: rn.ord.Owner, Report: Report{Task: rn.ord.Task, Outcome: Lost}})
+		}
+	}
+	delete(ldr.servers, srv.ent.ID)
+	ldr.lost++
+}
--- /dev/null
+++ b/internal/request/shard/leader.go
@@ -0,0 +1,299 @@
+package shard
+
+import (
+	"time"
+)
+
+// Leader decides for the backend servers of a shard from the moment when its instance takes the shard over.
+// It is not safe for concurrent use.
+type Leader struct {
+	cfg     Config
+	name    Name
+	token   int64
+	since   time.Time
+	settled bool
+	servers map[ServerID]*server
+	orders  map[string]*order
+	que     queue
+	// ends are ends found at the take-over whose owners have not yet asked.
+	ends map[string]foundEnd
+	acts []Action
+	// lost counts the servers that obey another leader.
+	lost int
+}
+
+type foundEnd struct {
+	how    HowEnded
+	server ServerID
+}
+
+// NewLeader returns the leader of a shard that was taken over with a fencing token.
+func NewLeader(cfg Config, name Name, token int64, now time.Time) *Leader {
+	return &Leader{
+		cfg: cfg, name: name, token: token, since: now,
+		servers: map[ServerID]*server{}, orders: map[string]*order{}, ends: map[string]foundEnd{},
+	}
+}
+
+// Name returns the shard's name.
+func (ldr *Leader) Name() Name { return ldr.name }
+
+// Token returns the fencing token that the leader took the shard over with.
+func (ldr *Leader) Token() int64 { return ldr.token }
+
+// Settled reports whether the take-over is complete, so that tasks start.
+func (ldr *Leader) Settled() bool { return ldr.settled }
+
+// Lost returns how many servers the leader has lost to another one.
+func (ldr *Leader) Lost() int { return ldr.lost }
+
+// take returns the actions that have gathered.
+func (ldr *Leader) take() []Action {
+	acts := ldr.acts
+	ldr.acts = nil
+	return acts
+}
+
+func (ldr *Leader) do(act Action) { ldr.acts = append(ldr.acts, act) }
+
+// SetServers tells the leader which servers the shard has, as the platform lists them.
+func (ldr *Leader) SetServers(now time.Time, ents []ServerEntry) []Action {
+	listed := make(map[ServerID]bool, len(ents))
+	for _, ent := range ents {
+		listed[ent.ID] = true
+		if srv := ldr.servers[ent.ID]; srv != nil {
+			srv.ent = ent
+			continue
+		}
+		ldr.servers[ent.ID] = newServer(ent, now)
+	}
+	for id, srv := range ldr.servers {
+		if listed[id] {
+			continue
+		}
+		// The list forgets servers that live while the store is away. One that answers its leader
+		// stays until it stops answering, but gets no new task while it is leaving.
+		if srv.state != held {
+			ldr.forget(now, srv)
+		}
+	}
+	ldr.advance(now)
+	return ldr.take()
+}
+
+// forget drops a server; what ran there goes back to the queue once its lease has surely lapsed.
+func (ldr *Leader) forget(now time.Time, srv *server) {
+	if len(srv.runs) > 0 && now.Before(srv.renewedAt.Add(ldr.cfg.lapse())) {
+		return
+	}
+	ldr.lapsed(now, srv)
+	delete(ldr.servers, srv.ent.ID)
+}
+
+// Place takes an order. A task that the leader has already is left alone.
+func (ldr *Leader) Place(now time.Time, req Order) []Action {
+	if old := ldr.orders[req.Task]; old != nil {
+		ldr.placeAgain(now, old, req)
+		ldr.advance(now)
+		return ldr.take()
+	}
+	ord := &order{Order: req}
+	ldr.orders[req.Task] = ord
+	if !ldr.adopt(now, ord) {
+		if !ldr.allListed() {
+			ord.notBefore = ldr.since.Add(ldr.cfg.lapse())
+		}
+		ldr.que.push(ord)
+	}
+	ldr.advance(now)
+	return ldr.take()
+}
+
+// placeAgain answers an order for a task that is here. From the same owner it is a repetition; from
+// another one, the caller sent its job again because the first owner lost it: the first run has to be
+// gone before the second starts.
+func (ldr *Leader) placeAgain(now time.Time, old *order, req Order) {
+	if old.Owner == req.Owner && !old.cancelled {
+		// An owner that has found room elsewhere asks again with Bounce for an order that waits here.
+		old.Bounce = req.Bounce
+		if old.run != nil && old.run.state == running {
+			ldr.report(old, Begun, 0)
+		}
+		return
+	}
+	if old.run == nil {
+		ldr.que.remove(old)
+		old.Order = req
+		ldr.que.push(old)
+		return
+	}
+	ldr.stop(now, old.srv, old.run)
+	old.Order, old.cancelled = req, false
+	old.run.ord = old
+}
+
+// adopt connects an order with a run or an end that was found at the take-over.
+func (ldr *Leader) adopt(now time.Time, ord *order) bool {
+	if end, ok := ldr.ends[ord.Task]; ok && end.how == EndedDone {
+		delete(ldr.ends, ord.Task)
+		delete(ldr.orders, ord.Task)
+		ldr.do(Tell{Owner: ord.Owner, Report: Report{Task: ord.Task, Outcome: Done, Server: end.server}})
+		return true
+	}
+	for _, srv := range ldr.servers {
+		for _, rn := range srv.runs {
+			if rn.ord != nil || rn.id.Task != ord.Task {
+				continue
+			}
+			rn.ord, ord.run, ord.srv = ord, rn, srv
+			if rn.state == running {
+				rn.sentAt, rn.progressAt = now, now
+				ldr.report(ord, Begun, 0)
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// allListed reports whether every server has obeyed this leader and listed what runs there.
+func (ldr *Leader) allListed() bool {
+	for _, srv := range ldr.servers {
+		if srv.state == claiming {
+			return false
+		}
+	}
+	return true
+}
+
+// Cancel ends an order of an owner; nothing is reported of it.
+func (ldr *Leader) Cancel(now time.Time, owner InstanceID, task string) []Action {
+	ord := ldr.orders[task]
+	if ord != nil && ord.Owner == owner {
+		ldr.cancel(now, ord)
+	}
+	ldr.advance(now)
+	return ldr.take()
+}
+
+// OwnerLost ends all orders of an instance that is not heard any more: its callers are sending their
+// jobs to other instances.
+func (ldr *Leader) OwnerLost(now time.Time, owner InstanceID) []Action {
+	for _, ord := range ldr.orders {
+		if ord.Owner == owner {
+			ldr.cancel(now, ord)
+		}
+	}
+	ldr.advance(now)
+	return ldr.take()
+}
+
+func (ldr *Leader) cancel(now time.Time, ord *order) {
+	if ord.run == nil {
+		ldr.que.remove(ord)
+		delete(ldr.orders, ord.Task)
+		return
+	}
+	ord.cancelled = true
+	ldr.stop(now, ord.srv, ord.run)
+}
+
+// stop has a run ended; its room stays taken until the server shows that it is gone.
+func (ldr *Leader) stop(now time.Time, srv *server, rn *run) {
+	if rn.state == ending {
+		return
+	}
+	rn.state = ending
+	rn.stopAt = now
+	ldr.sendStop(srv, rn)
+}
+
+func (ldr *Leader) sendStop(srv *server, rn *run) {
+	rn.stopping = true
+	ldr.do(StopRun{Server: srv.ent, Run: rn.id, Token: ldr.token})
+}
+
+func (ldr *Leader) report(ord *order, out Outcome, took time.Duration) {
+	rep := Report{Task: ord.Task, Outcome: out, Took: took}
+	if ord.srv != nil {
+		rep.Server = ord.srv.ent.ID
+	}
+	ldr.do(Tell{Owner: ord.Owner, Report: rep})
+}
+
+// Tick does what is due by time alone.
+func (ldr *Leader) Tick(now time.Time) []Action {
+	ldr.advance(now)
+	return ldr.take()
+}
+
+// advance is the part that follows every event: settle, repeat stops, look, place.
+func (ldr *Leader) advance(now time.Time) {
+	if !ldr.settled {
+		ldr.settle(now)
+	}
+	for _, srv := range ldr.servers {
+		ldr.tend(now, srv)
+	}
+	if ldr.settled {
+		ldr.place(now)
+	}
+}
+
+// settle ends the take-over: what nobody has asked for is stopped before any lease is renewed, or an
+// orphan would outlive its caller's patience and meet its own copy.
+func (ldr *Leader) settle(now time.Time) {
+	if now.Sub(ldr.since) < ldr.cfg.Settle {
+		return
+	}
+	ldr.settled = true
+	clear(ldr.ends)
+	for _, srv := range ldr.servers {
+		ldr.stopOrphans(now, srv)
+	}
+}
+
+func (ldr *Leader) stopOrphans(now time.Time, srv *server) {
+	for _, rn := range srv.runs {
+		if rn.ord == nil {
+			ldr.stop(now, srv, rn)
+		}
+	}
+}
+
+// tend looks after one server: repeats stops, finds runs that stand still, renews and looks.
+func (ldr *Leader) tend(now time.Time, srv *server) {
+	for _, rn := range srv.runs {
+		if rn.state == ending && rn.stopped.IsZero() && !rn.stopping && !now.Before(rn.stopDue) {
+			ldr.sendStop(srv, rn)
+		}
+		if ldr.stalled(now, rn) {
+			rn.ord.Avoid = append(rn.ord.Avoid, srv.ent.ID)
+			srv.failed(now, rn.ord.submission(), ldr.cfg)
+			ldr.stop(now, srv, rn)
+		}
+	}
+	if srv.state != held && len(srv.runs) > 0 && !now.Before(srv.renewedAt.Add(ldr.cfg.lapse())) {
+		ldr.lapsed(now, srv)
+	}
+	if !srv.looking && !now.Before(srv.lookAt) {
+		ldr.look(now, srv)
+	}
+}
+
+func (ldr *Leader) stalled(now time.Time, rn *run) bool {
+	return rn.state == running && rn.ord != nil && rn.percent < 100 && now.Sub(rn.progressAt) > ldr.cfg.Stall
+}
+
+func (ldr *Leader) look(now time.Time, srv *server) {
+	act := Hold{Server: srv.ent, Token: ldr.token, Seen: srv.seen}
+	if srv.state == held && ldr.settled {
+		act.Wait = ldr.cfg.Wait
+		if !srv.unanswered(now, ldr.cfg.StopPatience) {
+			act.Until = srv.until(now, ldr.cfg.Lease)
+			srv.renewedAt = now
+		}
+	}
+	srv.looking, srv.lookAt = true, now
+	ldr.do(act)
+}
--- /dev/null
+++ b/internal/request/shard/place.go
@@ -0,0 +1,139 @@
+package shard
+
+import (
+	"slices"
+	"time"
+)
+
+// place starts waiting tasks, each at the server with the least room that still takes it: what is left
+// over elsewhere then takes larger tasks (two tasks of half a server don't fit beside one of a third).
+func (ldr *Leader) place(now time.Time) {
+	if len(ldr.que.orders) == 0 {
+		return
+	}
+	rms := ldr.rooms(now)
+	kept := ldr.que.orders[:0]
+	for _, ord := range ldr.que.orders {
+		if !now.Before(ord.notBefore) {
+			if rom := rms.best(ord); rom != nil {
+				rom.processor -= ord.Processor
+				rom.memory -= ord.Memory
+				ldr.start(now, rom.srv, ord)
+				continue
+			}
+			if ord.Bounce {
+				delete(ldr.orders, ord.Task)
+				ldr.report(ord, NotRun, 0)
+				continue
+			}
+		}
+		kept = append(kept, ord)
+	}
+	clear(ldr.que.orders[len(kept):])
+	ldr.que.orders = kept
+}
+
+func (ldr *Leader) start(now time.Time, srv *server, ord *order) {
+	// A task's numbers must rise over all its leaders; the time of day does, and a leader that starts a
+	// task twice within a millisecond counts on.
+	ord.runNumber = max(ord.runNumber+1, now.UnixMilli())
+	rn := &run{id: RunID{Task: ord.Task, Number: ord.runNumber}, ord: ord, sentAt: now}
+	srv.runs[rn.id] = rn
+	ord.run, ord.srv = rn, srv
+	srv.renewedAt = now
+	ldr.do(StartRun{
+		Server: srv.ent, Run: rn.id, Payload: ord.Payload, Token: ldr.token,
+		Until: srv.until(now, ldr.cfg.Lease),
+	})
+}
+
+// room is what a server has left during one round of placing.
+type room struct {
+	srv               *server
+	processor, memory int64
+}
+
+type rooms []*room
+
+func (ldr *Leader) rooms(now time.Time) rooms {
+	rms := make(rooms, 0, len(ldr.servers))
+	for _, srv := range ldr.servers {
+		if !srv.open(now) {
+			continue
+		}
+		if srv.failing >= failuresToPause && len(srv.runs) > 0 {
+			// A server that comes back from a pause is tried with one task at a time.
+			continue
+		}
+		if prc, mem := srv.free(); prc > 0 {
+			rms = append(rms, &room{srv: srv, processor: prc, memory: mem})
+		}
+	}
+	return rms
+}
+
+// best returns the room that suits an order most: away from servers where the task failed, on the rack
+// of its data, then the tightest.
+func (rms rooms) best(ord *order) *room {
+	var bst *room
+	var bstRank int
+	for _, rom := range rms {
+		if rom.processor < ord.Processor || rom.memory < ord.Memory || !rom.srv.takes(ord) {
+			continue
+		}
+		rnk := rom.rank(ord)
+		if bst == nil || rnk < bstRank || rnk == bstRank && rom.tighter(bst) {
+			bst, bstRank = rom, rnk
+		}
+	}
+	return bst
+}
+
+func (rom *room) rank(ord *order) int {
+	rnk := 0
+	if slices.Contains(ord.Avoid, rom.srv.ent.ID) {
+		rnk += 2
+	}
+	if ord.Rack != "" && !slices.Contains(rom.srv.ent.Labels, ord.Rack) {
+		rnk++
+	}
+	return rnk
+}
+
+func (rom *room) tighter(oth *room) bool {
+	if rom.processor != oth.processor {
+		return rom.processor < oth.processor
+	}
+	return rom.srv.ent.ID < oth.srv.ent.ID
+}
+
+// Load is what a leader tells other instances of its room, so that they can choose a shard.
+type Load struct {
+	// Free has the free processor, in thousandths of a core, of each server with some.
+	Free []int64
+	// Capacity is that of all servers that take tasks, Waiting what waiting tasks need, by priority, in
+	// thousandths of a core times their expected run time in milliseconds.
+	Capacity int64
+	Waiting  [Priorities]int64
+}
+
+// Priorities is how many priorities are told apart in a Load; less urgent ones count as the last.
+const Priorities = 3
+
+// Load returns the room that is left.
+func (ldr *Leader) Load(now time.Time) Load {
+	var lod Load
+	for _, srv := range ldr.servers {
+		if !srv.open(now) {
+			continue
+		}
+		lod.Capacity += srv.ent.Processor
+		if prc, _ := srv.free(); prc > 0 {
+			lod.Free = append(lod.Free, prc)
+		}
+	}
+	for _, ord := range ldr.que.orders {
+		lod.Waiting[min(max(ord.Priority, 0), Priorities-1)] += ord.Processor * ord.Expected.Milliseconds()
+	}
+	return lod
+}
--- /dev/null
+++ b/internal/request/shard/queue.go
@@ -0,0 +1,51 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// order is an Order on its way.
+type order struct {
+	Order
+	// run is set while the order is placed.
+	run *run
+	srv *server
+	// notBefore is set for a task that may still run at a server that has not yet obeyed this leader.
+	notBefore time.Time
+	cancelled bool
+	runNumber int64
+}
+
+// submission returns the part of a task's name that names its submission.
+func (ord *order) submission() string {
+	sub, _, _ := strings.Cut(ord.Task, ".")
+	return sub
+}
+
+// compare puts orders into the order in which they are to start: by priority, then by arrival, so that
+// the tasks of a submission, whose answer waits for the last of them, start together.
+func compare(one, two *order) int {
+	return cmp.Or(
+		cmp.Compare(one.Priority, two.Priority),
+		one.Arrived.Compare(two.Arrived),
+		strings.Compare(one.Task, two.Task),
+	)
+}
+
+// queue has the orders that wait, in order.
+type queue struct{ orders []*order }
+
+func (que *queue) push(ord *order) {
+	pos, _ := slices.BinarySearchFunc(que.orders, ord, compare)
+	que.orders = slices.Insert(que.orders, pos, ord)
+}
+
+func (que *queue) remove(ord *order) {
+	pos, found := slices.BinarySearchFunc(que.orders, ord, compare)
+	if found {
+		que.orders = slices.Delete(que.orders, pos, pos+1)
+	}
+}
--- /dev/null
+++ b/internal/request/shard/server.go
@@ -0,0 +1,160 @@
+package shard
+
+import (
+	"slices"
+	"time"
+)
+
+// serverState says what is known of a backend server.
+type serverState int
+
+const (
+	// claiming servers have not yet accepted the leader's fencing token.
+	claiming serverState = iota
+	// held servers obey the leader.
+	held
+	// silent servers obeyed and have stopped answering.
+	silent
+)
+
+// server is a backend server as its leader sees it.
+type server struct {
+	ent   ServerEntry
+	state serverState
+	runs  map[RunID]*run
+	// seen is the highest end that was dealt with.
+	seen int64
+	// clock was the server's time at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// renewedAt is when the newest order was sent that may extend the lease of what runs there.
+	renewedAt time.Time
+	// looking is set while a look is in progress, lookAt is when it was sent or is due.
+	looking bool
+	lookAt  time.Time
+	// failing counts the submissions that failed here since the last success, pausedUntil is when
+	// the next task may be tried.
+	failing     int
+	failedLast  string
+	pausedUntil time.Time
+}
+
+// run is a start of a task at a server.
+type run struct {
+	id    RunID
+	state runState
+	// ord is nil for an orphan: a run that nobody has asked this leader for, of unknown size.
+	ord    *order
+	sentAt time.Time
+	// acceptedAt is when the server accepted the start, or was seen to run it.
+	acceptedAt time.Time
+	// percent was reached at progressAt.
+	percent    int
+	progressAt time.Time
+	// stopAt is when the first stop was sent, stopDue when the next is; stopped when one was accepted.
+	stopAt, stopDue, stopped time.Time
+	stopping                 bool
+}
+
+type runState int
+
+const (
+	// starting runs have no answer yet.
+	starting runState = iota
+	// running runs were accepted.
+	running
+	// ending runs are to end; their room stays taken until the server shows that they are gone.
+	ending
+)
+
+func newServer(ent ServerEntry, now time.Time) *server {
+	return &server{ent: ent, runs: map[RunID]*run{}, lookAt: now}
+}
+
+// free returns the room that surely is free: everything that may run there counts.
+func (srv *server) free() (processor, memory int64) {
+	processor, memory = srv.ent.Processor, srv.ent.Memory
+	for _, rn := range srv.runs {
+		if rn.ord == nil {
+			return 0, 0
+		}
+		processor -= rn.ord.Processor
+		memory -= rn.ord.Memory
+	}
+	return processor, memory
+}
+
+// open reports whether a new task may go to the server.
+func (srv *server) open(now time.Time) bool {
+	return srv.state == held && !srv.ent.Leaving && (srv.failing == 0 || !now.Before(srv.pausedUntil))
+}
+
+// takes reports whether the server may run an order, its room aside.
+func (srv *server) takes(ord *order) bool {
+	if srv.ent.Service != ord.Service {
+		return false
+	}
+	if ord.Label != "" && !slices.Contains(srv.ent.Labels, ord.Label) {
+		return false
+	}
+	return ord.PerServer <= 0 || srv.countStep(ord.Step) < ord.PerServer
+}
+
+func (srv *server) countStep(step string) int {
+	num := 0
+	for _, rn := range srv.runs {
+		if rn.ord != nil && rn.ord.Step == step {
+			num++
+		}
+	}
+	return num
+}
+
+// until returns the end of a lease that begins now, on the server's clock.
+func (srv *server) until(now time.Time, lease time.Duration) time.Duration {
+	return srv.clock + now.Sub(srv.clockAt) + lease
+}
+
+// setClock notes the server's clock as it was no later than now.
+func (srv *server) setClock(now time.Time, clock time.Duration) {
+	if clock > 0 {
+		srv.clock, srv.clockAt = clock, now
+	}
+}
+
+// unanswered reports whether a run that has to end here has not been stopped for too long: renewing the
+// server's lease would keep that run alive past the time at which its caller sends the job again.
+func (srv *server) unanswered(now time.Time, patience time.Duration) bool {
+	for _, rn := range srv.runs {
+		if rn.state == ending && rn.stopped.IsZero() && !rn.stopAt.IsZero() && now.Sub(rn.stopAt) > patience {
+			return true
+		}
+	}
+	return false
+}
+
+// failed notes a failed run. A submission that fails wherever it runs says nothing of the server, so
+// only failures of different submissions in a row count.
+func (srv *server) failed(now time.Time, submission string, cfg Config) {
+	if submission == srv.failedLast {
+		return
+	}
+	srv.failing++
+	srv.failedLast = submission
+	if srv.failing < failuresToPause {
+		return
+	}
+	pause := min(cfg.Quarantine<<min(srv.failing-failuresToPause, maxDoublings), cfg.MaxQuarantine)
+	srv.pausedUntil = now.Add(pause)
+}
+
+const (
+	// failuresToPause is how many submissions in a row fail before the server is paused: one in 500
+	// tasks fails on sound servers, so that two in a row there are rare.
+	failuresToPause = 2
+	maxDoublings    = 8
+)
+
+func (srv *server) succeeded() {
+	srv.failing, srv.failedLast = 0, ""
+}
--- /dev/null
+++ b/internal/request/shard/words.go
@@ -0,0 +1,151 @@
+package shard
+
+import "time"
+
+// ServerID names one life of a backend server.
+type ServerID string
+
+// InstanceID names one life of an entry instance.
+type InstanceID string
+
+// RunID is one start of a task; the numbers of a task rise.
+type RunID struct {
+	Task   string
+	Number int64
+}
+
+// HowEnded says how a run ended.
+type HowEnded int
+
+// The ways in which a run ends.
+const (
+	// EndedDone is a run whose work is complete.
+	EndedDone HowEnded = iota
+	// EndedFailed is a run that failed by its own fault or the backend server's.
+	EndedFailed
+	// EndedStopped is a run that was stopped or whose lease lapsed; it counts as no attempt.
+	EndedStopped
+)
+
+// Progress is a run that a backend server lists as running.
+type Progress struct {
+	Run     RunID
+	Percent int
+}
+
+// End is a run that a backend server lists as ended; ends are numbered from 1 in each of its lives.
+type End struct {
+	Seq int64
+	Run RunID
+	How HowEnded
+}
+
+// Look is what a backend server says of itself.
+type Look struct {
+	// Clock is the server's own steady clock, on which leases count.
+	Clock   time.Duration
+	Running []Progress
+	Ended   []End
+}
+
+// Verdict is what came of a call to a backend server.
+type Verdict int
+
+// The verdicts of a call.
+const (
+	// Accepted calls were carried out.
+	Accepted Verdict = iota
+	// Unknown calls got no answer; they may still be carried out, seconds later even.
+	Unknown
+	// Refused calls were not carried out and never will be.
+	Refused
+	// Fenced calls were refused because the server has seen a higher fencing token.
+	Fenced
+	// Replaced calls met another life of the server: whatever ran in the life that was meant is over.
+	Replaced
+	// Overfull calls were refused for want of room.
+	Overfull
+)
+
+// String returns the verdict's name in logs.
+func (vdt Verdict) String() string {
+	names := [...]string{"accepted", "unknown", "refused", "fenced", "replaced", "overfull"}
+	if vdt < 0 || int(vdt) >= len(names) {
+		return "invalid"
+	}
+	return names[vdt]
+}
+
+// ServerEntry is a backend server as the platform lists it.
+type ServerEntry struct {
+	ID            ServerID
+	Address       string
+	FailureDomain string
+	Service       string
+	// Processor is in thousandths of a core, Memory in MB.
+	Processor, Memory int64
+	Labels            []string
+	Leaving           bool
+}
+
+// Order asks the leader of a shard to run a task and to report its end.
+type Order struct {
+	Task    string
+	Owner   InstanceID
+	Service string
+	// Payload is what the backend server is given to run.
+	Payload string
+	// Processor is in thousandths of a core, Memory in MB.
+	Processor, Memory int64
+	Priority          int
+	// Arrived is when the submission came in, Aim when its answer is due, Deadline when its caller leaves.
+	Arrived, Aim, Deadline time.Time
+	// Expected is a rough guess of the run time.
+	Expected time.Duration
+	// Label, if set, is one that the server must have; Rack is the label of the rack that has its data.
+	Label, Rack string
+	// PerServer bounds the tasks of a step on one server, 0 for no bound; Step is what it counts.
+	PerServer int
+	Step      string
+	// Avoid has servers where the task failed before; they are used if no other has room.
+	Avoid []ServerID
+	// Bounce asks for the order back if it can't start at once.
+	Bounce bool
+}
+
+// Outcome is what the leader reports of an order.
+type Outcome int
+
+// The outcomes of an order.
+const (
+	// Done orders ended well.
+	Done Outcome = iota
+	// Failed orders have a failed run.
+	Failed
+	// NotRun orders are off the leader's hands and nothing of them runs; they may go elsewhere.
+	NotRun
+	// TooLate orders were given up because their deadline can't be met.
+	TooLate
+	// Begun orders have started; the end comes later.
+	Begun
+	// Lost orders are in the hands of another leader, which may let them run on.
+	Lost
+)
+
+// String returns the outcome's name in logs.
+func (out Outcome) String() string {
+	names := [...]string{"done", "failed", "not-run", "too-late", "begun", "lost"}
+	if out < 0 || int(out) >= len(names) {
+		return "invalid"
+	}
+	return names[out]
+}
+
+// Report tells the owner of an order what came of it.
+type Report struct {
+	Task    string
+	Outcome Outcome
+	// Took is how long the run took, Server where it was.
+	Took   time.Duration
+	Server ServerID
+}
--- /dev/null
+++ b/internal/request/submission/choose.go
@@ -0,0 +1,231 @@
+package submission
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"chestnutstack/internal/request/shard"
+)
+
+// view is what a Desk knows of a shard.
+type view struct {
+	name   shard.Name
+	leader shard.InstanceID
+	// near shards lie in this instance's failure domain.
+	near bool
+	load shard.Load
+	// sent is what was sent since the last load, in the unit of Load.Waiting.
+	sent int64
+}
+
+// fits returns how many tasks of a size would start at once.
+func (viw *view) fits(processor int64) int64 {
+	if processor <= 0 {
+		return int64(len(viw.load.Free))
+	}
+	num := int64(0)
+	for _, fre := range viw.load.Free {
+		num += fre / processor
+	}
+	return num
+}
+
+// wait estimates how long a task of a priority waits, in milliseconds times an arbitrary constant.
+func (viw *view) wait(priority int) float64 {
+	work := viw.sent
+	for pri := 0; pri <= min(max(priority, 0), shard.Priorities-1); pri++ {
+		work += viw.load.Waiting[pri]
+	}
+	return float64(work) / float64(max(viw.load.Capacity, 1))
+}
+
+// placed counts a task that was just sent, so that the next one does not go after the same room.
+func (viw *view) placed(processor int64, fits bool) {
+	if !fits {
+		viw.sent += processor
+		return
+	}
+	for idx, fre := range viw.load.Free {
+		if fre >= processor {
+			viw.load.Free[idx] -= processor
+			return
+		}
+	}
+}
+
+// choose returns the shard for a task and whether it is believed to start there at once: a near shard
+// with room, else the one with the most room, else the one with the shortest wait.
+//
+// Pools of a failure domain are small (some 36 tasks of 14 cores): tasks that find theirs full and
+// go to another one's room don't wait for their neighbours' 0.9 s.
+func (dsk *Desk) choose(tsk *task, stp *Step) (*view, bool) {
+	var room, queue *view
+	var most int64
+	var least float64
+	for _, viw := range dsk.sorted() {
+		if viw.leader == "" {
+			continue
+		}
+		num := viw.fits(stp.Processor)
+		if viw.near && num > 0 {
+			num += nearBonus
+		}
+		if num > most {
+			room, most = viw, num
+		}
+		wat := viw.wait(tsk.job.sub.Priority)
+		if queue == nil || wat < least || wat == least && viw.near && !queue.near {
+			queue, least = viw, wat
+		}
+	}
+	if room != nil {
+		return room, true
+	}
+	return queue, false
+}
+
+// nearBonus puts any near shard with room before all others: the way to another failure domain costs up
+// to 2 ms and bytes that are paid for.
+const nearBonus = 1 << 30
+
+func (dsk *Desk) sorted() []*view {
+	vws := make([]*view, 0, len(dsk.shards))
+	for _, viw := range dsk.shards {
+		vws = append(vws, viw)
+	}
+	sort.Slice(vws, func(one, two int) bool { return vws[one].name < vws[two].name })
+	return vws
+}
+
+func (dsk *Desk) anyLeader() bool {
+	for _, viw := range dsk.shards {
+		if viw.leader != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// full notes that a shard has no room for what it was just sent.
+func (dsk *Desk) full(name shard.Name) {
+	if viw := dsk.shards[name]; viw != nil {
+		viw.load.Free = nil
+	}
+}
+
+// SetLeader tells the desk who leads a shard; no leader is an empty instance. Orders that lie with
+// the former leader go to the new one, which knows what of them runs.
+func (dsk *Desk) SetLeader(now time.Time, name shard.Name, near bool, leader shard.InstanceID) []Action {
+	viw := dsk.shards[name]
+	if viw == nil {
+		viw = &view{name: name}
+		dsk.shards[name] = viw
+	}
+	viw.near = near
+	if viw.leader == leader {
+		return dsk.take()
+	}
+	viw.leader = leader
+	viw.load = shard.Load{}
+	if leader == "" {
+		return dsk.take()
+	}
+	for _, jb := range dsk.inOrder() {
+		for _, tks := range jb.tasks {
+			for _, tsk := range tks {
+				dsk.follow(now, tsk, viw)
+			}
+		}
+		dsk.advance(now, jb)
+	}
+	return dsk.take()
+}
+
+// follow sends a task's order to the new leader of its shard.
+func (dsk *Desk) follow(now time.Time, tsk *task, viw *view) {
+	if tsk.done || tsk.shard != viw.name || tsk.leader == "" && tsk.limbo.IsZero() {
+		return
+	}
+	// The former leader may have started it without a word of that here.
+	tsk.job.begun = true
+	tsk.leader, tsk.limbo, tsk.begun = viw.leader, time.Time{}, false
+	dsk.send(now, tsk, false)
+}
+
+func (dsk *Desk) inOrder() []*job {
+	jbs := make([]*job, 0, len(dsk.jobs))
+	for _, jb := range dsk.jobs {
+		jbs = append(jbs, jb)
+	}
+	slices.SortFunc(jbs, func(one, two *job) int { return one.arrived.Compare(two.arrived) })
+	return jbs
+}
+
+// InstanceLost tells the desk that an instance is not heard any more: it may run on what it leads for a
+// while.
+func (dsk *Desk) InstanceLost(now time.Time, id shard.InstanceID) []Action {
+	for _, viw := range dsk.shards {
+		if viw.leader == id {
+			viw.leader = ""
+		}
+	}
+	for _, tsk := range dsk.tasks {
+		if tsk.leader == id && !tsk.done {
+			dsk.toLimbo(now, tsk)
+		}
+	}
+	return dsk.take()
+}
+
+// SetLoad tells the desk what room a shard has. Tasks that wait elsewhere are called back for it.
+func (dsk *Desk) SetLoad(now time.Time, name shard.Name, lod shard.Load) []Action {
+	viw := dsk.shards[name]
+	if viw == nil {
+		return dsk.take()
+	}
+	viw.load, viw.sent = lod, 0
+	viw.load.Free = slices.Clone(lod.Free)
+	if len(viw.load.Free) > 0 {
+		dsk.recall(now, viw)
+	}
+	return dsk.take()
+}
+
+// recall asks the leaders of other shards for waiting tasks that would start at once in a shard's room.
+func (dsk *Desk) recall(now time.Time, viw *view) {
+	var left int64
+	for _, jb := range dsk.inOrder() {
+		for _, tks := range jb.tasks {
+			for _, tsk := range tks {
+				if tsk.done || tsk.begun || tsk.recalled || tsk.leader == "" || tsk.shard == viw.name {
+					continue
+				}
+				need := jb.sub.Steps[tsk.step].Processor
+				if viw.fits(need) <= left {
+					return
+				}
+				left++
+				tsk.recalled, tsk.bounces = true, 0
+				dsk.send(now, tsk, true)
+			}
+		}
+	}
+}
+
+// Leads reports whether an instance is the one that is known to lead a shard.
+func (dsk *Desk) Leads(name shard.Name, id shard.InstanceID) bool {
+	viw := dsk.shards[name]
+	return viw != nil && viw.leader == id
+}
+
+// Waiting returns how many submissions of a route have not begun.
+func (dsk *Desk) Waiting(route string) int {
+	num := 0
+	for _, jb := range dsk.jobs {
+		if jb.sub.Route == route && !jb.begun {
+			num++
+		}
+	}
+	return num
+}
--- /dev/null
+++ b/internal/request/submission/desk.go
@@ -0,0 +1,370 @@
+package submission
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"chestnutstack/internal/request/shard"
+)
+
+// Call names one request of a caller that waits for an answer.
+type Call int64
+
+// Action is something that the shell does for a Desk: Place, Withdraw or Reply.
+type Action interface{ action() }
+
+// Place passes an order to the leader of a shard.
+type Place struct {
+	Target Target
+	Order  shard.Order
+}
+
+// Withdraw has the leader of a shard end an order.
+type Withdraw struct {
+	Target Target
+	Task   string
+}
+
+// Reply answers a caller.
+type Reply struct {
+	Call   Call
+	ID     string
+	Answer Answer
+}
+
+func (Place) action()    {}
+func (Withdraw) action() {}
+func (Reply) action()    {}
+
+// Config has the times that a Desk works with.
+type Config struct {
+	Self   shard.InstanceID
+	Domain string
+	// Proof is how long after the loss of a leader everything that it ran for this instance is surely over:
+	// it misses this instance, its stops stay without an answer, and the leases lapse.
+	Proof time.Duration
+	// NoLeader is what callers are told to wait while no shard has a leader; a shard is without one for
+	// about half a second.
+	NoLeader time.Duration
+}
+
+// Desk decides for the submissions of one entry instance. It is not safe for concurrent use.
+type Desk struct {
+	cfg    Config
+	jobs   map[string]*job
+	calls  map[Call]*job
+	tasks  map[string]*task
+	shards map[shard.Name]*view
+	acts   []Action
+}
+
+// job is a submission that is not answered yet.
+type job struct {
+	sub      Submission
+	calls    []Call
+	arrived  time.Time
+	deadline time.Time
+	tasks    [][]*task
+	// left is how many tasks of each step are not done.
+	left []int
+	// begun is set once a task may have started.
+	begun bool
+}
+
+// task is one task of a job.
+type task struct {
+	name string
+	job  *job
+	step int
+	// shard and leader are where the order lies; leader is empty while it lies nowhere.
+	shard  shard.Name
+	leader shard.InstanceID
+	// begun is set while the task is known to run.
+	begun bool
+	// limbo is set while a leader that is not heard any more may run the task; it ends by time or when the
+	// shard has a new leader.
+	limbo    time.Time
+	done     bool
+	failures int
+	bounces  int
+	avoid    []shard.ServerID
+	recalled bool
+}
+
+// NewDesk returns a desk without submissions.
+func NewDesk(cfg Config) *Desk {
+	return &Desk{
+		cfg: cfg, jobs: map[string]*job{}, calls: map[Call]*job{}, tasks: map[string]*task{},
+		shards: map[shard.Name]*view{},
+	}
+}
+
+// Open returns how many submissions wait for their answer.
+func (dsk *Desk) Open() int { return len(dsk.jobs) }
+
+func (dsk *Desk) take() []Action {
+	acts := dsk.acts
+	dsk.acts = nil
+	return acts
+}
+
+func (dsk *Desk) do(act Action) { dsk.acts = append(dsk.acts, act) }
+
+// Submit takes in a submission or refuses it at once.
+func (dsk *Desk) Submit(now time.Time, cal Call, sub Submission) []Action {
+	if old := dsk.jobs[sub.ID]; old != nil {
+		// The caller lost its connection and sent the job again; both calls get the one answer.
+		old.calls = append(old.calls, cal)
+		old.deadline = now.Add(sub.Patience)
+		dsk.calls[cal] = old
+		return dsk.take()
+	}
+	if ans, refused := dsk.refusal(sub); refused {
+		dsk.do(Reply{Call: cal, ID: sub.ID, Answer: ans})
+		return dsk.take()
+	}
+	jb := newJob(now, cal, sub)
+	dsk.jobs[sub.ID] = jb
+	dsk.calls[cal] = jb
+	for _, tks := range jb.tasks {
+		for _, tsk := range tks {
+			dsk.tasks[tsk.name] = tsk
+		}
+	}
+	dsk.advance(now, jb)
+	return dsk.take()
+}
+
+// refusal says whether a submission can't be served, whatever happens next.
+func (dsk *Desk) refusal(sub Submission) (Answer, bool) {
+	if sub.Unsupported != "" {
+		return Answer{Result: NotRun, Reason: "unsupported: " + sub.Unsupported}, true
+	}
+	if !dsk.anyLeader() {
+		return Answer{Result: NotRun, RetryAfter: dsk.cfg.NoLeader, Reason: "no shard has a leader"}, true
+	}
+	return Answer{}, false
+}
+
+func newJob(now time.Time, cal Call, sub Submission) *job {
+	jb := &job{sub: sub, calls: []Call{cal}, arrived: now, deadline: now.Add(sub.Patience)}
+	for num, stp := range sub.Steps {
+		tks := make([]*task, stp.Count)
+		for idx := range tks {
+			// The first 0 counts the occurrence of a repeated job; these jobs have one.
+			tks[idx] = &task{name: fmt.Sprintf("%s.0.%d.%d", sub.ID, num, idx), job: jb, step: num}
+		}
+		jb.tasks = append(jb.tasks, tks)
+		jb.left = append(jb.left, stp.Count)
+	}
+	return jb
+}
+
+// advance places what is ready to run.
+func (dsk *Desk) advance(now time.Time, jb *job) {
+	for num, tks := range jb.tasks {
+		if !jb.ready(num) {
+			continue
+		}
+		for _, tsk := range tks {
+			if !tsk.done && tsk.leader == "" && tsk.limbo.IsZero() {
+				dsk.place(now, tsk)
+			}
+		}
+	}
+}
+
+// ready reports whether all steps that a step follows are done.
+func (jb *job) ready(step int) bool {
+	for _, num := range jb.sub.Steps[step].After {
+		if jb.left[num] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (dsk *Desk) place(now time.Time, tsk *task) {
+	stp := &tsk.job.sub.Steps[tsk.step]
+	viw, fits := dsk.choose(tsk, stp)
+	if viw == nil {
+		return // No shard has a leader; the next one that appears gets the task.
+	}
+	tsk.shard, tsk.leader, tsk.begun, tsk.recalled = viw.name, viw.leader, false, false
+	dsk.send(now, tsk, fits && tsk.bounces < maxBounces)
+	viw.placed(stp.Processor, fits)
+}
+
+// maxBounces is how often a task tries for a free place elsewhere before it waits in a queue: each try
+// costs a message and its answer.
+const maxBounces = 2
+
+func (dsk *Desk) send(now time.Time, tsk *task, bounce bool) {
+	jb := tsk.job
+	stp := &jb.sub.Steps[tsk.step]
+	dsk.do(Place{Target: Target{Shard: tsk.shard, Leader: tsk.leader}, Order: shard.Order{
+		Task: tsk.name, Owner: dsk.cfg.Self, Service: jb.sub.Service, Payload: jb.sub.Payload,
+		Processor: stp.Processor, Memory: stp.Memory, Priority: jb.sub.Priority,
+		Arrived: jb.arrived, Aim: jb.arrived.Add(jb.sub.Objective(stp.Expected)), Deadline: jb.deadline,
+		Expected: stp.Expected, Label: stp.Label, Rack: stp.Rack,
+		PerServer: stp.PerServer, Step: fmt.Sprintf("%s.%d", jb.sub.ID, tsk.step),
+		Avoid: slices.Clone(tsk.avoid), Bounce: bounce,
+	}})
+}
+
+// CallerGone ends a submission whose caller has closed its connection, unless another call waits for it.
+func (dsk *Desk) CallerGone(now time.Time, cal Call) []Action {
+	jb := dsk.calls[cal]
+	if jb == nil {
+		return dsk.take()
+	}
+	delete(dsk.calls, cal)
+	jb.calls = slices.DeleteFunc(jb.calls, func(oth Call) bool { return oth == cal })
+	if len(jb.calls) == 0 {
+		dsk.drop(jb)
+	}
+	return dsk.take()
+}
+
+// answer ends a submission with an answer to all who wait for it.
+func (dsk *Desk) answer(jb *job, ans Answer) {
+	for _, cal := range jb.calls {
+		dsk.do(Reply{Call: cal, ID: jb.sub.ID, Answer: ans})
+		delete(dsk.calls, cal)
+	}
+	dsk.drop(jb)
+}
+
+// drop forgets a submission and ends what is left of it.
+func (dsk *Desk) drop(jb *job) {
+	delete(dsk.jobs, jb.sub.ID)
+	for _, tks := range jb.tasks {
+		for _, tsk := range tks {
+			delete(dsk.tasks, tsk.name)
+			if !tsk.done && tsk.leader != "" {
+				dsk.do(Withdraw{Target: Target{Shard: tsk.shard, Leader: tsk.leader}, Task: tsk.name})
+			}
+		}
+	}
+}
+
+// Report takes in what a leader says of an order.
+func (dsk *Desk) Report(now time.Time, from shard.InstanceID, rep shard.Report) []Action {
+	tsk := dsk.tasks[rep.Task]
+	if tsk == nil || tsk.done {
+		return dsk.take()
+	}
+	if rep.Outcome == shard.Done {
+		dsk.taskDone(now, tsk, from)
+		return dsk.take()
+	}
+	if tsk.leader != from {
+		return dsk.take() // The order has gone to another leader since.
+	}
+	switch rep.Outcome {
+	case shard.Begun:
+		tsk.begun, tsk.job.begun = true, true
+	case shard.Failed:
+		dsk.taskFailed(now, tsk, rep)
+	case shard.NotRun:
+		tsk.leader = ""
+		tsk.bounces++
+		dsk.full(tsk.shard)
+		dsk.place(now, tsk)
+	case shard.Lost:
+		dsk.toLimbo(now, tsk)
+	}
+	return dsk.take()
+}
+
+func (dsk *Desk) taskDone(now time.Time, tsk *task, from shard.InstanceID) {
+	jb := tsk.job
+	if tsk.leader != "" && tsk.leader != from {
+		dsk.do(Withdraw{Target: Target{Shard: tsk.shard, Leader: tsk.leader}, Task: tsk.name})
+	}
+	tsk.done, tsk.leader, tsk.limbo = true, "", time.Time{}
+	jb.begun = true
+	jb.left[tsk.step]--
+	if jb.left[tsk.step] > 0 {
+		return
+	}
+	for _, num := range jb.left {
+		if num > 0 {
+			dsk.advance(now, jb)
+			return
+		}
+	}
+	dsk.answer(jb, Answer{Result: Succeeded})
+}
+
+func (dsk *Desk) taskFailed(now time.Time, tsk *task, rep shard.Report) {
+	jb := tsk.job
+	jb.begun = true
+	tsk.leader, tsk.begun = "", false
+	tsk.failures++
+	if tsk.failures >= jb.sub.Attempts {
+		dsk.answer(jb, Answer{Result: Failed, Reason: "task " + tsk.name + " failed as often as it may"})
+		return
+	}
+	tsk.avoid = append(tsk.avoid, rep.Server)
+	dsk.place(now, tsk)
+}
+
+// toLimbo notes that a task may still run, at a leader that is not heard or holds its server no more.
+func (dsk *Desk) toLimbo(now time.Time, tsk *task) {
+	tsk.job.begun = true
+	tsk.leader, tsk.begun = "", false
+	tsk.limbo = now.Add(dsk.cfg.Proof)
+}
+
+// Tick does what is due by time alone.
+func (dsk *Desk) Tick(now time.Time) []Action {
+	for _, jb := range dsk.jobs {
+		if !now.Before(jb.deadline) {
+			dsk.expire(jb)
+			continue
+		}
+		dsk.endLimbo(now, jb)
+	}
+	return dsk.take()
+}
+
+func (dsk *Desk) expire(jb *job) {
+	res := Unfinished
+	if !jb.maybeRun() {
+		res = NotRun
+	}
+	dsk.answer(jb, Answer{Result: res, RetryAfter: dsk.cfg.NoLeader, Reason: "deadline passed"})
+}
+
+// maybeRun reports whether something of a submission has run or may still start: only a submission of
+// which nothing lies with a leader and nothing was begun has surely not run.
+func (jb *job) maybeRun() bool {
+	if jb.begun {
+		return true
+	}
+	for _, tks := range jb.tasks {
+		for _, tsk := range tks {
+			if tsk.done || tsk.leader != "" || !tsk.limbo.IsZero() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (dsk *Desk) endLimbo(now time.Time, jb *job) {
+	ended := false
+	for _, tks := range jb.tasks {
+		for _, tsk := range tks {
+			if !tsk.limbo.IsZero() && !now.Before(tsk.limbo) {
+				tsk.limbo = time.Time{}
+				ended = true
+			}
+		}
+	}
+	if ended {
+		dsk.advance(now, jb)
+	}
+}
--- /dev/null
+++ b/internal/version/config/config.go
@@ -0,0 +1,100 @@
+package config
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Route leads requests of a host and path prefix to a service; it is a queue with a priority.
+type Route struct {
+	name, host, prefix, service string
+	target                      time.Duration
+	stretch                     float64
+	priority, attempts          int
+}
+
+// RouteParams is what a Route is made of; Target is the fixed part of the latency objective, Stretch
+// the part that grows with the work.
+type RouteParams struct {
+	Name, Host, Prefix, Service string
+	Target                      time.Duration
+	Stretch                     float64
+	Priority, Attempts          int
+}
+
+// NewRoute returns a route with at least one attempt.
+func NewRoute(prm RouteParams) Route {
+	return Route{
+		name: prm.Name, host: prm.Host, prefix: prm.Prefix, service: prm.Service,
+		target: prm.Target, stretch: prm.Stretch,
+		priority: prm.Priority, attempts: max(prm.Attempts, 1),
+	}
+}
+
+// Name returns the name by which operators know the route.
+func (rte Route) Name() string { return rte.name }
+
+// Prefix returns the path prefix that the route serves.
+func (rte Route) Prefix() string { return rte.prefix }
+
+// Service returns the name of the service whose backend servers run the route's tasks.
+func (rte Route) Service() string { return rte.service }
+
+// Priority returns the rank of the route; 0 goes first.
+func (rte Route) Priority() int { return rte.priority }
+
+// Attempts returns how many failed runs a task may have.
+func (rte Route) Attempts() int { return rte.attempts }
+
+// Objective returns the response time that callers expect of work that takes a given time.
+func (rte Route) Objective(work time.Duration) time.Duration {
+	return rte.target + time.Duration(rte.stretch*float64(work))
+}
+
+// Limits bound what is read of a request.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound the two parts of a request, 0 for no bound.
+	HeaderBytes, BodyBytes int
+	// HeaderTimeout bounds the reading of the header, IdleTimeout the wait for the next request.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Configuration is one version of what operators published.
+type Configuration struct {
+	version int64
+	byHost  map[string][]Route
+	limits  Limits
+}
+
+// New returns a configuration of routes.
+func New(version int64, routes []Route, lim Limits) *Configuration {
+	cfg := &Configuration{version: version, byHost: map[string][]Route{}, limits: lim}
+	for _, rte := range routes {
+		cfg.byHost[rte.host] = append(cfg.byHost[rte.host], rte)
+	}
+	for _, rts := range cfg.byHost {
+		sort.SliceStable(rts, func(one, two int) bool { return len(rts[one].prefix) > len(rts[two].prefix) })
+	}
+	return cfg
+}
+
+// Version returns the number of the version; versions rise in uneven steps.
+func (cfg *Configuration) Version() int64 { return cfg.version }
+
+// Limits returns the bounds on requests.
+func (cfg *Configuration) Limits() Limits { return cfg.limits }
+
+// Match returns the route of a host (with or without a port) that has the longest prefix of a path.
+func (cfg *Configuration) Match(host, path string) (Route, bool) {
+	if nam, _, err := net.SplitHostPort(host); err == nil {
+		host = nam
+	}
+	for _, rte := range cfg.byHost[host] {
+		if strings.HasPrefix(path, rte.prefix) {
+			return rte, true
+		}
+	}
+	return Route{}, false
+}
