--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -62,10 +62,8 @@
 			continue
 		}
 		per := msh.peer(prm.Name)
-		if prm.Life >= per.life {
-			per.address, per.life = prm.Address, prm.Life
-			signal(per.wake)
-		}
+		per.address = prm.Address
+		signal(per.wake)
 	}
 }
 
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -15,8 +15,6 @@
 // peer is this instance's end of the sessions with another one; it is guarded by the mesh's lock.
 type peer struct {
 	name, address string
-	// life is the newest life that is known of it.
-	life int64
 	// generation counts our sessions, sequence the batches of the one in progress.
 	generation, sequence int64
 	outbox               []Message
@@ -78,5 +76,4 @@
 func (per *peer) begin(dlv *wireDelivery) {
 	per.heard = true
 	per.inLife, per.inGeneration = dlv.Life, dlv.Generation
-	per.life = max(per.life, dlv.Life)
 }
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -64,8 +64,6 @@
 // Peer is another instance as the platform's store names it.
 type Peer struct {
 	Name, Address string
-	// Life rises with each start of the instance's process.
-	Life int64
 }
 
 // Config has what a Mesh is told.
