Wait for servers that a new leader has not listed; ask a foreign shard's servers before taking it

Cause: at the end of a cut an instance of another failure domain raised the fence of servers that were led well, and started tasks that still ran at servers it had not yet listed. Orders and reports now name the fencing token of the leader they are for, so a leader that starts anew is seen as a new one.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -57,6 +57,7 @@
 
 type wireOrder struct {
 	Shard     string   `json:"shard"`
+	Token     int64    `json:"token"`
 	Task      string   `json:"task"`
 	Service   string   `json:"service"`
 	Payload   string   `json:"payload"`
@@ -74,15 +75,18 @@
 	Avoid     []string `json:"avoid,omitempty"`
 	Bounce    bool     `json:"bounce,omitempty"`
 	Recall    bool     `json:"recall,omitempty"`
+	Followed  bool     `json:"followed,omitempty"`
 }
 
 type wireWithdrawal struct {
 	Shard string `json:"shard"`
+	Token int64  `json:"token"`
 	Task  string `json:"task"`
 }
 
 type wireReport struct {
 	Task    string `json:"task"`
+	Token   int64  `json:"token"`
 	Outcome int    `json:"outcome"`
 	Took    int64  `json:"took-micros,omitempty"`
 	Server  string `json:"server,omitempty"`
@@ -119,10 +123,12 @@
 	case Order:
 		return wireMessage{Order: fromOrder(now, msg)}
 	case Withdrawal:
-		return wireMessage{Withdrawal: &wireWithdrawal{Shard: string(msg.Shard), Task: msg.Task}}
+		return wireMessage{Withdrawal: &wireWithdrawal{
+			Shard: string(msg.Shard), Token: msg.Token, Task: msg.Task,
+		}}
 	case Report:
 		return wireMessage{Report: &wireReport{
-			Task: msg.Report.Task, Outcome: int(msg.Report.Outcome),
+			Task: msg.Report.Task, Token: msg.Report.Token, Outcome: int(msg.Report.Outcome),
 			Took: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server),
 		}}
 	case Configuration:
@@ -134,11 +140,12 @@
 func fromOrder(now time.Time, msg Order) *wireOrder {
 	ord := &msg.Order
 	wir := &wireOrder{
-		Shard: string(msg.Shard), Task: ord.Task, Service: ord.Service, Payload: ord.Payload,
+		Shard: string(msg.Shard), Token: msg.Token, Task: ord.Task, Service: ord.Service, Payload: ord.Payload,
 		Processor: ord.Processor, Memory: ord.Memory, Priority: ord.Priority,
 		Age: now.Sub(ord.Arrived).Microseconds(), Aim: ord.Aim.Sub(now).Microseconds(),
 		Deadline: ord.Deadline.Sub(now).Microseconds(), Expected: ord.Expected.Microseconds(),
-		Label: ord.Label, Rack: ord.Rack, PerServer: ord.PerServer, Step: ord.Step, Bounce: ord.Bounce, Recall: ord.Recall,
+		Label: ord.Label, Rack: ord.Rack, PerServer: ord.PerServer, Step: ord.Step,
+		Bounce: ord.Bounce, Recall: ord.Recall, Followed: ord.Followed,
 	}
 	for _, id := range ord.Avoid {
 		wir.Avoid = append(wir.Avoid, string(id))
@@ -150,12 +157,14 @@
 func (wir *wireMessage) message(now time.Time, from shard.InstanceID) Message {
 	switch {
 	case wir.Order != nil:
-		return Order{Shard: shard.Name(wir.Order.Shard), Order: wir.Order.order(now, from)}
+		return Order{Shard: shard.Name(wir.Order.Shard), Token: wir.Order.Token, Order: wir.Order.order(now, from)}
 	case wir.Withdrawal != nil:
-		return Withdrawal{Shard: shard.Name(wir.Withdrawal.Shard), Task: wir.Withdrawal.Task}
+		return Withdrawal{
+			Shard: shard.Name(wir.Withdrawal.Shard), Token: wir.Withdrawal.Token, Task: wir.Withdrawal.Task,
+		}
 	case wir.Report != nil:
 		return Report{Report: shard.Report{
-			Task: wir.Report.Task, Outcome: shard.Outcome(wir.Report.Outcome),
+			Task: wir.Report.Task, Token: wir.Report.Token, Outcome: shard.Outcome(wir.Report.Outcome),
 			Took: micros(wir.Report.Took), Server: shard.ServerID(wir.Report.Server),
 		}}
 	case wir.Configuration != nil:
@@ -170,7 +179,8 @@
 		Processor: wir.Processor, Memory: wir.Memory, Priority: wir.Priority,
 		Arrived: now.Add(-micros(wir.Age)), Aim: now.Add(micros(wir.Aim)), Deadline: now.Add(micros(wir.Deadline)),
 		Expected: micros(wir.Expected), Label: wir.Label, Rack: wir.Rack,
-		PerServer: wir.PerServer, Step: wir.Step, Bounce: wir.Bounce, Recall: wir.Recall,
+		PerServer: wir.PerServer, Step: wir.Step,
+		Bounce: wir.Bounce, Recall: wir.Recall, Followed: wir.Followed,
 	}
 	for _, id := range wir.Avoid {
 		ord.Avoid = append(ord.Avoid, shard.ServerID(id))
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -31,12 +31,15 @@
 // Order is an order for the leader of a shard.
 type Order struct {
 	Shard shard.Name
+	// Token is that of the leader that is meant.
+	Token int64
 	Order shard.Order
 }
 
 // Withdrawal ends an order.
 type Withdrawal struct {
 	Shard shard.Name
+	Token int64
 	Task  string
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -84,6 +84,9 @@
 	ticked  time.Time
 	// listed is set once the list of instances was read.
 	listed bool
+	// reaches are the ways to shards that this instance may take over; asked counts the askings.
+	reaches map[shard.Name]*reach
+	asked   int
 	// passed is when a configuration was last passed to an instance.
 	passed map[shard.InstanceID]time.Time
 	// local are actions that concern this instance itself.
@@ -105,6 +108,7 @@
 		entries: map[shard.ServerID]shard.ServerEntry{},
 		callers: map[submission.Call]chan submission.Answer{},
 		passed:  map[shard.InstanceID]time.Time{},
+		reaches: map[shard.Name]*reach{},
 	}
 }
 
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -83,8 +83,10 @@
 	for _, name := range leave {
 		dmn.abandon(now, name, false)
 	}
-	for _, name := range take {
-		dmn.takeOver(now, name)
+	for _, shd := range take {
+		if shd.Domain == dmn.prm.Settings.FailureDomain || dmn.reachable(now, shd) {
+			dmn.takeOver(now, shd.Name)
+		}
 	}
 	dmn.updateLeaders(now)
 	for name, ldr := range dmn.leaders {
@@ -108,10 +110,11 @@
 	dmn.mesh.Nudge()
 }
 
-// abandon drops a shard; what is known of its tasks is dropped too, as the new leader asks the backend
-// servers and the owners.
+// abandon gives a shard up.
 func (dmn *Daemon) abandon(now time.Time, name shard.Name, fenced bool) {
+	ldr := dmn.leaders[name]
 	delete(dmn.leaders, name)
+	dmn.shardDo(name, ldr.Resign())
 	dmn.council.Left(now, name, fenced)
 	dmn.log.Info().Str("shard", string(name)).Bool("fenced", fenced).Msg("leaving the shard")
 }
@@ -119,9 +122,10 @@
 // updateLeaders tells the desk who leads what.
 func (dmn *Daemon) updateLeaders(now time.Time) {
 	for shd := range dmn.divided {
-		led, _ := dmn.council.Leader(shd)
+		led, tok := dmn.council.Leader(shd)
 		near := shd.Domain == dmn.prm.Settings.FailureDomain
-		dmn.deskDo(dmn.desk.SetLeader(now, shd.Name, near, led))
+		tgt := submission.Target{Shard: shd.Name, Leader: led, Token: tok}
+		dmn.deskDo(dmn.desk.SetLeader(now, tgt, near))
 	}
 }
 
@@ -184,7 +188,7 @@
 	}
 	dmn.updateLeaders(now)
 	for _, led := range bet.Leads {
-		if dmn.desk.Leads(led.Shard, from) {
+		if dmn.desk.Leads(submission.Target{Shard: led.Shard, Leader: from, Token: led.Token}) {
 			dmn.deskDo(dmn.desk.SetLoad(now, led.Shard, led.Load))
 		}
 	}
@@ -208,9 +212,9 @@
 func (dmn *Daemon) takeMessage(now time.Time, from shard.InstanceID, msg mesh.Message) {
 	switch msg := msg.(type) {
 	case mesh.Order:
-		dmn.placeOrder(now, msg.Shard, msg.Order)
+		dmn.placeOrder(now, submission.Target{Shard: msg.Shard, Leader: dmn.self, Token: msg.Token}, msg.Order)
 	case mesh.Withdrawal:
-		if ldr := dmn.leaders[msg.Shard]; ldr != nil {
+		if ldr := dmn.leader(msg.Shard, msg.Token); ldr != nil {
 			dmn.shardDo(msg.Shard, ldr.Cancel(now, from, msg.Task))
 		}
 	case mesh.Report:
@@ -226,14 +230,14 @@
 }
 
 // placeOrder gives an order to the leader of a shard, or says that it lies with none here.
-func (dmn *Daemon) placeOrder(now time.Time, name shard.Name, ord shard.Order) {
-	ldr := dmn.leaders[name]
+func (dmn *Daemon) placeOrder(now time.Time, tgt submission.Target, ord shard.Order) {
+	ldr := dmn.leader(tgt.Shard, tgt.Token)
 	if ldr == nil {
 		// Whoever leads the shard now may know of the task; the owner waits for it.
-		dmn.tell(now, ord.Owner, shard.Report{Task: ord.Task, Outcome: shard.Lost})
+		dmn.tell(now, ord.Owner, shard.Report{Task: ord.Task, Token: tgt.Token, Outcome: shard.Lost})
 		return
 	}
-	dmn.shardDo(name, ldr.Place(now, ord))
+	dmn.shardDo(tgt.Shard, ldr.Place(now, ord))
 }
 
 // tell passes a report to the owner of an order.
@@ -265,10 +269,11 @@
 		switch act := act.(type) {
 		case submission.Place:
 			if act.Target.Leader != dmn.self {
-				dmn.mesh.Send(act.Target.Leader, mesh.Order{Shard: act.Target.Shard, Order: act.Order})
+				msg := mesh.Order{Shard: act.Target.Shard, Token: act.Target.Token, Order: act.Order}
+				dmn.mesh.Send(act.Target.Leader, msg)
 				continue
 			}
-			dmn.local = append(dmn.local, func(now time.Time) { dmn.placeOrder(now, act.Target.Shard, act.Order) })
+			dmn.local = append(dmn.local, func(now time.Time) { dmn.placeOrder(now, act.Target, act.Order) })
 		case submission.Withdraw:
 			dmn.withdraw(act)
 		case submission.Reply:
@@ -280,11 +285,11 @@
 func (dmn *Daemon) withdraw(act submission.Withdraw) {
 	name := act.Target.Shard
 	if act.Target.Leader != dmn.self {
-		dmn.mesh.Send(act.Target.Leader, mesh.Withdrawal{Shard: name, Task: act.Task})
+		dmn.mesh.Send(act.Target.Leader, mesh.Withdrawal{Shard: name, Token: act.Target.Token, Task: act.Task})
 		return
 	}
 	dmn.local = append(dmn.local, func(now time.Time) {
-		if ldr := dmn.leaders[name]; ldr != nil {
+		if ldr := dmn.leader(name, act.Target.Token); ldr != nil {
 			dmn.shardDo(name, ldr.Cancel(now, dmn.self, act.Task))
 		}
 	})
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -33,6 +33,9 @@
 	// Foreign is the patience with shards of another failure domain, whose own instances should go first:
 	// when all start at once they do so within 0.3 s.
 	Foreign time.Duration
+	// Newcomer is how long an instance that has become ready listens before it leads: the others have
+	// said by then what they lead.
+	Newcomer time.Duration
 	// Alone is how long an instance that hears nobody waits before it takes over what others led: it is
 	// more likely cut off than the last one.
 	Alone time.Duration
@@ -48,9 +51,10 @@
 	return Config{
 		Patience:   30 * time.Millisecond,
 		Foreign:    400 * time.Millisecond,
+		Newcomer:   120 * time.Millisecond,
 		Alone:      1500 * time.Millisecond,
 		Return:     500 * time.Millisecond,
-		Backoff:    300 * time.Millisecond,
+		Backoff:    50 * time.Millisecond,
 		MaxBackoff: 5 * time.Second,
 	}
 }
@@ -134,8 +138,8 @@
 
 const maxDoublings = 6
 
-// Leader returns who leads a shard as far as is known, and whether anybody does.
-func (cnc *Council) Leader(shd Shard) (shard.InstanceID, bool) {
+// Leader returns who leads a shard as far as is known, and with which fencing token; nobody is "".
+func (cnc *Council) Leader(shd Shard) (shard.InstanceID, int64) {
 	var bst *Instance
 	if cnc.claims(&cnc.self, shd) {
 		bst = &cnc.self
@@ -146,9 +150,9 @@
 		}
 	}
 	if bst == nil {
-		return "", false
+		return "", 0
 	}
-	return bst.ID, true
+	return bst.ID, bst.Leads[shd.Name]
 }
 
 func (cnc *Council) claims(ins *Instance, shd Shard) bool {
@@ -167,27 +171,27 @@
 }
 
 // Decide returns the shards to take over and those to leave to a stronger leader.
-func (cnc *Council) Decide(now time.Time) (take, leave []shard.Name) {
+func (cnc *Council) Decide(now time.Time) (take []Shard, leave []shard.Name) {
 	for _, shd := range cnc.shards {
-		led, known := cnc.Leader(shd)
+		led, _ := cnc.Leader(shd)
 		_, mine := cnc.self.Leads[shd.Name]
 		if mine && led != cnc.self.ID {
 			leave = append(leave, shd.Name)
 			continue
 		}
-		if !mine && cnc.shouldTake(now, shd, led, known) {
-			take = append(take, shd.Name)
+		if !mine && cnc.shouldTake(now, shd, led) {
+			take = append(take, shd)
 		}
 	}
 	return take, leave
 }
 
 // shouldTake reports whether the own instance is the one to take a shard over now.
-func (cnc *Council) shouldTake(now time.Time, shd Shard, led shard.InstanceID, known bool) bool {
-	if !cnc.self.Ready || cnc.self.Leaving || now.Before(cnc.losses[shd.Name].until) {
+func (cnc *Council) shouldTake(now time.Time, shd Shard, led shard.InstanceID) bool {
+	if !cnc.self.Ready || cnc.self.Leaving || now.Sub(cnc.readyAt) < cnc.cfg.Newcomer || now.Before(cnc.losses[shd.Name].until) {
 		return false
 	}
-	if known && !cnc.replaceable(now, shd, led) {
+	if led != "" && !cnc.replaceable(now, shd, led) {
 		delete(cnc.vacant, shd.Name)
 		return false
 	}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -138,7 +138,7 @@
 		}
 		ldr.gone(now, srv, rn)
 	}
-	if first && !ldr.settled {
+	if first {
 		ldr.claimWaiting(now)
 	}
 	if ldr.settled {
@@ -170,13 +170,21 @@
 	}
 }
 
-// claimWaiting connects orders that came before the server listed what runs there.
+// claimWaiting connects orders that came before the server listed what runs there; once all have, what
+// was not found runs nowhere.
 func (ldr *Leader) claimWaiting(now time.Time) {
+	all := ldr.allListed()
+	kept := make([]*order, 0, len(ldr.que.orders))
 	for _, ord := range ldr.que.orders {
-		if _, waiting := ldr.orders[ord.Task]; waiting && ldr.adopt(now, ord) {
-			defer ldr.que.remove(ord)
+		if ord.Followed && ldr.adopt(now, ord) {
+			continue
+		}
+		if all {
+			ord.notBefore = time.Time{}
 		}
+		kept = append(kept, ord)
 	}
+	ldr.que.orders = kept
 }
 
 // ended deals with a run that a server lists as ended.
@@ -262,7 +270,7 @@
 		}
 		delete(ldr.orders, rn.ord.Task)
 		if !rn.ord.cancelled {
-			ldr.do(Tell{Owner: rn.ord.Owner, Report: Report{Task: rn.ord.Task, Outcome: Lost}})
+			ldr.report(rn.ord, Lost, 0)
 		}
 	}
 	delete(ldr.servers, srv.ent.ID)
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -103,8 +103,9 @@
 	ord := &order{Order: req}
 	ldr.orders[req.Task] = ord
 	if !ldr.adopt(now, ord) {
-		if !ldr.allListed() {
-			ord.notBefore = ldr.since.Add(ldr.cfg.lapse())
+		if req.Followed && !ldr.allListed() {
+			// It may run at a server that still obeys the former leader, which renews its lease up to now.
+			ord.notBefore = now.Add(ldr.cfg.lapse())
 		}
 		ldr.que.push(ord)
 	}
@@ -139,7 +140,9 @@
 	if end, ok := ldr.ends[ord.Task]; ok && end.how == EndedDone {
 		delete(ldr.ends, ord.Task)
 		delete(ldr.orders, ord.Task)
-		ldr.do(Tell{Owner: ord.Owner, Report: Report{Task: ord.Task, Outcome: Done, Server: end.server}})
+		ldr.do(Tell{Owner: ord.Owner, Report: Report{
+			Task: ord.Task, Token: ldr.token, Outcome: Done, Server: end.server,
+		}})
 		return true
 	}
 	for _, srv := range ldr.servers {
@@ -216,13 +219,30 @@
 }
 
 func (ldr *Leader) report(ord *order, out Outcome, took time.Duration) {
-	rep := Report{Task: ord.Task, Outcome: out, Took: took}
+	rep := Report{Task: ord.Task, Token: ldr.token, Outcome: out, Took: took}
 	if ord.srv != nil {
 		rep.Server = ord.srv.ent.ID
 	}
 	ldr.do(Tell{Owner: ord.Owner, Report: rep})
 }
 
+// Resign gives the shard up: owners learn that waiting orders have not run and that the rest is in the
+// hands of the next leader.
+func (ldr *Leader) Resign() []Action {
+	for _, ord := range ldr.orders {
+		switch {
+		case ord.cancelled:
+		case ord.run == nil && ord.notBefore.IsZero():
+			ldr.report(ord, NotRun, 0)
+		default:
+			ldr.report(ord, Lost, 0)
+		}
+	}
+	clear(ldr.orders)
+	ldr.que.orders = nil
+	return ldr.take()
+}
+
 // Tick does what is due by time alone.
 func (ldr *Leader) Tick(now time.Time) []Action {
 	ldr.advance(now)
--- a/internal/request/shard/words.go
+++ b/internal/request/shard/words.go
@@ -109,6 +109,8 @@
 	Step      string
 	// Avoid has servers where the task failed before; they are used if no other has room.
 	Avoid []ServerID
+	// Followed says that the order lay with an earlier leader of the shard, which may have started it.
+	Followed bool
 	// Bounce asks for the order back if it can't start at once.
 	Bounce bool
 	// Recall asks for an order back that was placed before, if it still waits. It places nothing: the order
@@ -146,7 +148,10 @@
 
 // Report tells the owner of an order what came of it.
 type Report struct {
-	Task    string
+	Task string
+	// Token is the fencing token of the leader that reports: what an earlier one says of a task that its
+	// successor has is out of date.
+	Token   int64
 	Outcome Outcome
 	// Took is how long the run took, Server where it was.
 	Took   time.Duration
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -12,6 +12,7 @@
 type view struct {
 	name   shard.Name
 	leader shard.InstanceID
+	token  int64
 	// near shards lie in this instance's failure domain.
 	near bool
 	load shard.Load
@@ -116,19 +117,19 @@
 
 // SetLeader tells the desk who leads a shard; no leader is an empty instance. Orders that lie with
 // the former leader go to the new one, which knows what of them runs.
-func (dsk *Desk) SetLeader(now time.Time, name shard.Name, near bool, leader shard.InstanceID) []Action {
-	viw := dsk.shards[name]
+func (dsk *Desk) SetLeader(now time.Time, tgt Target, near bool) []Action {
+	viw := dsk.shards[tgt.Shard]
 	if viw == nil {
-		viw = &view{name: name}
-		dsk.shards[name] = viw
+		viw = &view{name: tgt.Shard}
+		dsk.shards[tgt.Shard] = viw
 	}
 	viw.near = near
-	if viw.leader == leader {
+	if viw.leader == tgt.Leader && viw.token == tgt.Token {
 		return dsk.take()
 	}
-	viw.leader = leader
+	viw.leader, viw.token = tgt.Leader, tgt.Token
 	viw.load = shard.Load{}
-	if leader == "" {
+	if tgt.Leader == "" {
 		return dsk.take()
 	}
 	for _, jb := range dsk.inOrder() {
@@ -149,8 +150,8 @@
 	}
 	// The former leader may have started it without a word of that here.
 	tsk.job.begun = true
-	tsk.leader, tsk.limbo, tsk.begun = viw.leader, time.Time{}, false
-	dsk.send(now, tsk, false, false)
+	tsk.leader, tsk.token, tsk.limbo, tsk.begun = viw.leader, viw.token, time.Time{}, false
+	dsk.send(now, tsk, shard.Order{Followed: true})
 }
 
 func (dsk *Desk) inOrder() []*job {
@@ -207,16 +208,16 @@
 				}
 				left++
 				tsk.recalled, tsk.bounces = true, 0
-				dsk.send(now, tsk, false, true)
+				dsk.send(now, tsk, shard.Order{Recall: true})
 			}
 		}
 	}
 }
 
-// Leads reports whether an instance is the one that is known to lead a shard.
-func (dsk *Desk) Leads(name shard.Name, id shard.InstanceID) bool {
-	viw := dsk.shards[name]
-	return viw != nil && viw.leader == id
+// Leads reports whether a target is the known leader of its shard.
+func (dsk *Desk) Leads(tgt Target) bool {
+	viw := dsk.shards[tgt.Shard]
+	return viw != nil && viw.leader == tgt.Leader && viw.token == tgt.Token
 }
 
 // Waiting returns how many submissions of a route have not begun.
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -80,6 +80,7 @@
 	// shard and leader are where the order lies; leader is empty while it lies nowhere.
 	shard  shard.Name
 	leader shard.InstanceID
+	token  int64
 	// begun is set while the task is known to run.
 	begun bool
 	// limbo is set while a leader that is not heard any more may run the task; it ends by time or when the
@@ -191,8 +192,9 @@
 	if viw == nil {
 		return // No shard has a leader; the next one that appears gets the task.
 	}
-	tsk.shard, tsk.leader, tsk.begun, tsk.recalled = viw.name, viw.leader, false, false
-	dsk.send(now, tsk, fits && tsk.bounces < maxBounces, false)
+	tsk.shard, tsk.leader, tsk.token = viw.name, viw.leader, viw.token
+	tsk.begun, tsk.recalled = false, false
+	dsk.send(now, tsk, shard.Order{Bounce: fits && tsk.bounces < maxBounces})
 	viw.placed(stp.Processor, fits)
 }
 
@@ -200,16 +202,22 @@
 // costs a message and its answer.
 const maxBounces = 2
 
-func (dsk *Desk) send(now time.Time, tsk *task, bounce, recall bool) {
+// target returns where a task's order lies.
+func (tsk *task) target() Target {
+	return Target{Shard: tsk.shard, Leader: tsk.leader, Token: tsk.token}
+}
+
+// send sends a task's order to its leader, in the manner that how says: Bounce, Recall or Followed.
+func (dsk *Desk) send(now time.Time, tsk *task, how shard.Order) {
 	jb := tsk.job
 	stp := &jb.sub.Steps[tsk.step]
-	dsk.do(Place{Target: Target{Shard: tsk.shard, Leader: tsk.leader}, Order: shard.Order{
+	dsk.do(Place{Target: tsk.target(), Order: shard.Order{
 		Task: tsk.name, Owner: dsk.cfg.Self, Service: jb.sub.Service, Payload: jb.sub.Payload,
 		Processor: stp.Processor, Memory: stp.Memory, Priority: jb.sub.Priority,
 		Arrived: jb.arrived, Aim: jb.arrived.Add(jb.sub.Objective(stp.Expected)), Deadline: jb.deadline,
 		Expected: stp.Expected, Label: stp.Label, Rack: stp.Rack,
 		PerServer: stp.PerServer, Step: fmt.Sprintf("%s.%d", jb.sub.ID, tsk.step),
-		Avoid: slices.Clone(tsk.avoid), Bounce: bounce, Recall: recall,
+		Avoid: slices.Clone(tsk.avoid), Bounce: how.Bounce, Recall: how.Recall, Followed: how.Followed,
 	}})
 }
 
@@ -243,7 +251,7 @@
 		for _, tsk := range tks {
 			delete(dsk.tasks, tsk.name)
 			if !tsk.done && tsk.leader != "" {
-				dsk.do(Withdraw{Target: Target{Shard: tsk.shard, Leader: tsk.leader}, Task: tsk.name})
+				dsk.do(Withdraw{Target: tsk.target(), Task: tsk.name})
 			}
 		}
 	}
@@ -259,7 +267,7 @@
 		dsk.taskDone(now, tsk, from)
 		return dsk.take()
 	}
-	if tsk.leader != from {
+	if tsk.leader != from || tsk.token != rep.Token {
 		return dsk.take() // The order has gone to another leader since.
 	}
 	switch rep.Outcome {
@@ -281,7 +289,7 @@
 func (dsk *Desk) taskDone(now time.Time, tsk *task, from shard.InstanceID) {
 	jb := tsk.job
 	if tsk.leader != "" && tsk.leader != from {
-		dsk.do(Withdraw{Target: Target{Shard: tsk.shard, Leader: tsk.leader}, Task: tsk.name})
+		dsk.do(Withdraw{Target: tsk.target(), Task: tsk.name})
 	}
 	tsk.done, tsk.leader, tsk.limbo = true, "", time.Time{}
 	jb.begun = true
--- a/internal/request/submission/words.go
+++ b/internal/request/submission/words.go
@@ -78,6 +78,8 @@
 type Target struct {
 	Shard  shard.Name
 	Leader shard.InstanceID
+	// Token is the fencing token with which the leader took the shard over; each take-over has its own.
+	Token int64
 }
 
 // maxTasks bounds the tasks of a submission, twice the largest job that the system is designed for.
