Agree on sessions between instances by both sides' generations; tests in virtual time

A new leader also looked at its servers over and over until its take-over was complete. Conclusion: a side that has no session up does not follow a reset.

--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"chestnutstack/internal/connection/rpc"
@@ -71,7 +70,7 @@
 func (msh *Mesh) peer(name string) *peer {
 	per := msh.peers[name]
 	if per == nil {
-		per = newPeer(name, msh.cfg.Interval)
+		per = newPeer(name, msh.cfg.Life, msh.cfg.Interval)
 		msh.peers[name] = per
 		if msh.group != nil {
 			msh.group.Go(func() error { return msh.runPeer(msh.ctx, per) })
@@ -93,7 +92,7 @@
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
 	for _, per := range msh.peers {
-		if per.heard && per.id() == to {
+		if per.up && per.id() == to {
 			per.outbox = append(per.outbox, msg)
 			signal(per.wake)
 			return
@@ -108,7 +107,7 @@
 	defer msh.mu.Unlock()
 	for _, per := range msh.peers {
 		want := time.Duration(paces[per.id()]) * msh.cfg.Interval
-		if !per.heard || want == 0 || per.interval == want {
+		if !per.up || want == 0 || per.interval == want {
 			continue
 		}
 		if want < per.interval {
@@ -124,25 +123,12 @@
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
 	for _, per := range msh.peers {
-		if per.heard {
+		if per.up {
 			signal(per.wake)
 		}
 	}
 }
 
-// Unheard returns how many of the known instances have no session in progress and have not refused to.
-func (msh *Mesh) Unheard() int {
-	msh.mu.Lock()
-	defer msh.mu.Unlock()
-	num := 0
-	for _, per := range msh.peers {
-		if !per.heard {
-			num++
-		}
-	}
-	return num
-}
-
 // watch gives up the sessions of instances that are not heard.
 func (msh *Mesh) watch(ctx context.Context) error {
 	tck := time.NewTicker(msh.cfg.Interval / silenceChecks)
@@ -180,5 +166,3 @@
 		msh.hdl.Lost(was)
 	}
 }
-
-var errPeerReset = errors.New("the peer has given up the session")
--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -51,17 +51,17 @@
 func (msh *Mesh) informed(per *peer) bool {
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
-	return per.heard && msh.cfg.Now().Sub(per.answeredAt) < per.interval
+	return per.up && msh.cfg.Now().Sub(per.answeredAt) < per.interval
 }
 
 // failed deals with a batch that has no receipt: a refused dial proves that the process is gone, anything
 // else is tried again on a fresh connection until the silence has lasted too long.
 func (msh *Mesh) failed(ctx context.Context, per *peer, err error) {
-	if errors.Is(err, errPeerReset) || errors.Is(err, syscall.ECONNREFUSED) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
 		msh.lose(per)
 	}
 	msh.mu.Lock()
-	heard := per.heard
+	heard := per.up
 	msh.mu.Unlock()
 	pause := msh.cfg.Interval
 	if heard {
@@ -117,16 +117,13 @@
 	now := msh.cfg.Now()
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
-	if per.sending == nil {
-		per.sending, per.outbox = per.outbox, nil
+	if per.up && !per.counted {
+		per.sending, per.outbox, per.counted = per.outbox, nil, true
 		per.sequence++
 	}
 	dlv := wireDelivery{
-		From: msh.cfg.Name, Life: msh.cfg.Life, Generation: per.generation, Sequence: per.sequence,
-		ToLife: per.inLife, Beat: fromBeat(bet),
-	}
-	if per.sending == nil {
-		per.sending = []Message{}
+		From: msh.cfg.Name, Life: per.own.life, Generation: per.own.generation,
+		ToLife: per.other.life, ToGeneration: per.other.generation, Sequence: per.sequence, Beat: fromBeat(bet),
 	}
 	for _, msg := range per.sending {
 		dlv.Messages = append(dlv.Messages, fromMessage(now, msg))
@@ -157,24 +154,20 @@
 // receipt takes in the answer to a batch.
 func (msh *Mesh) receipt(per *peer, dlv *wireDelivery, rcp *wireReceipt) error {
 	msh.mu.Lock()
-	if per.generation != dlv.Generation {
-		msh.mu.Unlock()
-		return nil // The session was given up meanwhile.
-	}
-	if rcp.Reset || per.heard && rcp.Life != per.inLife {
-		msh.mu.Unlock()
-		return errPeerReset
+	current, was, ended := per.greet(rcp.greeting())
+	if current && per.sequence == dlv.Sequence && dlv.greeting().from == per.own {
+		per.sending, per.counted = nil, false
 	}
-	per.sending = nil
-	if !per.heard {
-		msh.mu.Unlock()
-		return nil
+	if current {
+		// The receipt is from the life of the session: it proves that the peer is there.
+		per.heardAt = msh.cfg.Now()
 	}
-	// The receipt is from the life of the session: it proves that the peer is there.
-	per.heardAt = msh.cfg.Now()
 	id := per.id()
 	msh.mu.Unlock()
-	if rcp.Beat != nil {
+	if ended {
+		msh.hdl.Lost(was)
+	}
+	if current && rcp.Beat != nil {
 		msh.hdl.Heard(id, rcp.Beat.beat(), nil)
 	}
 	return nil
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -65,46 +65,46 @@
 
 // take hands a batch to the Handler, once.
 func (msh *Mesh) take(dlv *wireDelivery) wireReceipt {
-	rcp := wireReceipt{Life: msh.cfg.Life}
 	now := msh.cfg.Now()
 	msh.mu.Lock()
 	per := msh.peer(dlv.From)
-	arr := per.sort(dlv)
-	if arr == outdated {
-		msh.mu.Unlock()
-		rcp.Reset = true
-		return rcp
-	}
-	if arr == fresh && per.heard {
-		msh.mu.Unlock()
-		msh.lose(per)
-		msh.mu.Lock()
+	before := per.up
+	current, was, ended := per.greet(dlv.greeting())
+	next := current && dlv.Sequence > 0 && per.isNext(dlv.Sequence)
+	if current {
+		per.heardAt, per.answeredAt = now, now
 	}
-	if arr == fresh {
-		per.begin(dlv)
+	if per.up != before || !current {
+		// The other side is to hear at once that the session is up, or what it lacks for that.
 		signal(per.wake)
 	}
-	per.heardAt, per.answeredAt = now, now
-	repeat := arr == repeated
-	per.inSequence = max(dlv.Sequence, 0)
 	id := per.id()
+	rcp := wireReceipt{
+		Life: per.own.life, Generation: per.own.generation,
+		ToLife: per.other.life, ToGeneration: per.other.generation,
+	}
 	msh.mu.Unlock()
-	if !repeat {
-		msh.hdl.Heard(id, dlv.Beat.beat(), msh.messages(now, id, dlv))
+	if ended {
+		msh.hdl.Lost(was)
+	}
+	if !current {
+		return rcp
+	}
+	var msgs []Message
+	if next {
+		msgs = dlv.messages(now, id)
 	}
+	msh.hdl.Heard(id, dlv.Beat.beat(), msgs)
 	bet := fromBeat(msh.hdl.Beat())
 	rcp.Beat = &bet
 	return rcp
 }
 
-// messages decodes the messages of a batch; those for an earlier life of this instance are not for this one.
-func (msh *Mesh) messages(now time.Time, from shard.InstanceID, dlv *wireDelivery) []Message {
-	if dlv.ToLife != msh.cfg.Life {
-		return nil
-	}
+// messages decodes the messages of a batch.
+func (wir *wireDelivery) messages(now time.Time, from shard.InstanceID) []Message {
 	var msgs []Message
-	for idx := range dlv.Messages {
-		if msg := dlv.Messages[idx].message(now, from); msg != nil {
+	for idx := range wir.Messages {
+		if msg := wir.Messages[idx].message(now, from); msg != nil {
 			msgs = append(msgs, msg)
 		}
 	}
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -12,19 +12,30 @@
 	return shard.InstanceID(name + "/" + strconv.FormatInt(life, 10))
 }
 
+// epoch is one side's part of a session: the life of its process and how often it has given up sessions
+// with the other in that life.
+type epoch struct{ life, generation int64 }
+
+func (epo epoch) before(oth epoch) bool {
+	return epo.life < oth.life || epo.life == oth.life && epo.generation < oth.generation
+}
+
 // peer is this instance's end of the sessions with another one; it is guarded by the mesh's lock.
+//
+// A session is up from the moment when both sides know each other's epoch. A side that gives it up raises its
+// own generation, and the other follows once; a side that has none up does not follow, or two resets that
+// meet would call each other forth for ever.
 type peer struct {
 	name, address string
-	// generation counts our sessions, sequence the batches of the one in progress.
-	generation, sequence int64
+	own, other    epoch
+	up            bool
+	// sequence counts the batches of the session that were sent, inSequence those that were taken.
+	sequence, inSequence int64
 	outbox               []Message
 	// sending is the batch that has no receipt yet.
 	sending []Message
-	// heard is set while a session of the other's is in progress; inLife, inGeneration and inSequence
-	// belong to it.
-	heard                            bool
-	inLife, inGeneration, inSequence int64
-	heardAt                          time.Time
+	counted bool
+	heardAt time.Time
 	// answeredAt is when a batch of the peer's was last answered, with a beat.
 	answeredAt time.Time
 	// interval is the pause between beats, since pacedAt.
@@ -33,10 +44,12 @@
 	wake     chan struct{}
 }
 
-func newPeer(name string, interval time.Duration) *peer {
-	return &peer{name: name, interval: interval, wake: make(chan struct{}, 1)}
+func newPeer(name string, life int64, interval time.Duration) *peer {
+	return &peer{name: name, own: epoch{life: life}, interval: interval, wake: make(chan struct{}, 1)}
 }
 
+func (per *peer) id() shard.InstanceID { return ID(per.name, per.other.life) }
+
 // silent reports whether the peer has not been heard for too long. A pace that was just raised counts from
 // then on: the peer may not know of it yet.
 func (per *peer) silent(now time.Time, beats int) bool {
@@ -44,53 +57,53 @@
 	if per.pacedAt.After(since) {
 		since = per.pacedAt
 	}
-	return per.heard && now.Sub(since) > time.Duration(beats)*per.interval
+	return per.up && now.Sub(since) > time.Duration(beats)*per.interval
 }
 
-func (per *peer) id() shard.InstanceID { return ID(per.name, per.inLife) }
-
-// reset ends both directions of the session, and reports whether there was one.
+// reset gives the session up if one is up, and reports whose it was.
 func (per *peer) reset() (was shard.InstanceID, had bool) {
-	was, had = per.id(), per.heard
-	per.heard = false
-	per.generation++
-	per.sequence = 0
-	per.outbox, per.sending = nil, nil
-	return was, had
+	if !per.up {
+		return "", false
+	}
+	was = per.id()
+	per.up = false
+	per.own.generation++
+	per.clear()
+	return was, true
 }
 
-// arrival says what to do with a batch.
-type arrival int
+func (per *peer) clear() {
+	per.sequence, per.inSequence = 0, 0
+	per.outbox, per.sending, per.counted = nil, nil, false
+}
 
-const (
-	// fresh batches begin a session, next ones continue it.
-	fresh arrival = iota
-	next
-	// repeated batches were taken already; their receipt was lost.
-	repeated
-	// outdated batches belong to a session that was given up.
-	outdated
-)
+// greeting is what one side says of a session: its own epoch, and the other's as it knows it.
+type greeting struct{ from, to epoch }
 
-// sort says what a batch is in the session that is in progress.
-func (per *peer) sort(dlv *wireDelivery) arrival {
-	older := dlv.Life < per.inLife || dlv.Life == per.inLife && dlv.Generation < per.inGeneration
-	same := dlv.Life == per.inLife && dlv.Generation == per.inGeneration
-	switch {
-	case older || same && !per.heard:
-		return outdated
-	case !same:
-		return fresh
-	case dlv.Sequence <= per.inSequence:
-		return repeated
-	case dlv.Sequence == per.inSequence+1:
-		return next
+// greet takes a greeting in. It reports whether the greeting belongs to the session that is up now, and
+// whose session ended by it, if any.
+func (per *peer) greet(grt greeting) (current bool, was shard.InstanceID, ended bool) {
+	if grt.from.before(per.other) {
+		return false, "", false
+	}
+	if per.other.before(grt.from) {
+		was, ended = per.reset()
+		per.other = grt.from
+		per.clear()
 	}
-	return outdated // A batch is missing, which only a session given up explains.
+	if grt.to != per.own {
+		return false, was, ended
+	}
+	per.up = true
+	return true, was, ended
 }
 
-// begin starts the session that a batch belongs to.
-func (per *peer) begin(dlv *wireDelivery) {
-	per.heard = true
-	per.inLife, per.inGeneration = dlv.Life, dlv.Generation
+// isNext reports whether a batch of the current session is to be taken; a repeated one was, and its
+// receipt was lost.
+func (per *peer) isNext(sequence int64) bool {
+	if sequence != per.inSequence+1 {
+		return false
+	}
+	per.inSequence = sequence
+	return true
 }
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -15,23 +15,40 @@
 type wireDelivery struct {
 	From string `json:"from"`
 	Life int64  `json:"life"`
-	// Generation counts the sender's sessions with the receiver, Sequence the batches of a session.
-	Generation int64         `json:"generation"`
-	Sequence   int64         `json:"sequence"`
-	ToLife     int64         `json:"to-life,omitempty"`
-	Beat       wireBeat      `json:"beat"`
-	Messages   []wireMessage `json:"messages,omitempty"`
+	// Generation counts the sessions that the sender has given up; the to- fields are the receiver's life and
+	// generation as the sender knows them. Sequence counts the batches of a session that is up.
+	Generation   int64         `json:"generation"`
+	ToLife       int64         `json:"to-life,omitempty"`
+	ToGeneration int64         `json:"to-generation,omitempty"`
+	Sequence     int64         `json:"sequence,omitempty"`
+	Beat         wireBeat      `json:"beat"`
+	Messages     []wireMessage `json:"messages,omitempty"`
 }
 
 // wireReceipt answers a batch.
 type wireReceipt struct {
-	Life int64 `json:"life"`
-	// Reset says that the receiver has given up the sender's session.
-	Reset bool `json:"reset,omitempty"`
+	Life         int64 `json:"life"`
+	Generation   int64 `json:"generation"`
+	ToLife       int64 `json:"to-life"`
+	ToGeneration int64 `json:"to-generation"`
 	// Beat is the receiver's: an exchange informs both sides, so that only one of them has to call.
 	Beat *wireBeat `json:"beat,omitempty"`
 }
 
+func (wir *wireDelivery) greeting() greeting {
+	return greeting{
+		from: epoch{life: wir.Life, generation: wir.Generation},
+		to:   epoch{life: wir.ToLife, generation: wir.ToGeneration},
+	}
+}
+
+func (wir *wireReceipt) greeting() greeting {
+	return greeting{
+		from: epoch{life: wir.Life, generation: wir.Generation},
+		to:   epoch{life: wir.ToLife, generation: wir.ToGeneration},
+	}
+}
+
 type wireBeat struct {
 	Domain string `json:"domain"`
 	// Processor is in thousandths of a core.
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -77,7 +77,11 @@
 func (dmn *Daemon) tick(now time.Time) {
 	dmn.ticked = now
 	if dmn.listed && dmn.cfg.Load() != nil && len(dmn.entries) > 0 {
-		dmn.council.SetReady(now)
+		if !dmn.council.Ready() {
+			dmn.council.SetReady(now)
+			// Two instances that don't know of each other that they are ready would both take a shard over.
+			dmn.mesh.Nudge()
+		}
 	}
 	take, leave := dmn.council.Decide(now)
 	for _, name := range leave {
--- /dev/null
+++ b/internal/process/daemon/random_test.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestRandomTroubles plays a system under jobs while instances lose power, stop and start, failure domains are cut
+// off and heal, connections fall silent, servers lose answers and crash, and the store goes down, in random order
+// and overlapping. Whatever happens, no task runs twice at once, no server is overfull, refused jobs start nothing,
+// and after the last trouble jobs are served again.
+func TestRandomTroubles(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playRandomTroubles(t, seed) })
+	}
+}
+
+func playRandomTroubles(t *testing.T, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	inWorld(t, 3, 2, 3, func(wld *world) {
+		var all []*sent
+		ids := map[*sent]string{}
+		for step := range 60 {
+			for range 1 + rnd.IntN(3) {
+				job := jobSpec{
+					id: jobID(len(all) + 1), tasks: 1 + rnd.IntN(6), path: []string{"/thumb/", "/deck/"}[rnd.IntN(2)],
+					payload: payload{Millis: 50 + rnd.IntN(800)}, patience: 3 * time.Second,
+				}
+				snt := wld.sendAsync(wld.ctx, wld.anyEntry(rnd), job)
+				ids[snt] = job.id
+				all = append(all, snt)
+			}
+			if step%5 == 4 && step < 45 {
+				wld.trouble(rnd)
+			}
+			time.Sleep(time.Duration(50+rnd.IntN(150)) * time.Millisecond)
+		}
+		wld.sto.SetDown(false)
+		wld.heal()
+		wld.revive()
+		time.Sleep(6 * time.Second)
+		for _, snt := range all {
+			<-snt.done
+			if snt.status == http.StatusServiceUnavailable && wld.startsOf(ids[snt]) > 0 {
+				t.Errorf("job %s was refused as not run and has started", ids[snt])
+			}
+		}
+		for num := range 6 {
+			to := wld.anyEntry(rnd)
+			job := jobSpec{id: jobID(9000 + num), tasks: 4, payload: payload{Millis: 100}}
+			if status, body := wld.call(wld.ctx, to, job); status != http.StatusOK {
+				t.Errorf("after the troubles %s answers %d %s", to, status, body)
+			}
+		}
+	})
+}
+
+func (wld *world) startsOf(id string) int {
+	num := 0
+	for idx := range 6 {
+		num += wld.ldg.Starts(fmt.Sprintf("%s.0.0.%d", id, idx))
+	}
+	return num
+}
+
+func (wld *world) names() []string {
+	var nms []string
+	for name := range wld.entries {
+		nms = append(nms, name)
+	}
+	slices.Sort(nms)
+	return nms
+}
+
+func (wld *world) anyEntry(rnd *rand.Rand) string {
+	nms := wld.names()
+	return nms[rnd.IntN(len(nms))]
+}
+
+// revive starts the next life of every instance that has ended.
+func (wld *world) revive() {
+	for _, name := range wld.names() {
+		prc := wld.entries[name]
+		if !prc.ended {
+			continue
+		}
+		if !prc.dark {
+			<-prc.done // A machine starts a process when the former has ended.
+		}
+		next := wld.startEntry(name, prc.domain)
+		if prc.dark {
+			wld.net.Separate(prc.host, next.host)
+		}
+	}
+}
+
+func (wld *world) trouble(rnd *rand.Rand) {
+	name := wld.anyEntry(rnd)
+	switch rnd.IntN(8) {
+	case 0:
+		wld.powerOff(name)
+		wld.entries[name].ended = true
+	case 1:
+		wld.entries[name].stop()
+		wld.entries[name].ended = true
+	case 2:
+		wld.cut(domainName(rnd.IntN(3)))
+	case 3:
+		wld.heal()
+	case 4:
+		for _, oth := range wld.hosts() {
+			wld.net.Forget(wld.entries[name].host, oth)
+		}
+	case 5:
+		wld.sto.SetDown(rnd.IntN(2) == 0)
+	case 6:
+		id := fmt.Sprintf("server-%d-%d", 1+rnd.IntN(3), 1+rnd.IntN(3))
+		wld.servers[id].LoseAnswers(1+rnd.IntN(4), time.Duration(rnd.IntN(4000))*time.Millisecond)
+	case 7:
+		wld.entries[name].freeze(time.Duration(rnd.IntN(4000)) * time.Millisecond)
+	}
+	if rnd.IntN(3) == 0 {
+		wld.revive()
+	}
+}
--- /dev/null
+++ b/internal/process/daemon/story_test.go
@@ -0,0 +1,387 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestCalmDay(t *testing.T) {
+	// Jobs of all sizes are taken in anywhere and answered when their last task is done.
+	inWorld(t, 3, 2, 3, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		for num, name := range []string{"entry-1-1", "entry-1-2", "entry-2-1", "entry-3-2"} {
+			began := time.Now()
+			status := wld.send(wld.ctx, name, jobSpec{id: jobID(num), tasks: 8, payload: payload{Millis: 60}})
+			chk.Equal(status, http.StatusOK)
+			chk.True(time.Since(began) < 80*time.Millisecond) // Nothing waits: 18 tasks fit at once.
+		}
+		chk.Equal(wld.ldg.Running(), 0)
+	})
+}
+
+func TestWideJobUsesAllDomains(t *testing.T) {
+	// A job of 16 tasks finds room for 4 in its own failure domain of two servers. The rest starts in the others'
+	// room at once instead of waiting for its own domain.
+	inWorld(t, 4, 1, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		began := time.Now()
+		status := wld.send(wld.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 16, payload: payload{Millis: 500}})
+		chk.Equal(status, http.StatusOK)
+		chk.True(time.Since(began) < 550*time.Millisecond)
+	})
+}
+
+func TestWaitingTasksMoveToFreeRoom(t *testing.T) {
+	// All servers are busy, those of one domain for longer. When room comes free in the other domain, tasks
+	// that wait in the queue of the busy one are called back and start there.
+	inWorld(t, 2, 1, 1, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		long := wld.sendAsync(wld.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 2, payload: payload{Millis: 3000}})
+		time.Sleep(100 * time.Millisecond)
+		short := wld.sendAsync(wld.ctx, "entry-1-1", jobSpec{id: jobID(2), tasks: 2, payload: payload{Millis: 400}})
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		last := wld.send(wld.ctx, "entry-1-1", jobSpec{id: jobID(3), tasks: 2, payload: payload{Millis: 100}})
+		chk.Equal(last, http.StatusOK)
+		chk.True(time.Since(began) < 800*time.Millisecond)
+		<-long.done
+		<-short.done
+		chk.Equal(long.status, http.StatusOK)
+		chk.Equal(short.status, http.StatusOK)
+	})
+}
+
+func TestLeaderLosesPower(t *testing.T) {
+	// The instance that leads a shard loses power while tasks of another instance's caller run there. The
+	// other instance takes the shard over, finds the tasks running or lapsed, and the caller gets its answer;
+	// no task runs twice at once.
+	inWorld(t, 2, 2, 3, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		led := wld.leader("domain-1")
+		oth := map[string]string{"entry-1-1": "entry-1-2", "entry-1-2": "entry-1-1"}[led]
+		snt := wld.sendAsync(wld.ctx, oth, jobSpec{id: jobID(1), tasks: 6, payload: payload{Millis: 900}})
+		time.Sleep(300 * time.Millisecond)
+		wld.powerOff(led)
+		<-snt.done
+		chk.Equal(snt.status, http.StatusOK)
+	})
+}
+
+func TestLeaderStopsAsPlanned(t *testing.T) {
+	// The leader of a shard gets SIGTERM while tasks of its own callers and others run. The shard changes hands
+	// without the loss of a run, and every answer reaches its caller before the process ends.
+	inWorld(t, 2, 2, 3, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		led := wld.leader("domain-1")
+		oth := map[string]string{"entry-1-1": "entry-1-2", "entry-1-2": "entry-1-1"}[led]
+		own := wld.sendAsync(wld.ctx, led, jobSpec{id: jobID(1), tasks: 3, payload: payload{Millis: 900}})
+		far := wld.sendAsync(wld.ctx, oth, jobSpec{id: jobID(2), tasks: 3, payload: payload{Millis: 900}})
+		time.Sleep(300 * time.Millisecond)
+		wld.entries[led].stop()
+		time.Sleep(100 * time.Millisecond)
+		late := wld.sendAsync(wld.ctx, led, jobSpec{id: jobID(3), tasks: 1, payload: payload{Millis: 100}})
+		<-own.done
+		<-far.done
+		<-late.done
+		chk.Equal(own.status, http.StatusOK)
+		chk.Equal(far.status, http.StatusOK)
+		chk.Equal(late.status, http.StatusOK) // It is answered though the balancer sent it late.
+		for _, tsk := range []string{"0", "1", "2"} {
+			chk.Equal(wld.ldg.Starts(jobID(1)+".0.0."+tsk), 1)
+			chk.Equal(wld.ldg.Starts(jobID(2)+".0.0."+tsk), 1)
+		}
+		<-wld.entries[led].done
+	})
+}
+
+func TestOwnerLosesPower(t *testing.T) {
+	// The instance that took a job in loses power. Its caller sends the job again 1.3 s later to another one,
+	// unmarked. By then every run of the first attempt has been stopped.
+	inWorld(t, 2, 2, 3, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		led := wld.leader("domain-1")
+		own := map[string]string{"entry-1-1": "entry-1-2", "entry-1-2": "entry-1-1"}[led]
+		job := jobSpec{id: jobID(1), tasks: 4, payload: payload{Millis: 2500}}
+		wld.sendAsync(wld.ctx, own, job)
+		time.Sleep(300 * time.Millisecond)
+		chk.Equal(wld.ldg.Running(), 4)
+		wld.powerOff(own)
+		time.Sleep(1250 * time.Millisecond)
+		chk.Equal(wld.ldg.Running(), 0)
+		time.Sleep(50 * time.Millisecond)
+		chk.Equal(wld.send(wld.ctx, led, job), http.StatusOK)
+	})
+}
+
+func TestLeaderAndOwnerLosePower(t *testing.T) {
+	// One instance had taken the job in and led its shard. Nobody answers for what runs there: the new
+	// leader stops it before it renews any lease, and the job sent again meets no copy of itself.
+	inWorld(t, 2, 2, 3, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		led := wld.leader("domain-1")
+		oth := map[string]string{"entry-1-1": "entry-1-2", "entry-1-2": "entry-1-1"}[led]
+		job := jobSpec{id: jobID(1), tasks: 4, payload: payload{Millis: 2500}}
+		wld.sendAsync(wld.ctx, led, job)
+		time.Sleep(300 * time.Millisecond)
+		wld.powerOff(led)
+		time.Sleep(1250 * time.Millisecond)
+		chk.Equal(wld.ldg.Running(), 0)
+		chk.Equal(wld.send(wld.ctx, oth, job), http.StatusOK)
+	})
+}
+
+func TestCallerLeaves(t *testing.T) {
+	// A caller closes its connection. Its tasks are stopped at once, as it may send the job elsewhere.
+	inWorld(t, 2, 1, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		ctx, leave := context.WithCancel(wld.ctx)
+		snt := wld.sendAsync(ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 6, payload: payload{Millis: 2500}})
+		time.Sleep(200 * time.Millisecond)
+		chk.Equal(wld.ldg.Running(), 6)
+		leave()
+		<-snt.done
+		time.Sleep(50 * time.Millisecond)
+		chk.Equal(wld.ldg.Running(), 0)
+	})
+}
+
+func TestDomainIsCutOff(t *testing.T) {
+	// A failure domain is cut off from the others and the store. Its callers are served by its own servers, the
+	// others by theirs, and at the end of the cut no shard changes hands: nothing is broken off.
+	inWorld(t, 3, 2, 3, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		led := wld.leader("domain-2")
+		wld.cut("domain-2")
+		time.Sleep(time.Second)
+		in := wld.sendAsync(wld.ctx, "entry-2-1", jobSpec{id: jobID(1), tasks: 6, payload: payload{Millis: 900}})
+		out := wld.sendAsync(wld.ctx, "entry-1-1", jobSpec{id: jobID(2), tasks: 6, payload: payload{Millis: 900}})
+		<-in.done
+		<-out.done
+		chk.Equal(in.status, http.StatusOK)
+		chk.Equal(out.status, http.StatusOK)
+		during := wld.sendAsync(wld.ctx, "entry-2-2", jobSpec{id: jobID(3), tasks: 6, payload: payload{Millis: 900}})
+		time.Sleep(300 * time.Millisecond)
+		wld.net.Heal()
+		<-during.done
+		chk.Equal(during.status, http.StatusOK)
+		chk.Equal(wld.ldg.Starts(jobID(3)+".0.0.0"), 1)
+		time.Sleep(2 * time.Second)
+		chk.Equal(wld.leader("domain-2"), led)
+	})
+}
+
+func TestCutDuringWork(t *testing.T) {
+	// Tasks of a caller of one domain run in another when the two lose each other. Both sides wait until
+	// the runs are surely over; then they start elsewhere, and the late answer is still delivered.
+	inWorld(t, 2, 1, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		snt := wld.sendAsync(wld.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 8, payload: payload{Millis: 900}})
+		time.Sleep(200 * time.Millisecond)
+		chk.Equal(wld.ldg.Running(), 8)
+		wld.cut("domain-2")
+		<-snt.done
+		chk.Equal(snt.status, http.StatusOK)
+		wld.net.Heal()
+	})
+}
+
+func TestStartIsCarriedOutLate(t *testing.T) {
+	// A server leaves orders to start unanswered and carries them out seconds later. The leader does not take
+	// them for not run: it stops them until the server says so, and only then starts the tasks elsewhere.
+	for name, late := range map[string]time.Duration{"within the timeout": 100 * time.Millisecond, "seconds": 3 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 1, 2, 3, func(wld *world) {
+				chk := is.NewRelaxed(t)
+				for _, srv := range wld.servers {
+					srv.LoseAnswers(1, late)
+				}
+				for num := range 6 {
+					chk.Equal(wld.send(wld.ctx, "entry-1-1", jobSpec{id: jobID(num), tasks: 4, payload: payload{Millis: 300}}),
+						http.StatusOK)
+				}
+				time.Sleep(4 * time.Second)
+				chk.Equal(wld.ldg.Running(), 0)
+			})
+		})
+	}
+}
+
+func TestTaskStandsStill(t *testing.T) {
+	// A server's tasks stand still while it answers well. The leader sees no progress, stops them and starts them
+	// elsewhere while the caller still waits.
+	inWorld(t, 1, 2, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		began := time.Now()
+		job := jobSpec{id: jobID(1), tasks: 3, payload: payload{Millis: 200, Stands: "server-1-1"}}
+		chk.Equal(wld.send(wld.ctx, "entry-1-1", job), http.StatusOK)
+		chk.True(time.Since(began) < 1500*time.Millisecond)
+	})
+}
+
+func TestJobCannotBeDone(t *testing.T) {
+	// A job whose tasks always fail is shown as failed after as many attempts as its route allows, and the servers
+	// that it failed on go on serving others.
+	inWorld(t, 1, 1, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		bad := jobSpec{id: jobID(1), tasks: 1, payload: payload{Millis: 50, Fails: true}}
+		status, body := wld.call(wld.ctx, "entry-1-1", bad)
+		chk.Equal(status, http.StatusOK)
+		chk.True(strings.Contains(body, "failed"))
+		chk.Equal(wld.ldg.Starts(jobID(1)+".0.0.0"), 3)
+		began := time.Now()
+		chk.Equal(wld.send(wld.ctx, "entry-1-1", jobSpec{id: jobID(2), tasks: 4, payload: payload{Millis: 50}}), http.StatusOK)
+		chk.True(time.Since(began) < 100*time.Millisecond)
+	})
+}
+
+func TestServerCrashes(t *testing.T) {
+	// A server goes dark with tasks on it. Their leases lapse, and they start elsewhere.
+	inWorld(t, 1, 2, 3, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		snt := wld.sendAsync(wld.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 4, payload: payload{Millis: 900}})
+		time.Sleep(200 * time.Millisecond)
+		wld.net.Isolate("server-1-1")
+		wld.servers["server-1-1"].Close()
+		<-snt.done
+		chk.Equal(snt.status, http.StatusOK)
+	})
+}
+
+func TestServerLeaves(t *testing.T) {
+	// The list says that a server is leaving. Within half a second nothing new starts there, and what runs ends.
+	inWorld(t, 1, 1, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		wld.list("server-1-1", "domain-1", "draining")
+		time.Sleep(500 * time.Millisecond)
+		wld.net.Isolate("server-1-1") // A start there would hang.
+		began := time.Now()
+		chk.Equal(wld.send(wld.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 2, payload: payload{Millis: 100}}), http.StatusOK)
+		chk.True(time.Since(began) < 200*time.Millisecond)
+	})
+}
+
+func TestFrozenLeaderWakes(t *testing.T) {
+	// The machine of a leader is suspended for five seconds and wakes. Its own clock has counted that time: it
+	// gives its shards up before it sends an order, and its callers' jobs are done in the end.
+	inWorld(t, 2, 2, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		led := wld.leader("domain-1")
+		snt := wld.sendAsync(wld.ctx, led, jobSpec{id: jobID(1), tasks: 3, payload: payload{Millis: 800}})
+		time.Sleep(200 * time.Millisecond)
+		wld.entries[led].freeze(5 * time.Second)
+		<-snt.done
+		chk.True(strings.Contains(wld.logged(), "this process stood still"))
+		time.Sleep(time.Second)
+		again := wld.send(wld.ctx, led, jobSpec{id: jobID(2), tasks: 3, payload: payload{Millis: 100}})
+		chk.Equal(again, http.StatusOK)
+	})
+}
+
+func TestConfigurationInForce(t *testing.T) {
+	// Operators add and drop routes. Each version is in force everywhere within two seconds, also at an instance that
+	// the store has turned away, and when the store has dropped its history; it never reverts.
+	cases := map[string]func(wld *world){
+		"calm":            func(*world) {},
+		"history dropped": func(wld *world) { wld.sto.Compact("keyed.op") },
+		"one turned away": func(wld *world) { wld.net.Separate(wld.entries["entry-1-1"].host, storeHost) },
+	}
+	for name, trouble := range cases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 1, 2, 1, func(wld *world) {
+				chk := is.NewRelaxed(t)
+				trouble(wld)
+				wld.route("/thumb/", "/new/")
+				time.Sleep(2 * time.Second)
+				for at := range wld.entries {
+					chk.Equal(wld.queue(at, "/new/"), http.StatusOK)
+					chk.Equal(wld.queue(at, "/deck/"), http.StatusNotFound)
+					chk.Equal(wld.queue(at, "/never/"), http.StatusNotFound)
+				}
+				wld.net.Heal()
+				time.Sleep(3 * time.Second)
+				chk.Equal(wld.queue("entry-1-1", "/new/"), http.StatusOK)
+			})
+		})
+	}
+}
+
+func TestStoreIsAway(t *testing.T) {
+	// The store goes down. Jobs are served as before, a leader is replaced, and an instance that starts meanwhile
+	// refuses truthfully until the store is back, also if the store then loses the answer to its first record.
+	inWorld(t, 1, 3, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		wld.sto.SetDown(true)
+		time.Sleep(500 * time.Millisecond)
+		led := wld.leader("domain-1")
+		wld.powerOff(led)
+		fresh := wld.startEntry("entry-1-4", "domain-1")
+		time.Sleep(1500 * time.Millisecond)
+		now := wld.leader("domain-1")
+		chk.True(now != "" && now != led)
+		chk.Equal(wld.send(wld.ctx, now, jobSpec{id: jobID(1), tasks: 4, payload: payload{Millis: 100}}), http.StatusOK)
+		chk.Equal(wld.send(wld.ctx, fresh.name, jobSpec{id: jobID(2), tasks: 1}), http.StatusServiceUnavailable)
+		wld.sto.LoseAnswers(1)
+		wld.sto.SetDown(false)
+		time.Sleep(4 * time.Second)
+		chk.Equal(wld.send(wld.ctx, fresh.name, jobSpec{id: jobID(2), tasks: 1, payload: payload{Millis: 50}}), http.StatusOK)
+	})
+}
+
+func TestConnectionsFallSilent(t *testing.T) {
+	// Open connections between instances, to servers and to the store go silent for good while new ones work. Fresh
+	// connections find out within the timeouts; jobs are late at most.
+	inWorld(t, 2, 2, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		snt := wld.sendAsync(wld.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 6, payload: payload{Millis: 900}})
+		time.Sleep(200 * time.Millisecond)
+		for _, one := range wld.entries {
+			wld.net.Forget(one.host, storeHost)
+			for _, two := range wld.entries {
+				wld.net.Forget(one.host, two.host)
+			}
+			for id := range wld.servers {
+				wld.net.Forget(one.host, id)
+			}
+		}
+		<-snt.done
+		chk.Equal(snt.status, http.StatusOK)
+		wld.route("/thumb/", "/late/")
+		time.Sleep(4 * time.Second)
+		chk.Equal(wld.queue("entry-2-2", "/late/"), http.StatusOK)
+	})
+}
+
+func TestLastInstanceOfDomainGoes(t *testing.T) {
+	// A failure domain has one instance, and it loses power. An instance of another domain leads its servers, until a
+	// new instance of the domain has started and leads them again.
+	inWorld(t, 2, 1, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		wld.powerOff("entry-2-1")
+		time.Sleep(3 * time.Second)
+		chk.Equal(wld.leader("domain-2"), "entry-1-1")
+		began := time.Now()
+		chk.Equal(wld.send(wld.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 8, payload: payload{Millis: 500}}), http.StatusOK)
+		chk.True(time.Since(began) < 600*time.Millisecond)
+		wld.startEntry("entry-2-2", "domain-2")
+		time.Sleep(3 * time.Second)
+		chk.Equal(wld.leader("domain-2"), "entry-2-2")
+		chk.Equal(wld.send(wld.ctx, "entry-2-2", jobSpec{id: jobID(2), tasks: 8, payload: payload{Millis: 100}}), http.StatusOK)
+	})
+}
+
+func TestSameJobAtTwoInstances(t *testing.T) {
+	// A caller that lost its connection unnoticed sends its job again to another instance while the first still
+	// works on it. A leader that has the task of both stops the first run before it starts the second.
+	inWorld(t, 1, 2, 4, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		job := jobSpec{id: jobID(1), tasks: 2, payload: payload{Millis: 600}}
+		wld.sendAsync(wld.ctx, "entry-1-1", job)
+		time.Sleep(100 * time.Millisecond)
+		chk.Equal(wld.send(wld.ctx, "entry-1-2", job), http.StatusOK)
+	})
+}
--- /dev/null
+++ b/internal/process/daemon/world_test.go
@@ -0,0 +1,394 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutstack/internal/process/pipe"
+	"chestnutstack/platform"
+	"chestnutstack/platform/standin"
+)
+
+// world is a whole system in virtual time: real daemons and stand-ins, joined by pipes.
+type world struct {
+	t       *testing.T
+	net     *pipe.Network
+	grp     *errgroup.Group
+	ctx     context.Context //nolint:containedctx // the life of the test's processes
+	sto     *standin.Store
+	ldg     *standin.Ledger
+	servers map[string]*standin.Server
+	entries map[string]*process
+	// former are earlier lives.
+	former  []*process
+	version int
+	lives   int
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// process is a daemon that can be stopped, killed or frozen.
+type process struct {
+	name, host, domain string
+	stop               context.CancelFunc
+	done               chan struct{}
+	dmn                *Daemon
+	// ended is set once the process was stopped or lost its power.
+	ended bool
+	// dark is set once its machine has lost its power.
+	dark bool
+	mu   sync.Mutex
+	// slept is how long the process was frozen, by the clock that counts such time.
+	slept time.Duration
+}
+
+func (prc *process) now() time.Time {
+	prc.mu.Lock()
+	defer prc.mu.Unlock()
+	return time.Now().Add(prc.slept)
+}
+
+const (
+	serverProcessor = 32000
+	taskProcessor   = 14000
+	serverMemory    = 131072
+	clientHost      = "client"
+	storeHost       = "store"
+)
+
+// payload is what the tasks of a test say of themselves.
+type payload struct {
+	Millis int
+	Fails  bool
+	Stands string
+}
+
+// inWorld runs a test in virtual time, with a number of entry instances and of backend servers in each of some
+// failure domains, and checks at its end that no promise was broken.
+func inWorld(t *testing.T, domains, entries, servers int, body func(wld *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		wld := &world{
+			t: t, net: pipe.New(), grp: &errgroup.Group{}, ctx: ctx,
+			sto: standin.NewStore(), ldg: standin.NewLedger(),
+			servers: map[string]*standin.Server{}, entries: map[string]*process{},
+		}
+		wld.serve(storeHost+":1", wld.sto)
+		wld.route("/thumb/", "/deck/")
+		for dom := range domains {
+			for num := range servers {
+				wld.startServer(fmt.Sprintf("server-%d-%d", dom+1, num+1), domainName(dom))
+			}
+			for num := range entries {
+				wld.startEntry(fmt.Sprintf("entry-%d-%d", dom+1, num+1), domainName(dom))
+			}
+		}
+		time.Sleep(2 * time.Second)
+		body(wld)
+		for _, prc := range wld.entries {
+			prc.stop()
+		}
+		for _, prc := range wld.entries {
+			<-prc.done
+		}
+		for _, prc := range wld.former {
+			<-prc.done
+		}
+		cancel()
+		for _, srv := range wld.servers {
+			srv.Close()
+		}
+		wld.net.Close()
+		if err := wld.grp.Wait(); err != nil {
+			t.Errorf("processes: %v", err)
+		}
+		for _, brk := range wld.ldg.Broken() {
+			t.Errorf("broken promise: %s", brk)
+		}
+		if t.Failed() && testing.Verbose() {
+			t.Log(wld.logged())
+		}
+		time.Sleep(20 * time.Second) // Timers of stand-ins run out.
+	})
+}
+
+func domainName(num int) string { return fmt.Sprintf("domain-%d", num+1) }
+
+func (wld *world) serve(addr string, hdl http.Handler) *http.Server {
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: time.Minute}
+	lis := wld.net.Listen(addr)
+	wld.grp.Go(func() error {
+		_ = srv.Serve(lis) // It ends with the listener.
+		return nil
+	})
+	wld.grp.Go(func() error {
+		<-wld.ctx.Done()
+		return srv.Close()
+	})
+	return srv
+}
+
+// route publishes a configuration with just these prefixes.
+func (wld *world) route(prefixes ...string) {
+	wld.version++
+	rts := []map[string]any{}
+	for num, pfx := range prefixes {
+		rts = append(rts, map[string]any{
+			"Name": "r" + pfx, "Host": "jobs.example", "PathPrefix": pfx, "Service": "render", "Attempts": 3,
+			"Priority": num, "TargetLatencyMs": 60, "Stretch": 1.6,
+		})
+	}
+	wld.sto.Put("keyed.op", "config", map[string]any{"Version": wld.version, "Routes": rts})
+}
+
+func (wld *world) startServer(id, domain string) {
+	srv := standin.NewServer(id, serverProcessor, serverMemory, wld.ldg, func(text string) standin.Work {
+		var pld payload
+		if err := json.Unmarshal([]byte(text), &pld); err != nil {
+			wld.t.Errorf("payload: %v", err)
+		}
+		return standin.Work{
+			Takes: time.Duration(pld.Millis) * time.Millisecond, Fails: pld.Fails, Stands: pld.Stands == id,
+			Processor: taskProcessor, Memory: 64,
+		}
+	})
+	wld.servers[id] = srv
+	wld.serve(id+":1", srv)
+	wld.list(id, domain, "ready")
+}
+
+func (wld *world) list(id, domain, state string) {
+	wld.sto.Put("keyed.servers", id, map[string]any{
+		"Service": "render", "Address": id + ":1", "Zone": domain, "State": state,
+		"Capacity": map[string]int64{"Cpu": serverProcessor, "MemMb": serverMemory}, "Labels": []string{"a"},
+	})
+}
+
+// startEntry starts a process on a machine of its own; the same name again is its next life.
+func (wld *world) startEntry(name, domain string) *process {
+	wld.lives++
+	host := fmt.Sprintf("%s-life-%d", name, wld.lives)
+	ctx, stop := context.WithCancel(wld.ctx)
+	prc := &process{name: name, host: host, domain: domain, stop: stop, done: make(chan struct{})}
+	if old := wld.entries[name]; old != nil {
+		wld.former = append(wld.former, old)
+	}
+	wld.entries[name] = prc
+	client := func() *http.Client {
+		return &http.Client{Transport: &http.Transport{DialContext: wld.net.Dialer(host)}}
+	}
+	prc.dmn = New(Params{
+		Settings: platform.Settings{
+			Instance: name, FailureDomain: domain, CallerAddress: host + ":1", ReadyAddress: host + ":2",
+			PeerAddress: host + ":3", MetricsAddress: host + ":4", Processor: 0.4,
+			StopTimeout: 6 * time.Second, MemoryBytes: 1 << 28,
+		},
+		Store: platform.NewStore(client(), storeHost+":1"), Servers: platform.NewServers(client()),
+		Dial: wld.net.Dialer(host), Now: prc.now, Log: zerolog.New(wld).With().Str("instance", name).Logger(),
+	})
+	lis := Listeners{
+		Callers: wld.net.Listen(host + ":1"), Ready: wld.net.Listen(host + ":2"),
+		Peers: wld.net.Listen(host + ":3"), Metrics: wld.net.Listen(host + ":4"),
+	}
+	wld.grp.Go(func() error {
+		defer close(prc.done)
+		return prc.dmn.Run(ctx, lis)
+	})
+	return prc
+}
+
+// powerOff ends a process as the loss of its machine's power does.
+func (wld *world) powerOff(name string) {
+	prc := wld.entries[name]
+	wld.net.Isolate(prc.host)
+	prc.dark = true
+	wld.darken(prc)
+	prc.stop()
+}
+
+func (wld *world) darken(prc *process) {
+	for _, oth := range wld.hosts() {
+		wld.net.Separate(prc.host, oth)
+	}
+}
+
+// heal ends all cuts; machines without power stay dark.
+func (wld *world) heal() {
+	wld.net.Heal()
+	for _, prc := range wld.former {
+		if prc.dark {
+			wld.darken(prc)
+		}
+	}
+	for _, prc := range wld.entries {
+		if prc.dark {
+			wld.darken(prc)
+		}
+	}
+}
+
+// hosts returns all machines.
+func (wld *world) hosts() []string {
+	hsts := []string{storeHost, clientHost}
+	for _, prc := range wld.entries {
+		hsts = append(hsts, prc.host)
+	}
+	for id := range wld.servers {
+		hsts = append(hsts, id)
+	}
+	return hsts
+}
+
+// freeze makes a process see that its machine was suspended.
+func (prc *process) freeze(dur time.Duration) {
+	prc.mu.Lock()
+	defer prc.mu.Unlock()
+	prc.slept += dur
+}
+
+// cut separates a failure domain from the others and the store; its clients and servers still reach it.
+func (wld *world) cut(domain string) {
+	for _, prc := range wld.entries {
+		if prc.domain != domain {
+			continue
+		}
+		wld.net.Separate(prc.host, storeHost)
+		for _, oth := range wld.entries {
+			if oth.domain != domain {
+				wld.net.Separate(prc.host, oth.host)
+			}
+		}
+	}
+	for id := range wld.servers {
+		for _, prc := range wld.entries {
+			if strings.HasPrefix(id, "server-"+strings.TrimPrefix(domain, "domain-")) != (prc.domain == domain) {
+				wld.net.Separate(prc.host, id)
+			}
+		}
+	}
+}
+
+// Write implements io.Writer for the logs of all processes.
+func (wld *world) Write(data []byte) (int, error) {
+	wld.mu.Lock()
+	defer wld.mu.Unlock()
+	wld.log.WriteString(time.Now().Format("05.000 "))
+	return wld.log.Write(data)
+}
+
+func (wld *world) logged() string {
+	wld.mu.Lock()
+	defer wld.mu.Unlock()
+	return wld.log.String()
+}
+
+// leader returns the name of the instance that leads the shard of a domain.
+func (wld *world) leader(domain string) string {
+	for name, prc := range wld.entries {
+		prc.dmn.mu.Lock()
+		for shd := range prc.dmn.leaders {
+			if strings.HasPrefix(string(shd), domain+".") && !prc.dmn.leaving.Load() {
+				prc.dmn.mu.Unlock()
+				return name
+			}
+		}
+		prc.dmn.mu.Unlock()
+	}
+	return ""
+}
+
+// jobSpec is a submission of one step.
+type jobSpec struct {
+	id       string
+	path     string
+	tasks    int
+	patience time.Duration
+	payload
+}
+
+// send submits a job to an instance and returns the status, 0 if there was no answer.
+func (wld *world) send(ctx context.Context, to string, job jobSpec) int {
+	status, _ := wld.call(ctx, to, job)
+	return status
+}
+
+func (wld *world) call(ctx context.Context, to string, job jobSpec) (int, string) {
+	if job.path == "" {
+		job.path = "/thumb/"
+	}
+	if job.patience == 0 {
+		job.patience = 5 * time.Second
+	}
+	text, _ := json.Marshal(job.payload) // Plain fields always encode.
+	body, _ := json.Marshal(map[string]any{
+		"Spec": string(text), "BestEffort": true,
+		"Steps": []map[string]any{{"Count": job.tasks, "Cpu": taskProcessor, "MemMb": 64, "EstRuntimeMs": job.Millis}},
+	})
+	ctx, cancel := context.WithTimeout(ctx, job.patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+wld.entries[to].host+":1"+job.path+job.id, bytes.NewReader(body))
+	if err != nil {
+		wld.t.Fatal(err)
+	}
+	req.Host = "jobs.example"
+	req.Header.Set("X-Chestnutstack-Deadline-Ms", fmt.Sprint(job.patience.Milliseconds()))
+	return wld.do(req)
+}
+
+func (wld *world) do(req *http.Request) (int, string) {
+	cli := &http.Client{Transport: &http.Transport{DialContext: wld.net.Dialer(clientHost), DisableKeepAlives: true}}
+	rep, err := cli.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = rep.Body.Close() }()
+	var buf bytes.Buffer
+	if _, err := buf.ReadFrom(rep.Body); err != nil {
+		return 0, err.Error()
+	}
+	return rep.StatusCode, buf.String()
+}
+
+// queue asks an instance for a queue and returns the status.
+func (wld *world) queue(at, path string) int {
+	req, err := http.NewRequestWithContext(wld.ctx, http.MethodGet, "http://"+wld.entries[at].host+":1"+path, nil)
+	if err != nil {
+		wld.t.Fatal(err)
+	}
+	req.Host = "jobs.example"
+	status, _ := wld.do(req)
+	return status
+}
+
+// sent is a submission in progress.
+type sent struct {
+	status int
+	body   string
+	done   chan struct{}
+}
+
+func (wld *world) sendAsync(ctx context.Context, to string, job jobSpec) *sent {
+	snt := &sent{done: make(chan struct{})}
+	wld.grp.Go(func() error {
+		defer close(snt.done)
+		snt.status, snt.body = wld.call(ctx, to, job)
+		return nil
+	})
+	return snt
+}
+
+func jobID(num int) string { return fmt.Sprintf("%016x", num) }
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -298,7 +298,10 @@
 	if srv.state != held && len(srv.runs) > 0 && !now.Before(srv.renewedAt.Add(ldr.cfg.lapse())) {
 		ldr.lapsed(now, srv)
 	}
-	if !srv.looking && !now.Before(srv.lookAt) {
+	// A server that has listed what runs there is not looked at again before the take-over is complete: a look
+	// that renews nothing would return at once, over and over.
+	due := srv.state != held || ldr.settled
+	if due && !srv.looking && !now.Before(srv.lookAt) {
 		ldr.look(now, srv)
 	}
 }
