Let the areas stack; check it, and that the platform's names stay in its folder

Cause: connection imported process (member) and request imported version (caller), so no area stood below another. Conclusion: request < version < connection < process. A kind of report that nothing sent is gone.

--- a/cmd/chestnutstackd/main.go
+++ b/cmd/chestnutstackd/main.go
@@ -18,10 +18,15 @@
 )
 
 func main() {
+	os.Exit(run())
+}
+
+func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := daemon.Main(ctx, os.Args[1:], os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "chestnutstackd:", err)
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
--- a/internal/request/caller/gate_test.go
+++ b/internal/connection/caller/gate_test.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/request/verdict"
--- a/internal/connection/peer/calls.go
+++ b/internal/connection/peer/calls.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"chestnutstack/internal/process/member"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/job"
--- a/internal/connection/peer/control_test.go
+++ b/internal/connection/peer/control_test.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"chestnutstack/internal/process/member"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/request/dispatch"
 )
 
--- a/internal/connection/peer/fake_test.go
+++ b/internal/connection/peer/fake_test.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"chestnutstack/internal/process/member"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/job"
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
-	"chestnutstack/internal/process/member"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/request/limit"
--- a/internal/connection/peer/pool.go
+++ b/internal/connection/peer/pool.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"chestnutstack/internal/process/member"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/request/job"
 )
 
--- a/internal/connection/peer/wire.go
+++ b/internal/connection/peer/wire.go
@@ -5,7 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"chestnutstack/internal/process/member"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/limit"
--- a/internal/process/cli/catalogue.go
+++ b/internal/process/cli/catalogue.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/version/catalogue"
 )
--- a/internal/process/cli/client.go
+++ b/internal/process/cli/client.go
@@ -12,8 +12,8 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/connection/http2"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 )
 
--- a/internal/process/cli/job.go
+++ b/internal/process/cli/job.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/request/callerpb"
 )
 
--- a/internal/process/cli/load.go
+++ b/internal/process/cli/load.go
@@ -11,9 +11,9 @@
 	"github.com/oklog/ulid/v2"
 	"golang.org/x/sync/errgroup"
 
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/connection/http2"
 	"chestnutstack/internal/process/load"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/version/platform"
 )
--- a/internal/process/cli/output.go
+++ b/internal/process/cli/output.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/verdict"
 )
--- a/internal/process/cli/token.go
+++ b/internal/process/cli/token.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/version/token"
 )
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -49,7 +49,7 @@
 		return
 	}
 	for name, ldr := range dmn.leaders {
-		dmn.deskDo(dmn.desk.SetLoad(now, name, ldr.Load(now)))
+		dmn.deskDo(dmn.desk.SetLoad(name, ldr.Load(now)))
 	}
 	for len(dmn.local) > 0 {
 		next := dmn.local[0]
@@ -92,7 +92,7 @@
 			dmn.takeOver(now, shd.Name)
 		}
 	}
-	dmn.updateLeaders(now)
+	dmn.updateLeaders()
 	dmn.updatePaces()
 	for name, ldr := range dmn.leaders {
 		dmn.shardDo(name, ldr.Tick(now))
@@ -141,12 +141,12 @@
 }
 
 // updateLeaders tells the desk who leads what.
-func (dmn *Daemon) updateLeaders(now time.Time) {
+func (dmn *Daemon) updateLeaders() {
 	for shd := range dmn.divided {
 		led, tok := dmn.council.Leader(shd)
 		near := shd.Domain == dmn.prm.Settings.FailureDomain
 		tgt := submission.Target{Shard: shd.Name, Leader: led, Token: tok}
-		dmn.deskDo(dmn.desk.SetLeader(now, tgt, near))
+		dmn.deskDo(dmn.desk.SetLeader(tgt, near))
 	}
 }
 
@@ -208,10 +208,10 @@
 	if dmn.council.Heard(ins) {
 		dmn.log.Info().Str("instance", string(from)).Msg("instance heard")
 	}
-	dmn.updateLeaders(now)
+	dmn.updateLeaders()
 	for _, led := range bet.Leads {
 		if dmn.desk.Leads(submission.Target{Shard: led.Shard, Leader: from, Token: led.Token}) {
-			dmn.deskDo(dmn.desk.SetLoad(now, led.Shard, led.Load))
+			dmn.deskDo(dmn.desk.SetLoad(led.Shard, led.Load))
 		}
 	}
 	if data := dmn.cfgData.Load(); data != nil && bet.ConfigVersion < dmn.cfg.Load().Version() {
@@ -282,7 +282,7 @@
 		dmn.shardDo(name, ldr.OwnerLost(now, id))
 	}
 	dmn.deskDo(dmn.desk.InstanceLost(now, id))
-	dmn.updateLeaders(now)
+	dmn.updateLeaders()
 }
 
 // deskDo carries out what the desk decided.
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -57,7 +57,7 @@
 	}
 	gone := dmn.enter()
 	delete(dmn.callers, cal)
-	dmn.deskDo(dmn.desk.CallerGone(gone, cal))
+	dmn.deskDo(dmn.desk.CallerGone(cal))
 	dmn.exit(gone)
 	ans := submission.Answer{Result: submission.Unfinished, Reason: "the caller closed its connection"}
 	dmn.answered(&sub, ans, now)
--- a/internal/process/dev/show.go
+++ b/internal/process/dev/show.go
@@ -15,10 +15,10 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"chestnutstack/examples"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/connection/http2"
 	"chestnutstack/internal/process/backendstandin"
 	"chestnutstack/internal/process/entry"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/version/catalogue"
--- a/internal/process/entry/answer_peers.go
+++ b/internal/process/entry/answer_peers.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"chestnutstack/internal/connection/caller"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/connection/peer"
-	"chestnutstack/internal/process/member"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/job"
--- a/internal/process/entry/bench_test.go
+++ b/internal/process/entry/bench_test.go
@@ -19,8 +19,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/connection/http2"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 )
 
--- a/internal/process/entry/capacity_test.go
+++ b/internal/process/entry/capacity_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
-	"chestnutstack/internal/process/member"
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/job"
--- a/internal/process/entry/governor.go
+++ b/internal/process/entry/governor.go
@@ -8,10 +8,10 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"chestnutstack/internal/connection/caller"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/connection/peer"
-	"chestnutstack/internal/process/member"
 	"chestnutstack/internal/process/metrics"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/version/catalogue"
--- a/internal/process/entry/jobs.go
+++ b/internal/process/entry/jobs.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/ulid/v2"
 
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/process/metrics"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/request/verdict"
--- a/internal/process/entry/observe.go
+++ b/internal/process/entry/observe.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/process/metrics"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/request/verdict"
--- a/internal/process/entry/recover.go
+++ b/internal/process/entry/recover.go
@@ -10,10 +10,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"chestnutstack/internal/connection/backendpb"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/connection/http2"
 	"chestnutstack/internal/connection/peer"
 	"chestnutstack/internal/process/metrics"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/request/verdict"
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -7,8 +7,8 @@
 
 	"connectrpc.com/connect"
 
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/connection/http2"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/verdict"
 )
--- a/internal/process/entry/session_jobs_test.go
+++ b/internal/process/entry/session_jobs_test.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/job"
 )
--- a/internal/process/entry/session_stops_test.go
+++ b/internal/process/entry/session_stops_test.go
@@ -7,7 +7,7 @@
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/request/callerpb"
 )
 
--- a/internal/process/entry/table_test.go
+++ b/internal/process/entry/table_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/request/verdict"
--- a/internal/process/entry/view.go
+++ b/internal/process/entry/view.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstack/internal/connection/backend"
+	"chestnutstack/internal/connection/member"
 	"chestnutstack/internal/connection/peer"
-	"chestnutstack/internal/process/member"
 	"chestnutstack/internal/process/metrics"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/limit"
--- a/internal/process/entry/world_test.go
+++ b/internal/process/entry/world_test.go
@@ -17,12 +17,12 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/connection/http2"
 	"chestnutstack/internal/process/backendstandin"
 	"chestnutstack/internal/process/entry"
 	"chestnutstack/internal/process/pipe"
 	"chestnutstack/internal/process/platformstandin"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/dispatch"
 	"chestnutstack/internal/request/job"
--- a/internal/process/load/generator.go
+++ b/internal/process/load/generator.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"chestnutstack/internal/request/caller"
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/request/job"
 )
 
--- a/internal/process/load/journal.go
+++ b/internal/process/load/journal.go
@@ -7,8 +7,8 @@
 
 	"connectrpc.com/connect"
 
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/process/metrics"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/version/platformpb"
 )
--- a/internal/process/load/load_test.go
+++ b/internal/process/load/load_test.go
@@ -17,10 +17,10 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"chestnutstack/internal/connection/caller"
 	"chestnutstack/internal/process/load"
 	"chestnutstack/internal/process/metrics"
 	"chestnutstack/internal/process/pipe"
-	"chestnutstack/internal/request/caller"
 	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/request/job"
 	"chestnutstack/internal/version/platformpb"
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -206,6 +206,8 @@
 		srv.succeeded()
 	case EndedFailed:
 		srv.failed(now, ord.submission(), ldr.cfg)
+	case EndedStopped:
+		// A stop or a lapse says nothing of the server.
 	}
 	switch {
 	case ord.cancelled:
--- a/internal/request/shard/words.go
+++ b/internal/request/shard/words.go
@@ -129,8 +129,6 @@
 	Failed
 	// NotRun orders are off the leader's hands and nothing of them runs; they may go elsewhere.
 	NotRun
-	// TooLate orders were given up because their deadline can't be met.
-	TooLate
 	// Begun orders have started; the end comes later.
 	Begun
 	// Lost orders are in the hands of another leader, which may let them run on.
@@ -139,7 +137,7 @@
 
 // String returns the outcome's name in logs.
 func (out Outcome) String() string {
-	names := [...]string{"done", "failed", "not-run", "too-late", "begun", "lost"}
+	names := [...]string{"done", "failed", "not-run", "begun", "lost"}
 	if out < 0 || int(out) >= len(names) {
 		return "invalid"
 	}
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -117,7 +117,7 @@
 
 // SetLeader tells the desk who leads a shard; no leader is an empty instance. Orders that lie with
 // the former leader go to the new one, which knows what of them runs.
-func (dsk *Desk) SetLeader(now time.Time, tgt Target, near bool) []Action {
+func (dsk *Desk) SetLeader(tgt Target, near bool) []Action {
 	viw := dsk.shards[tgt.Shard]
 	if viw == nil {
 		viw = &view{name: tgt.Shard}
@@ -135,23 +135,23 @@
 	for _, jb := range dsk.inOrder() {
 		for _, tks := range jb.tasks {
 			for _, tsk := range tks {
-				dsk.follow(now, tsk, viw)
+				dsk.follow(tsk, viw)
 			}
 		}
-		dsk.advance(now, jb)
+		dsk.advance(jb)
 	}
 	return dsk.take()
 }
 
 // follow sends a task's order to the new leader of its shard.
-func (dsk *Desk) follow(now time.Time, tsk *task, viw *view) {
+func (dsk *Desk) follow(tsk *task, viw *view) {
 	if tsk.done || tsk.shard != viw.name || tsk.leader == "" && tsk.limbo.IsZero() {
 		return
 	}
 	// The former leader may have started it without a word of that here.
 	tsk.job.begun = true
 	tsk.leader, tsk.token, tsk.limbo, tsk.begun = viw.leader, viw.token, time.Time{}, false
-	dsk.send(now, tsk, shard.Order{Followed: true})
+	dsk.send(tsk, shard.Order{Followed: true})
 }
 
 func (dsk *Desk) inOrder() []*job {
@@ -180,7 +180,7 @@
 }
 
 // SetLoad tells the desk what room a shard has. Tasks that wait elsewhere are called back for it.
-func (dsk *Desk) SetLoad(now time.Time, name shard.Name, lod shard.Load) []Action {
+func (dsk *Desk) SetLoad(name shard.Name, lod shard.Load) []Action {
 	viw := dsk.shards[name]
 	if viw == nil {
 		return dsk.take()
@@ -188,13 +188,13 @@
 	viw.load, viw.sent = lod, 0
 	viw.load.Free = slices.Clone(lod.Free)
 	if len(viw.load.Free) > 0 {
-		dsk.recall(now, viw)
+		dsk.recall(viw)
 	}
 	return dsk.take()
 }
 
 // recall asks the leaders of other shards for waiting tasks that would start at once in a shard's room.
-func (dsk *Desk) recall(now time.Time, viw *view) {
+func (dsk *Desk) recall(viw *view) {
 	var left int64
 	for _, jb := range dsk.inOrder() {
 		for _, tks := range jb.tasks {
@@ -208,7 +208,7 @@
 				}
 				left++
 				tsk.recalled, tsk.bounces = true, 0
-				dsk.send(now, tsk, shard.Order{Recall: true})
+				dsk.send(tsk, shard.Order{Recall: true})
 			}
 		}
 	}
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -133,7 +133,7 @@
 			dsk.tasks[tsk.name] = tsk
 		}
 	}
-	dsk.advance(now, jb)
+	dsk.advance(jb)
 	return dsk.take()
 }
 
@@ -163,14 +163,14 @@
 }
 
 // advance places what is ready to run.
-func (dsk *Desk) advance(now time.Time, jb *job) {
+func (dsk *Desk) advance(jb *job) {
 	for num, tks := range jb.tasks {
 		if !jb.ready(num) {
 			continue
 		}
 		for _, tsk := range tks {
 			if !tsk.done && tsk.leader == "" && tsk.limbo.IsZero() {
-				dsk.place(now, tsk)
+				dsk.place(tsk)
 			}
 		}
 	}
@@ -186,7 +186,7 @@
 	return true
 }
 
-func (dsk *Desk) place(now time.Time, tsk *task) {
+func (dsk *Desk) place(tsk *task) {
 	stp := &tsk.job.sub.Steps[tsk.step]
 	viw, fits := dsk.choose(tsk, stp)
 	if viw == nil {
@@ -194,7 +194,7 @@
 	}
 	tsk.shard, tsk.leader, tsk.token = viw.name, viw.leader, viw.token
 	tsk.begun, tsk.recalled = false, false
-	dsk.send(now, tsk, shard.Order{Bounce: fits && tsk.bounces < maxBounces})
+	dsk.send(tsk, shard.Order{Bounce: fits && tsk.bounces < maxBounces})
 	viw.placed(stp.Processor, fits)
 }
 
@@ -208,7 +208,7 @@
 }
 
 // send sends a task's order to its leader, in the manner that how says: Bounce, Recall or Followed.
-func (dsk *Desk) send(now time.Time, tsk *task, how shard.Order) {
+func (dsk *Desk) send(tsk *task, how shard.Order) {
 	jb := tsk.job
 	stp := &jb.sub.Steps[tsk.step]
 	dsk.do(Place{Target: tsk.target(), Order: shard.Order{
@@ -222,7 +222,7 @@
 }
 
 // CallerGone ends a submission whose caller has closed its connection, unless another call waits for it.
-func (dsk *Desk) CallerGone(now time.Time, cal Call) []Action {
+func (dsk *Desk) CallerGone(cal Call) []Action {
 	jb := dsk.calls[cal]
 	if jb == nil {
 		return dsk.take()
@@ -264,7 +264,7 @@
 		return dsk.take()
 	}
 	if rep.Outcome == shard.Done {
-		dsk.taskDone(now, tsk, from)
+		dsk.taskDone(tsk, from)
 		return dsk.take()
 	}
 	if tsk.leader != from || tsk.token != rep.Token {
@@ -274,19 +274,21 @@
 	case shard.Begun:
 		tsk.begun, tsk.job.begun = true, true
 	case shard.Failed:
-		dsk.taskFailed(now, tsk, rep)
+		dsk.taskFailed(tsk, rep)
 	case shard.NotRun:
 		tsk.leader = ""
 		tsk.bounces++
 		dsk.full(tsk.shard)
-		dsk.place(now, tsk)
+		dsk.place(tsk)
 	case shard.Lost:
 		dsk.toLimbo(now, tsk)
+	case shard.Done:
+		// Dealt with above.
 	}
 	return dsk.take()
 }
 
-func (dsk *Desk) taskDone(now time.Time, tsk *task, from shard.InstanceID) {
+func (dsk *Desk) taskDone(tsk *task, from shard.InstanceID) {
 	jb := tsk.job
 	if tsk.leader != "" && tsk.leader != from {
 		dsk.do(Withdraw{Target: tsk.target(), Task: tsk.name})
@@ -299,14 +301,14 @@
 	}
 	for _, num := range jb.left {
 		if num > 0 {
-			dsk.advance(now, jb)
+			dsk.advance(jb)
 			return
 		}
 	}
 	dsk.answer(jb, Answer{Result: Succeeded})
 }
 
-func (dsk *Desk) taskFailed(now time.Time, tsk *task, rep shard.Report) {
+func (dsk *Desk) taskFailed(tsk *task, rep shard.Report) {
 	jb := tsk.job
 	jb.begun = true
 	tsk.leader, tsk.begun = "", false
@@ -316,7 +318,7 @@
 		return
 	}
 	tsk.avoid = append(tsk.avoid, rep.Server)
-	dsk.place(now, tsk)
+	dsk.place(tsk)
 }
 
 // toLimbo notes that a task may still run, at a leader that is not heard or holds its server no more.
@@ -373,6 +375,6 @@
 		}
 	}
 	if ended {
-		dsk.advance(now, jb)
+		dsk.advance(jb)
 	}
 }
--- a/tools/stylecheck/main.go
+++ b/tools/stylecheck/main.go
@@ -1,5 +1,5 @@
 // Command stylecheck reports what the linter has no rule for: bare go statements, packages
-// without doc.go, and source files that carry a machine path.
+// without doc.go, the platform's wire names outside its folder, and imports that run up the areas.
 package main
 
 import (
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var findings []string
+	findings := append(checkWireNames(path, fset, file), checkAreas(path, fset, file)...)
 	ast.Inspect(file, func(nod ast.Node) bool {
 		if stm, ok := nod.(*ast.GoStmt); ok {
 			findings = append(findings, fmt.Sprintf("%s: bare go statement; start it through a group", fset.Position(stm.Pos())))
@@ -84,3 +84,70 @@
 	})
 	return findings, nil
 }
+
+// wireNames are names that the platform gave to fields, calls and topics. They are decoded once, in the folder
+// platform, and stand nowhere else.
+var wireNames = []string{
+	"UntilMs", "FenceToken", "LastSeen", "WaitMs", "ClockMs", "RunId", "EstRuntimeMs", "TargetLatencyMs", "PathPrefix",
+	"EndOffset", "BestEffort", "DataRack", "run-start", "run-stop", "log-append", "log-read", "log-newest", "keyed.",
+	"X-Chestnutstack", "CHESTNUTSTACK_BOOT",
+}
+
+const platformFolder = "platform/"
+
+func checkWireNames(path string, fset *token.FileSet, file *ast.File) []string {
+	if strings.HasPrefix(filepath.ToSlash(path), platformFolder) {
+		return nil
+	}
+	var findings []string
+	ast.Inspect(file, func(nod ast.Node) bool {
+		text := ""
+		switch nod := nod.(type) {
+		case *ast.Ident:
+			text = nod.Name
+		case *ast.BasicLit:
+			text = nod.Value
+		}
+		for _, name := range wireNames {
+			if strings.Contains(text, name) {
+				findings = append(findings, fmt.Sprintf("%s: the platform's name %s outside %s",
+					fset.Position(nod.Pos()), name, platformFolder))
+			}
+		}
+		return true
+	})
+	return findings
+}
+
+// areas are the parts of internal/ from the lowest up: an area imports those before it only.
+var areas = []string{"request", "version", "connection", "process"}
+
+func checkAreas(path string, fset *token.FileSet, file *ast.File) []string {
+	own := areaOf(filepath.ToSlash(path))
+	if own < 0 {
+		return nil
+	}
+	var findings []string
+	for _, imp := range file.Imports {
+		adr := strings.Trim(imp.Path.Value, "\"")
+		if oth := areaOf(strings.TrimPrefix(adr, "chestnutstack/")); oth > own {
+			findings = append(findings, fmt.Sprintf("%s: area %s imports %s above it",
+				fset.Position(imp.Pos()), areas[own], adr))
+		}
+	}
+	return findings
+}
+
+// areaOf returns the place of a path's area in the stack, -1 for paths outside internal/.
+func areaOf(path string) int {
+	rest, found := strings.CutPrefix(path, "internal/")
+	if !found {
+		return -1
+	}
+	for num, name := range areas {
+		if strings.HasPrefix(rest, name+"/") {
+			return num
+		}
+	}
+	return -1
+}
