Spend less processor time on a start; tell a suspended machine from a busy one

Cause: on the grown site leaders ran out of processor: each log line was a system call, each event looked after all servers, each begun task was a batch of its own. A busy process took itself for frozen and gave up its shards, which made it worse. A load that was old news called tasks back again and again.

--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -94,7 +94,9 @@
 	for _, per := range msh.peers {
 		if per.up && per.id() == to {
 			per.outbox = append(per.outbox, msg)
-			signal(per.wake)
+			if !lazy(msg) {
+				signal(per.wake)
+			}
 			return
 		}
 	}
@@ -118,6 +120,13 @@
 	}
 }
 
+// lazy reports whether a message may wait for the next batch: that a task has begun changes nothing for its
+// owner but whom it calls back, and would be a third of all batches.
+func lazy(msg Message) bool {
+	rep, ok := msg.(Report)
+	return ok && rep.Report.Outcome == shard.Begun
+}
+
 // Nudge has a beat sent to all at once.
 func (msh *Mesh) Nudge() {
 	msh.mu.Lock()
@@ -133,6 +142,7 @@
 func (msh *Mesh) watch(ctx context.Context) error {
 	tck := time.NewTicker(msh.cfg.Interval / silenceChecks)
 	defer tck.Stop()
+	checked := msh.cfg.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -140,6 +150,13 @@
 		case <-tck.C:
 		}
 		now := msh.cfg.Now()
+		late := now.Sub(checked) > msh.cfg.Interval
+		checked = now
+		if late {
+			// This process had no processor for a while: what the others sent meanwhile lies unread, and
+			// would be taken for silence. The next check tells.
+			continue
+		}
 		msh.mu.Lock()
 		var quiet []*peer
 		for _, per := range msh.peers {
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -63,6 +63,7 @@
 type wireLead struct {
 	Shard    string                  `json:"shard"`
 	Token    int64                   `json:"token"`
+	Number   int64                   `json:"number"`
 	Free     []int64                 `json:"free,omitempty"`
 	Capacity int64                   `json:"capacity"`
 	Waiting  [shard.Priorities]int64 `json:"waiting"`
@@ -120,7 +121,7 @@
 	for _, led := range bet.Leads {
 		wir.Leads = append(wir.Leads, wireLead{
 			Shard: string(led.Shard), Token: led.Token,
-			Free: led.Load.Free, Capacity: led.Load.Capacity, Waiting: led.Load.Waiting,
+			Number: led.Load.Number, Free: led.Load.Free, Capacity: led.Load.Capacity, Waiting: led.Load.Waiting,
 		})
 	}
 	return wir
@@ -133,7 +134,9 @@
 	for _, led := range wir.Leads {
 		bet.Leads = append(bet.Leads, Lead{
 			Shard: shard.Name(led.Shard), Token: led.Token,
-			Load: shard.Load{Free: led.Free, Capacity: led.Capacity, Waiting: led.Waiting},
+			Load: shard.Load{
+				Number: led.Number, Free: led.Free, Capacity: led.Capacity, Waiting: led.Waiting,
+			},
 		})
 	}
 	return bet
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -49,7 +49,9 @@
 	Dial mesh.DialFunc
 	// Now is a clock that counts the time during which the machine was suspended.
 	Now func() time.Time
-	Log zerolog.Logger
+	// Suspended returns for how long the machine has stood still since its start; Now counts that time.
+	Suspended func() time.Duration
+	Log       zerolog.Logger
 	// SettingsPath is the file that Settings were read from; empty if it is not to be followed.
 	SettingsPath string
 	// Counters are made by New if nil.
@@ -81,7 +83,11 @@
 	entries map[shard.ServerID]shard.ServerEntry
 	callers map[submission.Call]chan submission.Answer
 	lastCal submission.Call
-	ticked  time.Time
+	// suspended is how long the machine had stood still when it was last looked at.
+	suspended time.Duration
+	// loads are those of the own shards, as they were told to the desk at sharedAt.
+	loads    map[shard.Name]shard.Load
+	sharedAt time.Time
 	// listed is set once the list of instances was read.
 	listed bool
 	// reaches are the ways to shards that this instance may take over; asked counts the askings.
@@ -109,6 +115,7 @@
 		callers: map[submission.Call]chan submission.Answer{},
 		passed:  map[shard.InstanceID]time.Time{},
 		reaches: map[shard.Name]*reach{},
+		loads:   map[shard.Name]shard.Load{},
 	}
 }
 
@@ -131,9 +138,9 @@
 	proof = 1250 * time.Millisecond
 	// noLeader is how long callers are told to stay away while no shard has a leader.
 	noLeader = time.Second
-	// frozenFor is a pause of the process after which its beliefs are stale: its lease on its orders has
-	// run out elsewhere.
-	frozenFor = 300 * time.Millisecond
+	// frozenFor is how long a machine may stand still before its beliefs are stale: others are about to
+	// take its shards over.
+	frozenFor = 250 * time.Millisecond
 )
 
 // Run works until ctx ends, then hands over and returns once every caller has its answer.
@@ -214,7 +221,6 @@
 		Name: set.Instance, Life: life, Interval: beatInterval, SilentBeats: silentBeats,
 		CallTimeout: meshTimeout, Now: dmn.now,
 	}, dmn.prm.Dial, dmn)
-	dmn.ticked = now
 	dmn.redivide(now)
 	dmn.mu.Unlock()
 	dmn.log.Info().Int64("life", life).Msg("registered")
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -11,21 +11,21 @@
 	"chestnutstack/platform"
 )
 
-// enter takes the lock for an event and returns the time. A process that was frozen first gives up
+// enter takes the lock for an event and returns the time. A process whose machine was suspended first gives up
 // what it believed: others have taken over meanwhile, and renewing leases now would keep alive what its
 // callers have sent elsewhere.
 func (dmn *Daemon) enter() time.Time {
 	dmn.mu.Lock()
 	now := dmn.now()
-	if dmn.council != nil && now.Sub(dmn.ticked) > frozenFor {
-		dmn.thaw(now)
+	if slp := dmn.prm.Suspended(); slp-dmn.suspended > frozenFor {
+		dmn.thaw(now, slp-dmn.suspended)
+		dmn.suspended = slp
 	}
 	return now
 }
 
-func (dmn *Daemon) thaw(now time.Time) {
-	dmn.log.Warn().Dur("frozen", now.Sub(dmn.ticked)).Msg("this process stood still; giving up its shards")
-	dmn.ticked = now
+func (dmn *Daemon) thaw(now time.Time, slept time.Duration) {
+	dmn.log.Warn().Dur("suspended", slept).Msg("the machine was suspended; giving up its shards")
 	for name := range dmn.leaders {
 		dmn.abandon(now, name, false)
 	}
@@ -43,13 +43,19 @@
 	dmn.mu.Unlock()
 }
 
-// shareLoads tells the own desk at once, and the others soon, what room the own shards have.
+// shareInterval is how old the own shards' loads may be in what the desk and the others are told; a task that
+// goes after room that is gone bounces within 2 ms.
+const shareInterval = 4 * time.Millisecond
+
+// shareLoads tells the own desk, and with the next batch the others, what room the own shards have.
 func (dmn *Daemon) shareLoads(now time.Time) {
-	if dmn.desk == nil || len(dmn.leaders) == 0 {
+	if dmn.desk == nil || len(dmn.leaders) == 0 || now.Sub(dmn.sharedAt) < shareInterval {
 		return
 	}
+	dmn.sharedAt = now
 	for name, ldr := range dmn.leaders {
-		dmn.deskDo(dmn.desk.SetLoad(name, ldr.Load(now)))
+		dmn.loads[name] = ldr.Load(now)
+		dmn.deskDo(dmn.desk.SetLoad(name, dmn.loads[name]))
 	}
 	for len(dmn.local) > 0 {
 		next := dmn.local[0]
@@ -75,7 +81,6 @@
 }
 
 func (dmn *Daemon) tick(now time.Time) {
-	dmn.ticked = now
 	if dmn.listed && dmn.cfg.Load() != nil && len(dmn.entries) > 0 {
 		if !dmn.council.Ready() {
 			dmn.council.SetReady(now)
@@ -179,9 +184,8 @@
 	if cfg := dmn.cfg.Load(); cfg != nil {
 		bet.ConfigVersion = cfg.Version()
 	}
-	now := dmn.now()
 	for name, ldr := range dmn.leaders {
-		bet.Leads = append(bet.Leads, mesh.Lead{Shard: name, Token: ldr.Token(), Load: ldr.Load(now)})
+		bet.Leads = append(bet.Leads, mesh.Lead{Shard: name, Token: ldr.Token(), Load: dmn.loads[name]})
 	}
 	return bet
 }
@@ -205,10 +209,13 @@
 	for _, led := range bet.Leads {
 		ins.Leads[led.Shard] = led.Token
 	}
-	if dmn.council.Heard(ins) {
+	fresh, changed := dmn.council.Heard(ins)
+	if fresh {
 		dmn.log.Info().Str("instance", string(from)).Msg("instance heard")
 	}
-	dmn.updateLeaders()
+	if changed {
+		dmn.updateLeaders()
+	}
 	for _, led := range bet.Leads {
 		if dmn.desk.Leads(submission.Target{Shard: led.Shard, Leader: from, Token: led.Token}) {
 			dmn.deskDo(dmn.desk.SetLoad(led.Shard, led.Load))
@@ -394,6 +401,9 @@
 }
 
 func (dmn *Daemon) hold(name shard.Name, act shard.Hold) error {
+	if act.Pause > 0 && !pause(dmn.ctx, act.Pause) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(dmn.ctx, act.Wait+holdSlack)
 	defer cancel()
 	srv := platform.Server{ID: act.Server.ID, Address: act.Server.Address}
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -7,12 +7,13 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
 	"chestnutstack/platform"
@@ -25,9 +26,11 @@
 }
 
 const (
-	// logLines is how many lines may wait for a slow reader before further ones are dropped and counted: some
-	// two seconds of a busy entry instance, 2 MB.
-	logLines = 8192
+	// logBytes is how much may wait for a slow reader before further lines are dropped and counted: some two seconds
+	// of a busy entry instance.
+	logBytes = 2 << 20
+	// logInterval is how long a line waits to be written with others.
+	logInterval = 50 * time.Millisecond
 	// collectAt lets the heap grow to five times its live size between collections: the live heap is some
 	// 10 MB of the smallest machine's 184, and collections cost latency on a fifth of a core.
 	collectAt = 400
@@ -65,20 +68,26 @@
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(float64(set.MemoryBytes) * memoryShare))
 	cnt := &counters{}
-	// Lines that a slow reader has no time for are dropped, never waited for.
-	wrt := diode.NewWriter(out, logLines, 0, func(missed int) { cnt.logsDropped.Add(int64(missed)) })
-	defer func() { _ = wrt.Close() }() // What is not written by now is lost with the process.
+	wrt := &lineWriter{out: out, dropped: func() { cnt.logsDropped.Add(1) }}
+	grp := &errgroup.Group{}
+	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	defer func() {
+		stopLog()
+		_ = grp.Wait() // The writer returns no errors.
+	}()
+	grp.Go(func() error { return wrt.run(logCtx) })
 	lgr := zerolog.New(wrt).Level(lvl).With().Timestamp().Str("instance", set.Instance).Logger()
 	lis, err := listen(set)
 	if err != nil {
 		return err
 	}
+	clk := newClock()
 	dmn := New(Params{
 		Settings: set, SettingsPath: flg.Settings,
-		Store:    platform.NewStore(newClient(0), set.StoreAddress),
-		Servers:  platform.NewServers(newClient(connsPerServer)),
-		Dial:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		Now:      newClock(),
+		Store:   platform.NewStore(newClient(0), set.StoreAddress),
+		Servers: platform.NewServers(newClient(connsPerServer)),
+		Dial:    (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Now:     clk.now, Suspended: clk.suspended,
 		Log:      lgr,
 		Counters: cnt,
 	})
@@ -110,18 +119,76 @@
 	return lis, nil
 }
 
-// newClock returns a clock that never steps and that counts the time during which the machine was
-// suspended, which the runtime's clock does not: leases of a suspended process run out elsewhere.
-func newClock() func() time.Time {
-	start := time.Now().Round(0)
-	first := sinceBoot()
-	return func() time.Time { return start.Add(sinceBoot() - first) }
+// clock never steps and counts the time during which the machine was suspended, which the runtime's clock does
+// not: the leases of a suspended process run out elsewhere.
+type clock struct {
+	start           time.Time
+	boot, monotonic time.Duration
 }
 
-func sinceBoot() time.Duration {
+func newClock() *clock {
+	return &clock{
+		start: time.Now().Round(0), boot: readClock(unix.CLOCK_BOOTTIME), monotonic: readClock(unix.CLOCK_MONOTONIC),
+	}
+}
+
+func (clk *clock) now() time.Time { return clk.start.Add(readClock(unix.CLOCK_BOOTTIME) - clk.boot) }
+
+// suspended returns for how long the machine has stood still since the clock was made.
+func (clk *clock) suspended() time.Duration {
+	return readClock(unix.CLOCK_BOOTTIME) - clk.boot - (readClock(unix.CLOCK_MONOTONIC) - clk.monotonic)
+}
+
+func readClock(id int32) time.Duration {
 	var tsp unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &tsp); err != nil {
-		panic(err) // The kernel has had this clock since 2011; without it no lease can be kept.
+	if err := unix.ClockGettime(id, &tsp); err != nil {
+		panic(err) // The kernel has had these clocks since 2011; without them no lease can be kept.
 	}
 	return time.Duration(tsp.Nano())
 }
+
+// lineWriter gathers log lines and writes them in the background: a system call for each line would cost more than
+// the line, and a reader that is slow or gone must hold nothing up.
+type lineWriter struct {
+	out     io.Writer
+	dropped func()
+	mu      sync.Mutex
+	buf     []byte
+}
+
+// Write implements io.Writer; it never waits. A line that finds the buffer full is dropped and counted.
+func (lwr *lineWriter) Write(line []byte) (int, error) {
+	lwr.mu.Lock()
+	defer lwr.mu.Unlock()
+	if len(lwr.buf)+len(line) > logBytes {
+		lwr.dropped()
+		return len(line), nil
+	}
+	lwr.buf = append(lwr.buf, line...)
+	return len(line), nil
+}
+
+func (lwr *lineWriter) flush() {
+	lwr.mu.Lock()
+	data := lwr.buf
+	lwr.buf = nil
+	lwr.mu.Unlock()
+	if len(data) > 0 {
+		_, _ = lwr.out.Write(data) // There is nowhere to report that the log can't be written.
+	}
+}
+
+// run flushes until ctx ends, and once more then.
+func (lwr *lineWriter) run(ctx context.Context) error {
+	tck := time.NewTicker(logInterval)
+	defer tck.Stop()
+	defer lwr.flush()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tck.C:
+			lwr.flush()
+		}
+	}
+}
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -108,12 +109,16 @@
 // Ready reports whether the own instance can lead.
 func (cnc *Council) Ready() bool { return cnc.self.Ready }
 
-// Heard takes in what an instance says of itself and reports whether it was not heard before.
-func (cnc *Council) Heard(ins Instance) bool {
-	_, known := cnc.others[ins.ID]
+// Heard takes in what an instance says of itself and reports whether it was not heard before, and whether
+// anything has changed.
+func (cnc *Council) Heard(ins Instance) (fresh, changed bool) {
+	old := cnc.others[ins.ID]
 	cnc.others[ins.ID] = &ins
 	cnc.everHeard = true
-	return !known
+	if old == nil {
+		return true, true
+	}
+	return false, old.Ready != ins.Ready || old.Leaving != ins.Leaving || !maps.Equal(old.Leads, ins.Leads)
 }
 
 // Lost removes an instance that is not heard any more.
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -32,6 +32,8 @@
 	Seen   int64
 	Until  time.Duration
 	Wait   time.Duration
+	// Pause is how long to wait before the order is sent.
+	Pause time.Duration
 }
 
 // Tell passes a report to the owner of an order.
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -24,7 +24,7 @@
 	case Refused, Overfull:
 		ldr.refused(now, srv, rn)
 	}
-	ldr.advance(now)
+	ldr.advance(now, srv)
 	return ldr.take()
 }
 
@@ -75,7 +75,7 @@
 	default:
 		rn.stopDue = now.Add(ldr.cfg.StopRetry)
 	}
-	ldr.advance(now)
+	ldr.advance(now, srv)
 	return ldr.take()
 }
 
@@ -87,6 +87,7 @@
 	}
 	srv.looking = false
 	srv.lookAt = now
+	srv.pause = len(look.Ended) > 0
 	switch vdt {
 	case Accepted:
 		ldr.seen(now, srv, sent, look)
@@ -100,10 +101,15 @@
 		}
 		srv.lookAt = now.Add(silentPause)
 	}
-	ldr.advance(now)
+	ldr.advance(now, srv)
 	return ldr.take()
 }
 
+// lookPause is the pause after a look that listed ends: the tasks of a submission end together, and what ends
+// within the pause comes with one look. On a day of jobs of 8 tasks of 60 ms it saves a quarter of
+// the looks, each of which costs the leader some 0.1 ms of processor time, and an answer waits 2 ms longer.
+const lookPause = 4 * time.Millisecond
+
 // silentPause is the pause before a server that did not answer is asked again; each asking costs a new
 // connection, and a server that is back must not stand idle for long.
 const silentPause = 250 * time.Millisecond
@@ -159,7 +165,7 @@
 	rn := srv.runs[prg.Run]
 	if rn == nil {
 		rn = &run{id: prg.Run, state: running, acceptedAt: now, sentAt: now, progressAt: now, percent: prg.Percent}
-		srv.runs[prg.Run] = rn
+		srv.add(rn)
 		return
 	}
 	if rn.state == starting {
@@ -190,8 +196,10 @@
 // ended deals with a run that a server lists as ended.
 func (ldr *Leader) ended(now time.Time, srv *server, end End) {
 	rn := srv.runs[end.Run]
+	if rn != nil {
+		srv.drop(rn)
+	}
 	if rn == nil || rn.ord == nil {
-		delete(srv.runs, end.Run)
 		if !ldr.settled {
 			ldr.ends[end.Run.Task] = foundEnd{how: end.How, server: srv.ent.ID}
 		}
@@ -199,7 +207,6 @@
 	}
 	ord := rn.ord
 	stopped := rn.state == ending
-	delete(srv.runs, end.Run)
 	ord.run, ord.srv = nil, srv
 	switch end.How {
 	case EndedDone:
@@ -228,7 +235,7 @@
 
 // gone takes back an order whose run is proven to be over without an end that counts.
 func (ldr *Leader) gone(_ time.Time, srv *server, rn *run) {
-	delete(srv.runs, rn.id)
+	srv.drop(rn)
 	ord := rn.ord
 	if ord == nil {
 		return
@@ -250,7 +257,7 @@
 		ldr.gone(now, srv, rn)
 		if ord != nil && rn.acceptedAt.IsZero() && rn.stopped.IsZero() {
 			rn.ord, rn.state = nil, ending
-			srv.runs[rn.id] = rn
+			srv.add(rn)
 		}
 	}
 }
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -18,6 +18,10 @@
 	// ends are ends found at the take-over whose owners have not yet asked.
 	ends map[string]foundEnd
 	acts []Action
+	// loads counts the loads that were told.
+	loads int64
+	// scratch is the memory that rounds of placing share.
+	scratch rooms
 	// lost counts the servers that obey another leader.
 	lost int
 }
@@ -77,7 +81,10 @@
 			ldr.forget(now, srv)
 		}
 	}
-	ldr.advance(now)
+	for _, srv := range ldr.servers {
+		ldr.tend(now, srv)
+	}
+	ldr.advance(now, nil)
 	return ldr.take()
 }
 
@@ -94,7 +101,7 @@
 func (ldr *Leader) Place(now time.Time, req Order) []Action {
 	if old := ldr.orders[req.Task]; old != nil {
 		ldr.placeAgain(now, old, req)
-		ldr.advance(now)
+		ldr.advance(now, nil)
 		return ldr.take()
 	}
 	if req.Recall {
@@ -109,7 +116,7 @@
 		}
 		ldr.que.push(ord)
 	}
-	ldr.advance(now)
+	ldr.advance(now, nil)
 	return ldr.take()
 }
 
@@ -131,8 +138,9 @@
 		return
 	}
 	ldr.stop(now, old.srv, old.run)
+	// The size is the same task's; what the run takes up stays as it was counted.
+	req.Processor, req.Memory = old.Processor, old.Memory
 	old.Order, old.cancelled = req, false
-	old.run.ord = old
 }
 
 // adopt connects an order with a run or an end that was found at the take-over.
@@ -150,7 +158,8 @@
 			if rn.ord != nil || rn.id.Task != ord.Task {
 				continue
 			}
-			rn.ord, ord.run, ord.srv = ord, rn, srv
+			srv.assign(rn, ord)
+			ord.run, ord.srv = rn, srv
 			if rn.state == running {
 				rn.sentAt, rn.progressAt = now, now
 				ldr.report(ord, Begun, 0)
@@ -177,7 +186,7 @@
 	if ord != nil && ord.Owner == owner {
 		ldr.cancel(now, ord)
 	}
-	ldr.advance(now)
+	ldr.advance(now, nil)
 	return ldr.take()
 }
 
@@ -189,7 +198,7 @@
 			ldr.cancel(now, ord)
 		}
 	}
-	ldr.advance(now)
+	ldr.advance(now, nil)
 	return ldr.take()
 }
 
@@ -245,16 +254,19 @@
 
 // Tick does what is due by time alone.
 func (ldr *Leader) Tick(now time.Time) []Action {
-	ldr.advance(now)
+	for _, srv := range ldr.servers {
+		ldr.tend(now, srv)
+	}
+	ldr.advance(now, nil)
 	return ldr.take()
 }
 
-// advance is the part that follows every event: settle, repeat stops, look, place.
-func (ldr *Leader) advance(now time.Time) {
+// advance is the part that follows every event: settle, look after the server that it concerns, place.
+func (ldr *Leader) advance(now time.Time, srv *server) {
 	if !ldr.settled {
 		ldr.settle(now)
 	}
-	for _, srv := range ldr.servers {
+	if srv != nil && ldr.servers[srv.ent.ID] == srv {
 		ldr.tend(now, srv)
 	}
 	if ldr.settled {
@@ -319,6 +331,9 @@
 			srv.renewedAt = now
 		}
 	}
+	if srv.pause {
+		act.Pause, srv.pause = lookPause, false
+	}
 	srv.looking, srv.lookAt = true, now
 	ldr.do(act)
 }
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -12,12 +12,14 @@
 		return
 	}
 	rms := ldr.rooms(now)
+	most := rms.most()
 	kept := ldr.que.orders[:0]
 	for _, ord := range ldr.que.orders {
 		if !now.Before(ord.notBefore) {
-			if rom := rms.best(ord); rom != nil {
+			if rom := rms.best(ord, most); rom != nil {
 				rom.processor -= ord.Processor
 				rom.memory -= ord.Memory
+				most = rms.most()
 				ldr.start(now, rom.srv, ord)
 				continue
 			}
@@ -38,7 +40,7 @@
 	// task twice within a millisecond counts on.
 	ord.runNumber = max(ord.runNumber+1, now.UnixMilli())
 	rn := &run{id: RunID{Task: ord.Task, Number: ord.runNumber}, ord: ord, sentAt: now}
-	srv.runs[rn.id] = rn
+	srv.add(rn)
 	ord.run, ord.srv = rn, srv
 	srv.renewedAt = now
 	ldr.do(StartRun{
@@ -53,10 +55,20 @@
 	processor, memory int64
 }
 
-type rooms []*room
+type rooms []room
+
+// most returns the largest free processor: an order that needs more is passed over at once, as a queue may be
+// hundreds long while nothing is free.
+func (rms rooms) most() int64 {
+	var mst int64
+	for idx := range rms {
+		mst = max(mst, rms[idx].processor)
+	}
+	return mst
+}
 
 func (ldr *Leader) rooms(now time.Time) rooms {
-	rms := make(rooms, 0, len(ldr.servers))
+	rms := ldr.scratch[:0]
 	for _, srv := range ldr.servers {
 		if !srv.open(now) {
 			continue
@@ -66,18 +78,23 @@
 			continue
 		}
 		if prc, mem := srv.free(); prc > 0 {
-			rms = append(rms, &room{srv: srv, processor: prc, memory: mem})
+			rms = append(rms, room{srv: srv, processor: prc, memory: mem})
 		}
 	}
+	ldr.scratch = rms
 	return rms
 }
 
 // best returns the room that suits an order most: away from servers where the task failed, on the rack
 // of its data, then the tightest.
-func (rms rooms) best(ord *order) *room {
+func (rms rooms) best(ord *order, most int64) *room {
+	if ord.Processor > most {
+		return nil
+	}
 	var bst *room
 	var bstRank int
-	for _, rom := range rms {
+	for idx := range rms {
+		rom := &rms[idx]
 		if rom.processor < ord.Processor || rom.memory < ord.Memory || !rom.srv.takes(ord) {
 			continue
 		}
@@ -109,6 +126,8 @@
 
 // Load is what a leader tells other instances of its room, so that they can choose a shard.
 type Load struct {
+	// Number rises with each load that a leader tells; the same number is the same news.
+	Number int64
 	// Free has the free processor, in thousandths of a core, of each server with some.
 	Free []int64
 	// Capacity is that of all servers that take tasks, Waiting what waiting tasks need, by priority, in
@@ -122,7 +141,8 @@
 
 // Load returns the room that is left.
 func (ldr *Leader) Load(now time.Time) Load {
-	var lod Load
+	ldr.loads++
+	lod := Load{Number: ldr.loads}
 	for _, srv := range ldr.servers {
 		if !srv.open(now) {
 			continue
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -21,7 +21,10 @@
 type server struct {
 	ent   ServerEntry
 	state serverState
-	runs  map[RunID]*run
+	// runs is changed by add and drop only, which keep what they take up.
+	runs                      map[RunID]*run
+	usedProcessor, usedMemory int64
+	orphans                   int
 	// seen is the highest end that was dealt with.
 	seen int64
 	// clock was the server's time at clockAt.
@@ -32,6 +35,8 @@
 	// looking is set while a look is in progress, lookAt is when it was sent or is due.
 	looking bool
 	lookAt  time.Time
+	// pause is set after a look that listed ends.
+	pause bool
 	// failing counts the submissions that failed here since the last success, pausedUntil is when
 	// the next task may be tried.
 	failing     int
@@ -71,17 +76,43 @@
 	return &server{ent: ent, runs: map[RunID]*run{}, lookAt: now}
 }
 
-// free returns the room that surely is free: everything that may run there counts.
+// add counts a run from now on.
+func (srv *server) add(rn *run) {
+	srv.runs[rn.id] = rn
+	srv.count(rn, 1)
+}
+
+// drop counts a run no more.
+func (srv *server) drop(rn *run) {
+	if srv.runs[rn.id] == rn {
+		delete(srv.runs, rn.id)
+		srv.count(rn, -1)
+	}
+}
+
+func (srv *server) count(rn *run, sign int64) {
+	if rn.ord == nil {
+		srv.orphans += int(sign)
+		return
+	}
+	srv.usedProcessor += sign * rn.ord.Processor
+	srv.usedMemory += sign * rn.ord.Memory
+}
+
+// assign gives a run that is counted here to an order, or to none.
+func (srv *server) assign(rn *run, ord *order) {
+	srv.count(rn, -1)
+	rn.ord = ord
+	srv.count(rn, 1)
+}
+
+// free returns the room that surely is free: everything that may run there counts, and an orphan, whose size
+// is not known, as all there is.
 func (srv *server) free() (processor, memory int64) {
-	processor, memory = srv.ent.Processor, srv.ent.Memory
-	for _, rn := range srv.runs {
-		if rn.ord == nil {
-			return 0, 0
-		}
-		processor -= rn.ord.Processor
-		memory -= rn.ord.Memory
+	if srv.orphans > 0 {
+		return 0, 0
 	}
-	return processor, memory
+	return srv.ent.Processor - srv.usedProcessor, srv.ent.Memory - srv.usedMemory
 }
 
 // open reports whether a new task may go to the server.
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -182,17 +182,28 @@
 // SetLoad tells the desk what room a shard has. Tasks that wait elsewhere are called back for it.
 func (dsk *Desk) SetLoad(name shard.Name, lod shard.Load) []Action {
 	viw := dsk.shards[name]
-	if viw == nil {
+	if viw == nil || lod.Number <= viw.load.Number {
+		// What was told before is not news: room that is gone since would be gone after again.
 		return dsk.take()
 	}
 	viw.load, viw.sent = lod, 0
 	viw.load.Free = slices.Clone(lod.Free)
-	if len(viw.load.Free) > 0 {
+	if len(viw.load.Free) > 0 && dsk.anyWaiting(viw.name) {
 		dsk.recall(viw)
 	}
 	return dsk.take()
 }
 
+// anyWaiting reports whether a task waits in the queue of another shard than the one named.
+func (dsk *Desk) anyWaiting(but shard.Name) bool {
+	for _, tsk := range dsk.tasks {
+		if !tsk.done && !tsk.begun && !tsk.recalled && tsk.leader != "" && tsk.shard != but {
+			return true
+		}
+	}
+	return false
+}
+
 // recall asks the leaders of other shards for waiting tasks that would start at once in a shard's room.
 func (dsk *Desk) recall(viw *view) {
 	var left int64
