Close a connection that is accepted at the stop

Cause: Accept may return a connection after the server was told to stop; it was neither read nor closed, so the caller's hello hung until its write deadline of 2 s. The 2 s followed CallTimeout, which is that deadline.

--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -25,6 +25,10 @@
 		for {
 			con, err := lis.Accept()
 			if ctx.Err() != nil {
+				if err == nil {
+					// Left open, it would hold the caller up until its write deadline.
+					_ = con.Close()
+				}
 				return nil
 			}
 			if err != nil {
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -53,6 +53,10 @@
 	for {
 		con, err := lis.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				// Left open, it would hold the caller's hello up until its write deadline.
+				_ = con.Close()
+			}
 			return nil
 		}
 		if err != nil {
@@ -99,7 +103,12 @@
 	cnn := rpc.NewConn(ctx, stm, srv.cfg.MaxMessage, ses)
 	select {
 	case <-ses.greeted:
-		<-cnn.DisconnectNotify()
+		select {
+		case <-cnn.DisconnectNotify():
+		case <-ctx.Done():
+			// The peer may be stopping too, and close its end only when this one has ended.
+			_ = cnn.Close()
+		}
 	case <-cnn.DisconnectNotify():
 	case <-time.After(srv.cfg.DialTimeout):
 		// A stranger that connects and says nothing would hold one of the bounded connections.
