Start what can still be in time before what is late; let jobs wait for a leader after a restart

Cause: in the second after a restart of all instances callers were refused though a leader was there 0.3 s later; in bursts all callers waited behind late ones.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -69,6 +69,8 @@
 	cfg     atomic.Pointer[config.Configuration]
 	cfgData atomic.Pointer[[]byte]
 	leaving atomic.Bool
+	// joined is closed once the instance has its number, configured once it has a configuration.
+	joined, configured chan struct{}
 
 	// mu guards all that decides. No call to another process is made under it.
 	mu      sync.Mutex
@@ -116,6 +118,7 @@
 		passed:  map[shard.InstanceID]time.Time{},
 		reaches: map[shard.Name]*reach{},
 		loads:   map[shard.Name]shard.Load{},
+		joined:  make(chan struct{}), configured: make(chan struct{}),
 	}
 }
 
@@ -138,6 +141,11 @@
 	proof = 1250 * time.Millisecond
 	// noLeader is how long callers are told to stay away while no shard has a leader.
 	noLeader = time.Second
+	// vacancy is how long all shards may be without a leader before jobs are refused at once: a restart of all
+	// instances takes a second.
+	vacancy = 1500 * time.Millisecond
+	// startPatience is how long a request waits for a process that has just started.
+	startPatience = time.Second
 	// frozenFor is how long a machine may stand still before its beliefs are stale: others are about to
 	// take its shards over.
 	frozenFor = 250 * time.Millisecond
@@ -212,8 +220,9 @@
 	dmn.life, dmn.round = life, life
 	dmn.self = mesh.ID(set.Instance, life)
 	dmn.desk = submission.NewDesk(submission.Config{
-		Self: dmn.self, Domain: set.FailureDomain, Proof: proof, NoLeader: noLeader,
-	})
+		Self: dmn.self, Domain: set.FailureDomain, Proof: proof, NoLeader: noLeader, Vacancy: vacancy,
+	}, now)
+	close(dmn.joined)
 	dmn.council = succession.New(succession.DefaultConfig(), succession.Instance{
 		ID: dmn.self, Domain: set.FailureDomain, Processor: set.Processor,
 	}, now)
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
@@ -11,6 +12,31 @@
 // Configuration implements platform.Entry.
 func (dmn *Daemon) Configuration() *config.Configuration { return dmn.cfg.Load() }
 
+// AwaitStart implements platform.Entry. Requests that reach a process in its first second are served a little
+// later; that they had to come again would cost their callers more.
+func (dmn *Daemon) AwaitStart(ctx context.Context) {
+	select {
+	case <-dmn.joined:
+		select {
+		case <-dmn.configured:
+			return
+		default:
+		}
+	default:
+	}
+	tmr := time.NewTimer(startPatience)
+	defer tmr.Stop()
+	for _, chn := range []chan struct{}{dmn.configured, dmn.joined} {
+		select {
+		case <-chn:
+		case <-ctx.Done():
+			return
+		case <-tmr.C:
+			return
+		}
+	}
+}
+
 // Serving implements platform.Entry.
 func (dmn *Daemon) Serving() bool { return !dmn.leaving.Load() }
 
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -116,7 +116,9 @@
 		return
 	}
 	dmn.cfgData.Store(&data)
-	dmn.cfg.Store(cfg)
+	if dmn.cfg.Swap(cfg) == nil {
+		close(dmn.configured)
+	}
 	dmn.log.Info().Int64("version", cfg.Version()).Str("from", from).Msg("configuration in force")
 	dmn.greet()
 }
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -176,6 +176,13 @@
 	}
 }
 
+// giveUp stops a run because of its server and has its task start elsewhere.
+func (ldr *Leader) giveUp(now time.Time, srv *server, rn *run) {
+	rn.ord.Avoid = append(rn.ord.Avoid, srv.ent.ID)
+	srv.failed(now, rn.ord.submission(), ldr.cfg)
+	ldr.stop(now, srv, rn)
+}
+
 // claimWaiting connects orders that came before the server listed what runs there; once all have, what
 // was not found runs nowhere.
 func (ldr *Leader) claimWaiting(now time.Time) {
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -302,9 +302,7 @@
 			ldr.sendStop(srv, rn)
 		}
 		if ldr.stalled(now, rn) {
-			rn.ord.Avoid = append(rn.ord.Avoid, srv.ent.ID)
-			srv.failed(now, rn.ord.submission(), ldr.cfg)
-			ldr.stop(now, srv, rn)
+			ldr.giveUp(now, srv, rn)
 		}
 	}
 	if srv.state != held && len(srv.runs) > 0 && !now.Before(srv.renewedAt.Add(ldr.cfg.lapse())) {
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -12,27 +12,42 @@
 		return
 	}
 	rms := ldr.rooms(now)
+	for first := 0; first < len(ldr.que.orders); {
+		last := first + 1
+		for last < len(ldr.que.orders) && ldr.que.orders[last].Priority == ldr.que.orders[first].Priority {
+			last++
+		}
+		ldr.placeRank(now, ldr.que.orders[first:last], rms)
+		first = last
+	}
+	ldr.que.orders = slices.DeleteFunc(ldr.que.orders, func(ord *order) bool {
+		return ord.run != nil || ldr.orders[ord.Task] != ord
+	})
+}
+
+// placeRank starts orders of one priority: first those whose answer can still be in time, then the others.
+//
+// It answers the load of a burst that needs more than there is. In the order of arrival alone, every caller waits
+// behind those who are late already, and all get late answers; so the late ones wait for the lull, and most
+// callers see no delay.
+func (ldr *Leader) placeRank(now time.Time, ords []*order, rms rooms) {
 	most := rms.most()
-	kept := ldr.que.orders[:0]
-	for _, ord := range ldr.que.orders {
-		if !now.Before(ord.notBefore) {
+	for _, late := range []bool{false, true} {
+		for _, ord := range ords {
+			if ord.run != nil || ord.late(now) != late || now.Before(ord.notBefore) {
+				continue
+			}
 			if rom := rms.best(ord, most); rom != nil {
 				rom.processor -= ord.Processor
 				rom.memory -= ord.Memory
 				most = rms.most()
 				ldr.start(now, rom.srv, ord)
-				continue
-			}
-			if ord.Bounce {
+			} else if ord.Bounce {
 				delete(ldr.orders, ord.Task)
 				ldr.report(ord, NotRun, 0)
-				continue
 			}
 		}
-		kept = append(kept, ord)
 	}
-	clear(ldr.que.orders[len(kept):])
-	ldr.que.orders = kept
 }
 
 func (ldr *Leader) start(now time.Time, srv *server, ord *order) {
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -47,6 +47,8 @@
 	// NoLeader is what callers are told to wait while no shard has a leader; a shard is without one for
 	// about half a second.
 	NoLeader time.Duration
+	// Vacancy is how long all shards may be without a leader before submissions are refused at once.
+	Vacancy time.Duration
 }
 
 // Desk decides for the submissions of one entry instance. It is not safe for concurrent use.
@@ -56,7 +58,9 @@
 	calls  map[Call]*job
 	tasks  map[string]*task
 	shards map[shard.Name]*view
-	acts   []Action
+	// ledAt is when a shard was last known to have a leader, or the desk was made.
+	ledAt time.Time
+	acts  []Action
 }
 
 // job is a submission that is not answered yet.
@@ -94,9 +98,9 @@
 }
 
 // NewDesk returns a desk without submissions.
-func NewDesk(cfg Config) *Desk {
+func NewDesk(cfg Config, now time.Time) *Desk {
 	return &Desk{
-		cfg: cfg, jobs: map[string]*job{}, calls: map[Call]*job{}, tasks: map[string]*task{},
+		cfg: cfg, ledAt: now, jobs: map[string]*job{}, calls: map[Call]*job{}, tasks: map[string]*task{},
 		shards: map[shard.Name]*view{},
 	}
 }
@@ -121,7 +125,7 @@
 		dsk.calls[cal] = old
 		return dsk.take()
 	}
-	if ans, refused := dsk.refusal(sub); refused {
+	if ans, refused := dsk.refusal(now, sub); refused {
 		dsk.do(Reply{Call: cal, ID: sub.ID, Answer: ans})
 		return dsk.take()
 	}
@@ -138,11 +142,15 @@
 }
 
 // refusal says whether a submission can't be served, whatever happens next.
-func (dsk *Desk) refusal(sub Submission) (Answer, bool) {
+//
+// A shard without a leader has one again within about half a second, after all instances have lost their power
+// too, and callers wait for 1.5 s and more: their jobs wait for it here. An instance that has known no leader for
+// longer is cut off.
+func (dsk *Desk) refusal(now time.Time, sub Submission) (Answer, bool) {
 	if sub.Unsupported != "" {
 		return Answer{Result: NotRun, Reason: "unsupported: " + sub.Unsupported}, true
 	}
-	if !dsk.anyLeader() {
+	if !dsk.anyLeader() && now.Sub(dsk.ledAt) > dsk.cfg.Vacancy {
 		return Answer{Result: NotRun, RetryAfter: dsk.cfg.NoLeader, Reason: "no shard has a leader"}, true
 	}
 	return Answer{}, false
@@ -330,6 +338,9 @@
 
 // Tick does what is due by time alone.
 func (dsk *Desk) Tick(now time.Time) []Action {
+	if dsk.anyLeader() {
+		dsk.ledAt = now
+	}
 	for _, jb := range dsk.jobs {
 		if !now.Before(jb.deadline) {
 			dsk.expire(jb)
