Agree on the division of the pool into shards

Cause: after servers were added, instances that started anew cut a failure domain into three shards, the others into two; the leaders took servers from each other every three seconds and callers were refused. Conclusion: divisions carry a stamp that beats spread; a changed division hands servers on instead of fencing whole shards.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -58,6 +58,14 @@
 	Version   int64      `json:"version,omitempty"`
 	Round     int64      `json:"round,omitempty"`
 	Leads     []wireLead `json:"leads,omitempty"`
+	// Divisions has the shards of each failure domain.
+	Divisions []wireDivision `json:"divisions,omitempty"`
+}
+
+type wireDivision struct {
+	Domain string `json:"domain"`
+	Count  int    `json:"count"`
+	Stamp  int64  `json:"stamp"`
 }
 
 type wireLead struct {
@@ -118,6 +126,9 @@
 	wir := wireBeat{
 		Domain: bet.Domain, Processor: int64(bet.Processor * milli), Ready: bet.Ready, Leaving: bet.Leaving, Version: bet.ConfigVersion, Round: bet.Round,
 	}
+	for dom, dvn := range bet.Divisions {
+		wir.Divisions = append(wir.Divisions, wireDivision{Domain: dom, Count: dvn.Count, Stamp: dvn.Stamp})
+	}
 	for _, led := range bet.Leads {
 		wir.Leads = append(wir.Leads, wireLead{
 			Shard: string(led.Shard), Token: led.Token,
@@ -130,6 +141,12 @@
 func (wir *wireBeat) beat() Beat {
 	bet := Beat{
 		Domain: wir.Domain, Processor: float64(wir.Processor) / milli, Ready: wir.Ready, Leaving: wir.Leaving, ConfigVersion: wir.Version, Round: wir.Round,
+		Divisions: make(map[string]shard.Division, len(wir.Divisions)),
+	}
+	for _, dvn := range wir.Divisions {
+		if dvn.Count > 0 {
+			bet.Divisions[dvn.Domain] = shard.Division{Count: dvn.Count, Stamp: dvn.Stamp}
+		}
 	}
 	for _, led := range wir.Leads {
 		bet.Leads = append(bet.Leads, Lead{
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -25,6 +25,8 @@
 	// Round is the highest round of fencing tokens that the instance has seen.
 	Round int64
 	Leads []Lead
+	// Divisions is how the instance sees the pool cut into shards.
+	Divisions map[string]shard.Division
 }
 
 // Message is something that one instance has for another: Order, Withdrawal, Report or Configuration.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -81,10 +81,11 @@
 	council *succession.Council
 	leaders map[shard.Name]*shard.Leader
 	divided map[succession.Shard][]shard.ServerEntry
-	counts  map[string]int
-	entries map[shard.ServerID]shard.ServerEntry
-	callers map[submission.Call]chan submission.Answer
-	lastCal submission.Call
+	// divisions are agreed with the other instances.
+	divisions succession.Divisions
+	entries   map[shard.ServerID]shard.ServerEntry
+	callers   map[submission.Call]chan submission.Answer
+	lastCal   submission.Call
 	// suspended is how long the machine had stood still when it was last looked at.
 	suspended time.Duration
 	// loads are those of the own shards, as they were told to the desk at sharedAt.
@@ -112,7 +113,7 @@
 	}
 	return &Daemon{
 		prm: prm, log: prm.Log, now: prm.Now, cnt: prm.Counters,
-		leaders: map[shard.Name]*shard.Leader{}, counts: map[string]int{},
+		leaders: map[shard.Name]*shard.Leader{}, divisions: succession.Divisions{},
 		entries: map[shard.ServerID]shard.ServerEntry{},
 		callers: map[submission.Call]chan submission.Answer{},
 		passed:  map[shard.InstanceID]time.Time{},
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"chestnutstack/internal/connection/mesh"
@@ -108,13 +109,14 @@
 // takeOver makes this instance the leader of a shard.
 func (dmn *Daemon) takeOver(now time.Time, name shard.Name) {
 	tok := dmn.token()
+	dmn.divisions.Confirm()
 	ldr := shard.NewLeader(shard.DefaultConfig(), name, tok, now)
 	dmn.leaders[name] = ldr
 	dmn.council.Took(name, tok)
 	dmn.log.Info().Str("shard", string(name)).Int64("token", tok).Msg("taking the shard over")
 	for shd, ents := range dmn.divided {
 		if shd.Name == name {
-			dmn.shardDo(name, ldr.SetServers(now, ents))
+			dmn.shardDo(name, ldr.SetServers(now, ents, dmn.entries))
 		}
 	}
 	dmn.mesh.Nudge()
@@ -164,11 +166,18 @@
 	for _, ent := range dmn.entries {
 		ents = append(ents, ent)
 	}
-	dmn.divided = succession.Divide(ents, dmn.counts)
+	dmn.divided = dmn.divisions.Divide(ents)
 	dmn.council.SetShards(succession.Sorted(dmn.divided))
+	gone := maps.Clone(dmn.leaders)
 	for shd, ents := range dmn.divided {
+		delete(gone, shd.Name)
 		if ldr := dmn.leaders[shd.Name]; ldr != nil {
-			dmn.shardDo(shd.Name, ldr.SetServers(now, ents))
+			dmn.shardDo(shd.Name, ldr.SetServers(now, ents, dmn.entries))
+		}
+	}
+	for name := range gone {
+		if len(dmn.entries) > 0 {
+			dmn.abandon(now, name, false)
 		}
 	}
 }
@@ -179,7 +188,7 @@
 	defer dmn.mu.Unlock()
 	bet := mesh.Beat{
 		Domain: dmn.prm.Settings.FailureDomain, Processor: dmn.prm.Settings.Processor, Ready: dmn.council.Ready(),
-		Leaving: dmn.leaving.Load(), Round: dmn.round,
+		Leaving: dmn.leaving.Load(), Round: dmn.round, Divisions: maps.Clone(dmn.divisions),
 	}
 	if cfg := dmn.cfg.Load(); cfg != nil {
 		bet.ConfigVersion = cfg.Version()
@@ -202,6 +211,10 @@
 
 func (dmn *Daemon) hear(now time.Time, from shard.InstanceID, bet mesh.Beat) {
 	dmn.round = max(dmn.round, bet.Round)
+	if dmn.divisions.Merge(bet.Divisions) {
+		dmn.log.Info().Str("from", string(from)).Interface("divisions", bet.Divisions).Msg("division into shards changed")
+		dmn.redivide(now)
+	}
 	ins := succession.Instance{
 		ID: from, Domain: bet.Domain, Processor: bet.Processor,
 		Ready: bet.Ready, Leaving: bet.Leaving, Leads: map[shard.Name]int64{},
--- a/internal/process/succession/shards.go
+++ b/internal/process/succession/shards.go
@@ -13,33 +13,61 @@
 // and the fewer instances lead; a leader with 0.8 of a core calls some 60 servers with 8 starts a second each.
 const serversPerShard = 64
 
+// Divisions has the division of each failure domain.
+type Divisions map[string]shard.Division
+
+// Merge takes in what another instance has and reports whether anything has changed.
+func (dvs Divisions) Merge(oth Divisions) bool {
+	changed := false
+	for dom, dvn := range oth {
+		own := dvs[dom]
+		if dvn.Stamp > own.Stamp || dvn.Stamp == own.Stamp && dvn.Stamp > 0 && dvn.Count > own.Count {
+			dvs[dom] = dvn
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Confirm turns guesses into divisions that others follow, as the own instance is about to act on them.
+func (dvs Divisions) Confirm() {
+	for dom, dvn := range dvs {
+		if dvn.Stamp == 0 {
+			dvs[dom] = shard.Division{Count: dvn.Count, Stamp: 1}
+		}
+	}
+}
+
 // Divide assigns backend servers to shards, those of a failure domain evenly by hash. The number of a
 // domain's shards is kept while it fits within a factor of two, as each change moves servers between leaders.
-func Divide(ents []shard.ServerEntry, counts map[string]int) map[Shard][]shard.ServerEntry {
+func (dvs Divisions) Divide(ents []shard.ServerEntry) map[Shard][]shard.ServerEntry {
 	byDomain := map[string][]shard.ServerEntry{}
 	for _, ent := range ents {
 		byDomain[ent.FailureDomain] = append(byDomain[ent.FailureDomain], ent)
 	}
 	divided := map[Shard][]shard.ServerEntry{}
 	for dom, lst := range byDomain {
-		counts[dom] = shardCount(len(lst), counts[dom])
-		for num := range counts[dom] {
+		dvs.update(dom, len(lst))
+		for num := range dvs[dom].Count {
 			divided[shardOf(dom, num)] = nil
 		}
 		for _, ent := range lst {
-			shd := shardOf(dom, pick(ent.ID, counts[dom]))
+			shd := shardOf(dom, pick(ent.ID, dvs[dom].Count))
 			divided[shd] = append(divided[shd], ent)
 		}
 	}
 	return divided
 }
 
-func shardCount(servers, before int) int {
+func (dvs Divisions) update(domain string, servers int) {
+	old := dvs[domain]
 	want := max(1, (servers+serversPerShard/2)/serversPerShard)
-	if before > 0 && want <= 2*before && 2*want >= before {
-		return before
+	if old.Stamp == 0 {
+		dvs[domain] = shard.Division{Count: want}
+	} else if want > 2*old.Count {
+		// The list shrinks for a while when the store is away, so that fewer servers change nothing.
+		dvs[domain] = shard.Division{Count: want, Stamp: old.Stamp + 1}
 	}
-	return want
 }
 
 func shardOf(domain string, num int) Shard {
--- /dev/null
+++ b/internal/process/succession/succession_test.go
@@ -0,0 +1,189 @@
+package succession
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/request/shard"
+)
+
+func servers(domain string, num int) []shard.ServerEntry {
+	var ents []shard.ServerEntry
+	for idx := range num {
+		ents = append(ents, shard.ServerEntry{ID: shard.ServerID(fmt.Sprint(domain, idx)), FailureDomain: domain})
+	}
+	return ents
+}
+
+func TestNewcomersFollowTheDivision(t *testing.T) {
+	// A failure domain has grown from 117 servers in two shards to 170. An instance that starts anew would cut
+	// three shards; it and the old ones then took servers from each other every few seconds, and callers
+	// were refused. It follows the division that the others have acted on.
+	chk := is.New(t)
+	old := Divisions{}
+	old.Divide(servers("a", 117))
+	old.Confirm()
+	chk.Equal(old["a"].Count, 2)
+	old.Divide(servers("a", 170))
+	chk.Equal(old["a"].Count, 2)
+	fresh := Divisions{}
+	fresh.Divide(servers("a", 170))
+	chk.Equal(fresh["a"].Count, 3)
+	chk.True(fresh.Merge(old))
+	chk.True(!old.Merge(fresh))
+	chk.Equal(len(fresh.Divide(servers("a", 170))), 2)
+}
+
+func TestDivisionsAgree(t *testing.T) {
+	// Two sides of a cut have changed the division. Once they hear each other again both have the same, whichever
+	// side speaks first.
+	cases := map[string][2]shard.Division{
+		"later stamp":          {{Count: 2, Stamp: 3}, {Count: 5, Stamp: 4}},
+		"same stamp":           {{Count: 2, Stamp: 3}, {Count: 5, Stamp: 3}},
+		"one has only guessed": {{Count: 7}, {Count: 5, Stamp: 1}},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			one, two := Divisions{"a": cse[0]}, Divisions{"a": cse[1]}
+			one.Merge(two)
+			two.Merge(one)
+			chk.Equal(one["a"], two["a"])
+			chk.Equal(one["a"].Count, 5)
+		})
+	}
+}
+
+func TestServersStayInTheirShards(t *testing.T) {
+	// A tenth of the servers comes and goes; the others stay where they are.
+	chk := is.New(t)
+	dvs := Divisions{}
+	was := dvs.Divide(servers("a", 180))
+	dvs.Confirm()
+	now := dvs.Divide(servers("a", 200))
+	for shd, ents := range was {
+		for _, ent := range ents {
+			found := false
+			for _, oth := range now[shd] {
+				found = found || oth.ID == ent.ID
+			}
+			chk.True(found)
+		}
+	}
+}
+
+// board is a Council with others that it has heard.
+type board struct {
+	cnc *Council
+	now time.Time
+}
+
+func newBoard(processor float64) *board {
+	brd := &board{now: time.Unix(1000, 0)}
+	brd.cnc = New(DefaultConfig(), Instance{ID: "self/1", Domain: "a", Processor: processor}, brd.now)
+	brd.cnc.SetShards([]Shard{{Name: "a.0", Domain: "a"}, {Name: "b.0", Domain: "b"}})
+	brd.cnc.SetReady(brd.now)
+	return brd
+}
+
+func (brd *board) hear(id, domain string, processor float64, leaving bool, leads ...shard.Name) {
+	ins := Instance{
+		ID: shard.InstanceID(id), Domain: domain, Processor: processor, Ready: true, Leaving: leaving,
+		Leads: map[shard.Name]int64{},
+	}
+	for _, name := range leads {
+		ins.Leads[name] = 7
+	}
+	brd.cnc.Heard(ins)
+}
+
+// taken returns what the instance takes over within a time.
+func (brd *board) taken(within time.Duration) map[shard.Name]bool {
+	tkn := map[shard.Name]bool{}
+	for end := brd.now.Add(within); brd.now.Before(end); brd.now = brd.now.Add(10 * time.Millisecond) {
+		take, _ := brd.cnc.Decide(brd.now)
+		for _, shd := range take {
+			tkn[shd.Name] = true
+			brd.cnc.Took(shd.Name, 9)
+		}
+	}
+	return tkn
+}
+
+func TestWhoTakesOver(t *testing.T) {
+	cases := map[string]struct {
+		// story says who is heard.
+		story func(brd *board)
+		want  []shard.Name
+	}{
+		"alone from the start, all shards": {
+			story: func(*board) {},
+			want:  []shard.Name{"a.0", "b.0"},
+		},
+		"a leader is left alone": {
+			story: func(brd *board) { brd.hear("x/1", "a", 0.4, false, "a.0", "b.0") },
+		},
+		"a shard of another domain is left to its own instances": {
+			story: func(brd *board) { brd.hear("x/1", "b", 0.4, false) },
+			want:  []shard.Name{"a.0"},
+		},
+		"a leader that stops is followed at once": {
+			story: func(brd *board) {
+				brd.hear("x/1", "a", 0.4, true, "a.0")
+				brd.hear("y/1", "b", 0.4, false, "b.0")
+			},
+			want: []shard.Name{"a.0"},
+		},
+		"a leader from another domain makes way": {
+			story: func(brd *board) { brd.hear("y/1", "b", 0.4, false, "a.0", "b.0") },
+			want:  []shard.Name{"a.0"},
+		},
+		"a weak leader makes way for a strong instance": {
+			story: func(brd *board) {
+				brd.hear("x/1", "a", 0.1, false, "a.0")
+				brd.hear("y/1", "b", 0.4, false, "b.0")
+			},
+			want: []shard.Name{"a.0"},
+		},
+		"all others are lost, so this one is more likely cut off": {
+			story: func(brd *board) {
+				brd.hear("x/1", "a", 0.4, false, "a.0")
+				brd.cnc.Lost(brd.now, "x/1")
+			},
+		},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			brd := newBoard(0.4)
+			cse.story(brd)
+			got := brd.taken(1200 * time.Millisecond)
+			chk.Equal(len(got), len(cse.want))
+			for _, nam := range cse.want {
+				chk.True(got[nam])
+			}
+		})
+	}
+}
+
+func TestFencedLeaderBacksOff(t *testing.T) {
+	// Two instances that don't hear each other both believe that they are to lead. Each time one meets the other's
+	// token it waits twice as long, so that the shard comes to rest.
+	chk := is.New(t)
+	brd := newBoard(0.4)
+	tries := 0
+	for end := brd.now.Add(10 * time.Second); brd.now.Before(end); brd.now = brd.now.Add(10 * time.Millisecond) {
+		take, _ := brd.cnc.Decide(brd.now)
+		for _, shd := range take {
+			if shd.Name == "a.0" {
+				tries++
+			}
+			brd.cnc.Took(shd.Name, 9)
+			brd.cnc.Left(brd.now, shd.Name, true)
+		}
+	}
+	chk.True(tries >= 4 && tries <= 9)
+}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -18,7 +18,7 @@
 		// It may still be carried out, seconds later even. A stop that is accepted proves that it isn't.
 		ldr.stop(now, srv, rn)
 	case Fenced:
-		ldr.lose(srv)
+		ldr.fenced(srv)
 	case Replaced:
 		ldr.replaced(now, srv)
 	case Refused, Overfull:
@@ -69,7 +69,7 @@
 		// The look that shows the end is not worth waiting for when one is in progress.
 		srv.lookAt = now
 	case Fenced:
-		ldr.lose(srv)
+		ldr.fenced(srv)
 	case Replaced:
 		ldr.replaced(now, srv)
 	default:
@@ -92,7 +92,7 @@
 	case Accepted:
 		ldr.seen(now, srv, sent, look)
 	case Fenced:
-		ldr.lose(srv)
+		ldr.fenced(srv)
 	case Replaced:
 		ldr.replaced(now, srv)
 	default:
@@ -290,5 +290,10 @@
 		}
 	}
 	delete(ldr.servers, srv.ent.ID)
+}
+
+// fenced drops a server that has shown that it obeys another leader.
+func (ldr *Leader) fenced(srv *server) {
+	ldr.lose(srv)
 	ldr.lost++
 }
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -60,8 +60,9 @@
 
 func (ldr *Leader) do(act Action) { ldr.acts = append(ldr.acts, act) }
 
-// SetServers tells the leader which servers the shard has, as the platform lists them.
-func (ldr *Leader) SetServers(now time.Time, ents []ServerEntry) []Action {
+// SetServers tells the leader which servers the shard has, as the platform lists them, and which servers are
+// listed at all.
+func (ldr *Leader) SetServers(now time.Time, ents []ServerEntry, all map[ServerID]ServerEntry) []Action {
 	listed := make(map[ServerID]bool, len(ents))
 	for _, ent := range ents {
 		listed[ent.ID] = true
@@ -75,6 +76,11 @@
 		if listed[id] {
 			continue
 		}
+		if _, elsewhere := all[id]; elsewhere {
+			// It belongs to another shard now, whose leader raises the fence.
+			ldr.lose(srv)
+			continue
+		}
 		// The list forgets servers that live while the store is away. One that answers its leader
 		// stays until it stops answering, but gets no new task while it is leaving.
 		if srv.state != held {
--- a/internal/request/shard/words.go
+++ b/internal/request/shard/words.go
@@ -155,3 +155,11 @@
 	Took   time.Duration
 	Server ServerID
 }
+
+// Division is into how many shards the backend servers of a failure domain are cut. Instances that see it
+// differently would take each other's servers away, so they agree on the division with the highest stamp.
+type Division struct {
+	Count int
+	// Stamp rises with each change; 0 is a guess that nobody has acted on.
+	Stamp int64
+}
