--- /dev/null
+++ b/internal/connection/mesh/mesh_test.go
@@ -0,0 +1,162 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutstack/internal/connection/mesh"
+	"chestnutstack/internal/process/pipe"
+	"chestnutstack/internal/request/shard"
+)
+
+// node is one end with what it has heard.
+type node struct {
+	name string
+	msh  *mesh.Mesh
+
+	mu    sync.Mutex
+	got   []string
+	lost  int
+	heard map[shard.InstanceID]int
+}
+
+func (nod *node) Beat() mesh.Beat {
+	return mesh.Beat{Domain: "a", Processor: 0.4, Ready: true, Round: 7, Divisions: map[string]shard.Division{
+		"a": {Count: 2, Stamp: 1},
+	}}
+}
+
+func (nod *node) Heard(from shard.InstanceID, bet mesh.Beat, msgs []mesh.Message) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	nod.heard[from]++
+	for _, msg := range msgs {
+		if wdr, ok := msg.(mesh.Withdrawal); ok {
+			nod.got = append(nod.got, wdr.Task)
+		}
+	}
+	if bet.Round != 7 || bet.Processor != 0.4 || bet.Divisions["a"].Count != 2 {
+		nod.got = append(nod.got, "beat is garbled")
+	}
+}
+
+func (nod *node) Lost(id shard.InstanceID) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	nod.lost++
+	delete(nod.heard, id)
+}
+
+func (nod *node) seen() (got []string, lost int, hears bool) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	return append([]string(nil), nod.got...), nod.lost, len(nod.heard) > 0
+}
+
+// inPair runs a test with two ends that know each other.
+func inPair(t *testing.T, body func(ntw *pipe.Network, one, two *node)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ntw := pipe.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		grp := &errgroup.Group{}
+		start := func(name, oth string) *node {
+			nod := &node{name: name, heard: map[shard.InstanceID]int{}}
+			nod.msh = mesh.New(mesh.Config{
+				Name: name, Life: 1, Interval: 100 * time.Millisecond, SilentBeats: 4,
+				CallTimeout: 150 * time.Millisecond, Now: time.Now,
+			}, ntw.Dialer(name), nod)
+			nod.msh.SetPeers([]mesh.Peer{{Name: oth, Address: oth + ":1"}})
+			lis := ntw.Listen(name + ":1")
+			grp.Go(func() error { return nod.msh.Run(ctx, lis) })
+			return nod
+		}
+		one, two := start("one", "two"), start("two", "one")
+		time.Sleep(time.Second)
+		body(ntw, one, two)
+		cancel()
+		ntw.Close()
+		if err := grp.Wait(); err != nil {
+			t.Errorf("mesh: %v", err)
+		}
+	})
+}
+
+func (nod *node) send(to string, num int) {
+	nod.msh.Send(mesh.ID(to, 1), mesh.Withdrawal{Task: fmt.Sprint(num)})
+}
+
+func TestMessagesArriveOnceAndInOrder(t *testing.T) {
+	// Connections fall silent again and again while messages are sent; batches whose receipt is lost are sent again.
+	// Each message arrives once, in order, as long as the session lasts.
+	inPair(t, func(ntw *pipe.Network, one, two *node) {
+		chk := is.New(t)
+		var want []string
+		for num := range 50 {
+			one.send("two", num)
+			want = append(want, fmt.Sprint(num))
+			if num%10 == 5 {
+				ntw.Forget("one", "two")
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		got, lost, _ := two.seen()
+		chk.Equal(got, want)
+		chk.Equal(lost, 0)
+	})
+}
+
+func TestBothMissEachOther(t *testing.T) {
+	// A cut lasts longer than the silence. Both ends are told once that the other was lost; what was sent meanwhile
+	// never arrives; and after the cut one session is up, without resets that call each other forth.
+	inPair(t, func(ntw *pipe.Network, one, two *node) {
+		chk := is.New(t)
+		ntw.Separate("one", "two")
+		one.send("two", 1)
+		time.Sleep(time.Second)
+		for _, nod := range []*node{one, two} {
+			_, lost, hears := nod.seen()
+			chk.Equal(lost, 1)
+			chk.True(!hears)
+		}
+		ntw.Heal()
+		time.Sleep(time.Second)
+		one.send("two", 2)
+		time.Sleep(time.Second)
+		got, lost, hears := two.seen()
+		chk.Equal(got, []string{"2"})
+		chk.Equal(lost, 1)
+		chk.True(hears)
+		_, lost, _ = one.seen()
+		chk.Equal(lost, 1)
+	})
+}
+
+func TestSlowPaceIsNotSilence(t *testing.T) {
+	// Two ends that owe each other nothing beat once a second. When one comes to depend on the other the pace is raised,
+	// and the second without a beat is not taken for silence.
+	inPair(t, func(_ *pipe.Network, one, two *node) {
+		chk := is.New(t)
+		pace := func(intervals int) {
+			one.msh.SetPaces(map[shard.InstanceID]int{mesh.ID("two", 1): intervals})
+			two.msh.SetPaces(map[shard.InstanceID]int{mesh.ID("one", 1): intervals})
+		}
+		pace(10)
+		time.Sleep(20 * time.Second)
+		pace(1)
+		time.Sleep(2 * time.Second)
+		for _, nod := range []*node{one, two} {
+			_, lost, hears := nod.seen()
+			chk.Equal(lost, 0)
+			chk.True(hears)
+		}
+	})
+}
--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -38,6 +38,7 @@
 	StandIn   standInCommand   `cmd:"" name:"stand-in" help:"Run a stand-in for the platform or a backend server, or tell one to fail."`
 	Catalogue catalogueCommand `cmd:"" help:"Check, edit and show the catalogue."`
 	Job       jobCommand       `cmd:"" help:"Submit, show, watch, cancel and resubmit jobs."`
+	Platform  platformCommand  `cmd:"" help:"Check settings of the users' platform."`
 	Report    reportCommand    `cmd:"" help:"Report on service levels."`
 	Load      loadCommand      `cmd:"" help:"Send a bounded, seeded load and check every answer."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
--- /dev/null
+++ b/internal/process/cli/platform.go
@@ -0,0 +1,68 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstack/platform"
+)
+
+type platformCommand struct {
+	Check platformCheck `cmd:"" help:"Say what a settings file of the users' platform means, and what is wrong in it."`
+}
+
+type platformCheck struct {
+	File string `arg:"" help:"The settings file that the platform puts on a machine." type:"existingfile"`
+	JSON bool   `name:"json" help:"Print JSON."`
+}
+
+// Help is shown below the usage.
+func (*platformCheck) Help() string {
+	return "Ends with status 2 if the file is not complete.\n\nExample:\n  chestnutstack platform check local.conf"
+}
+
+// settingLine is a setting in the project's words.
+type settingLine struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+	Use   string `json:"use"`
+}
+
+// Run implements the command.
+func (cmd *platformCheck) Run(str *streams) error {
+	set, err := platform.ReadSettings(cmd.File)
+	if err != nil {
+		return &usageError{cause: err}
+	}
+	lns := settingLines(set)
+	if cmd.JSON {
+		return errors.Wrap(json.NewEncoder(str.out).Encode(lns), "encoding JSON")
+	}
+	wrt := tabwriter.NewWriter(str.out, 0, 0, 2, ' ', 0)
+	for _, lin := range lns {
+		fmt.Fprintf(wrt, "%s\t%s\t%s\n", lin.Name, lin.Value, lin.Use)
+	}
+	return errors.Wrap(wrt.Flush(), "writing")
+}
+
+func settingLines(set platform.Settings) []settingLine {
+	return []settingLine{
+		{"instance", set.Instance, "name of this machine"},
+		{"failure-domain", set.FailureDomain, "of " + strings.Join(set.FailureDomains, ", ")},
+		{"caller-address", set.CallerAddress, "takes the jobs of clients"},
+		{"ready-address", set.ReadyAddress, "answers the platform's readiness checks"},
+		{"peer-address", set.PeerAddress, "takes the messages of other instances"},
+		{"metrics-address", set.MetricsAddress, "serves counters and histograms"},
+		{"store-address", set.StoreAddress, "the platform's metadata store"},
+		{"processor", fmt.Sprintf("%.3g", set.Processor), "cores; instances with more lead more shards"},
+		{"memory", fmt.Sprintf("%d MB", set.MemoryBytes>>20), "limit of the process"},
+		{"longest-lease", set.LongestLease.String(), "that a backend server grants"},
+		{"resend-after", set.ResendAfter.String(), "when a client that lost its connection sends its job again"},
+		{"stop-timeout", set.StopTimeout.Round(time.Millisecond).String(), "from the request to stop to the kill"},
+	}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -137,6 +137,8 @@
 	meshTimeout = 150 * time.Millisecond
 	// tickInterval is how late a decision by time alone may be.
 	tickInterval = 20 * time.Millisecond
+	// leastResend is the chain's sum.
+	leastResend = 1300 * time.Millisecond
 	// proof is silence, stop patience, lapse and a margin: when all that a lost leader ran for this
 	// instance is over.
 	proof = 1250 * time.Millisecond
@@ -159,6 +161,10 @@
 	grp, work := errgroup.WithContext(work)
 	dmn.group, dmn.ctx = grp, work
 	set := &dmn.prm.Settings
+	if set.ResendAfter > 0 && set.ResendAfter < leastResend {
+		dmn.log.Warn().Dur("resend-after", set.ResendAfter).
+			Msg("clients send jobs again before what a lost instance ran is surely over")
+	}
 	dmn.log.Info().Str("failure-domain", set.FailureDomain).Str("callers", set.CallerAddress).
 		Float64("processor", set.Processor).Msg("started")
 	front := dmn.serveHTTP(work, lis.Callers, platform.Front(dmn))
@@ -301,6 +307,21 @@
 	stopReserve = 400 * time.Millisecond
 )
 
+// shardConfig returns the times of leaders, with leases no longer than backend servers grant: a longer one is
+// shortened there, and would be renewed too late.
+func (dmn *Daemon) shardConfig() shard.Config {
+	cfg := shard.DefaultConfig()
+	if most := dmn.prm.Settings.LongestLease; most > 0 {
+		cfg.Lease = min(cfg.Lease, most)
+		cfg.Wait = min(cfg.Wait, cfg.Lease/leaseRenewals)
+	}
+	return cfg
+}
+
+// leaseRenewals is how often a lease is renewed before it would end: one renewal may be lost, its timeout passes,
+// and the next still comes in time.
+const leaseRenewals = 3
+
 // token returns a fencing token that no other instance ever uses, higher than all it has heard of.
 func (dmn *Daemon) token() int64 {
 	dmn.round++
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -110,7 +110,7 @@
 func (dmn *Daemon) takeOver(now time.Time, name shard.Name) {
 	tok := dmn.token()
 	dmn.divisions.Confirm()
-	ldr := shard.NewLeader(shard.DefaultConfig(), name, tok, now)
+	ldr := shard.NewLeader(dmn.shardConfig(), name, tok, now)
 	dmn.leaders[name] = ldr
 	dmn.council.Took(name, tok)
 	dmn.log.Info().Str("shard", string(name)).Int64("token", tok).Msg("taking the shard over")
--- a/internal/process/daemon/story_test.go
+++ b/internal/process/daemon/story_test.go
@@ -385,3 +385,27 @@
 		chk.Equal(wld.send(wld.ctx, "entry-1-2", job), http.StatusOK)
 	})
 }
+
+func TestAllLosePower(t *testing.T) {
+	// All instances lose their power and start again. Requests that reach them before the shards have leaders wait
+	// for that instead of being refused: it takes half a second, and callers wait longer.
+	inWorld(t, 2, 2, 2, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		for _, name := range wld.names() {
+			wld.powerOff(name)
+		}
+		time.Sleep(time.Second)
+		var all []*sent
+		for num, name := range wld.names() {
+			wld.startEntry(name, wld.entries[name].domain)
+			job := jobSpec{id: jobID(num), tasks: 2, payload: payload{Millis: 100}}
+			all = append(all, wld.sendAsync(wld.ctx, name, job))
+		}
+		began := time.Now()
+		for _, snt := range all {
+			<-snt.done
+			chk.Equal(snt.status, http.StatusOK)
+		}
+		chk.True(time.Since(began) < time.Second)
+	})
+}
--- /dev/null
+++ b/internal/request/shard/leader_test.go
@@ -0,0 +1,410 @@
+package shard
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// desk drives a Leader by hand and notes what it does.
+type desk struct {
+	t    *testing.T
+	ldr  *Leader
+	now  time.Time
+	acts []Action
+}
+
+const (
+	owner = InstanceID("owner/1")
+	size  = 14000
+)
+
+func listed(id string, processor int64) ServerEntry {
+	return ServerEntry{ID: ServerID(id), Service: "render", Processor: processor, Memory: 1000}
+}
+
+// newDesk returns the leader of servers that have all obeyed it and run nothing, with its take-over complete.
+func newDesk(t *testing.T, ents ...ServerEntry) *desk {
+	dsk := &desk{t: t, now: time.Unix(1000, 0)}
+	dsk.ldr = NewLeader(DefaultConfig(), "a.0", 9, dsk.now)
+	dsk.did(dsk.ldr.SetServers(dsk.now, ents, nil))
+	for _, ent := range ents {
+		dsk.look(ent.ID, Look{Clock: time.Minute})
+	}
+	dsk.pass(DefaultConfig().Settle)
+	dsk.acts = nil
+	return dsk
+}
+
+func (dsk *desk) did(acts []Action) { dsk.acts = append(dsk.acts, acts...) }
+
+// pass lets time pass.
+func (dsk *desk) pass(dur time.Duration) {
+	for end := dsk.now.Add(dur); dsk.now.Before(end); {
+		dsk.now = dsk.now.Add(10 * time.Millisecond)
+		dsk.did(dsk.ldr.Tick(dsk.now))
+	}
+}
+
+func (dsk *desk) look(id ServerID, look Look) {
+	dsk.did(dsk.ldr.Looked(dsk.now, id, dsk.now, look, Accepted))
+}
+
+// place orders tasks that need the same and returns where each was started, "" for those that wait.
+func (dsk *desk) place(priority int, tasks ...string) map[string]ServerID {
+	for _, tsk := range tasks {
+		dsk.did(dsk.ldr.Place(dsk.now, dsk.order(priority, tsk)))
+	}
+	return dsk.starts()
+}
+
+func (dsk *desk) order(priority int, task string) Order {
+	return Order{
+		Task: task, Owner: owner, Service: "render", Processor: size, Memory: 10, Priority: priority,
+		Arrived: dsk.now, Aim: dsk.now.Add(time.Second), Deadline: dsk.now.Add(5 * time.Second),
+		Expected: 100 * time.Millisecond, Step: strings.Split(task, ".")[0],
+	}
+}
+
+func (dsk *desk) starts() map[string]ServerID {
+	got := map[string]ServerID{}
+	for _, act := range dsk.acts {
+		if str, ok := act.(StartRun); ok {
+			got[str.Run.Task] = str.Server.ID
+		}
+	}
+	return got
+}
+
+func (dsk *desk) started(task string, vdt Verdict) RunID {
+	for _, act := range slices.Backward(dsk.acts) {
+		if str, ok := act.(StartRun); ok && str.Run.Task == task {
+			dsk.did(dsk.ldr.Started(dsk.now, str.Server.ID, str.Run, vdt, time.Minute))
+			return str.Run
+		}
+	}
+	dsk.t.Fatalf("task %s was not started", task)
+	return RunID{}
+}
+
+// others lists what runs at a server besides one run.
+func (dsk *desk) others(srv *server, but RunID) []Progress {
+	var prgs []Progress
+	for rid := range srv.runs {
+		if rid != but {
+			prgs = append(prgs, Progress{Run: rid})
+		}
+	}
+	return prgs
+}
+
+func (dsk *desk) count(match func(act Action) bool) int {
+	num := 0
+	for _, act := range dsk.acts {
+		if match(act) {
+			num++
+		}
+	}
+	return num
+}
+
+func (dsk *desk) reports(out Outcome) int {
+	return dsk.count(func(act Action) bool {
+		tel, ok := act.(Tell)
+		return ok && tel.Report.Outcome == out
+	})
+}
+
+func (dsk *desk) stops() int {
+	return dsk.count(func(act Action) bool {
+		_, ok := act.(StopRun)
+		return ok
+	})
+}
+
+func TestRoomIsCountedInProcessors(t *testing.T) {
+	// Servers guard nothing: a third task of 14 cores on one of 32 would break off its neighbours. What is being
+	// stopped, and what may still be carried out, takes up its room until the server shows that it is gone.
+	cases := map[string]func(dsk *desk, run RunID){
+		"running": func(*desk, RunID) {},
+		"being stopped": func(dsk *desk, run RunID) {
+			dsk.did(dsk.ldr.Cancel(dsk.now, owner, run.Task))
+			dsk.did(dsk.ldr.Stopped(dsk.now, "s", run, Accepted))
+		},
+		"stop unanswered": func(dsk *desk, run RunID) {
+			dsk.did(dsk.ldr.Cancel(dsk.now, owner, run.Task))
+			dsk.did(dsk.ldr.Stopped(dsk.now, "s", run, Unknown))
+		},
+	}
+	for name, story := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			dsk := newDesk(t, listed("s", 32000))
+			dsk.place(0, "j1.0", "j1.1")
+			run := dsk.started("j1.0", Accepted)
+			dsk.started("j1.1", Accepted)
+			story(dsk, run)
+			chk.Equal(dsk.place(0, "j2.0")["j2.0"], ServerID(""))
+		})
+	}
+}
+
+func TestUnansweredStart(t *testing.T) {
+	// A start gets no answer; the server carries it out seconds later. Started elsewhere meanwhile, the task would run
+	// twice. It waits until the server has accepted a stop and a later look does not list it.
+	chk := is.New(t)
+	dsk := newDesk(t, listed("s1", 32000), listed("s2", 32000))
+	first := dsk.place(0, "j.0")["j.0"]
+	run := dsk.started("j.0", Unknown)
+	chk.Equal(dsk.stops(), 1)
+	dsk.did(dsk.ldr.Stopped(dsk.now, first, run, Unknown))
+	dsk.acts = nil
+	dsk.pass(100 * time.Millisecond)
+	chk.Equal(dsk.stops(), 1) // The stop is repeated.
+	chk.Equal(len(dsk.starts()), 0)
+	before := dsk.now
+	dsk.pass(10 * time.Millisecond)
+	dsk.did(dsk.ldr.Stopped(dsk.now, first, run, Accepted))
+	dsk.did(dsk.ldr.Looked(dsk.now, first, before, Look{}, Accepted)) // A look from before proves nothing.
+	chk.Equal(len(dsk.starts()), 0)
+	dsk.pass(10 * time.Millisecond)
+	dsk.look(first, Look{})
+	chk.Equal(len(dsk.starts()), 1)
+}
+
+func TestStopThatIsNotAnsweredEndsTheRenewals(t *testing.T) {
+	// An owner is lost and its run's stops get no answer. Renewing the server's lease for its other tasks would keep
+	// that run alive past the time at which the caller sends its job again.
+	chk := is.New(t)
+	dsk := newDesk(t, listed("s", 32000))
+	dsk.place(0, "j.0")
+	run := dsk.started("j.0", Accepted)
+	dsk.did(dsk.ldr.OwnerLost(dsk.now, owner))
+	dsk.did(dsk.ldr.Stopped(dsk.now, "s", run, Unknown))
+	dsk.pass(DefaultConfig().StopPatience + 20*time.Millisecond)
+	dsk.acts = nil
+	dsk.look("s", Look{Running: []Progress{{Run: run}}})
+	renewals := dsk.count(func(act Action) bool {
+		hld, ok := act.(Hold)
+		return ok && hld.Until > 0
+	})
+	chk.Equal(renewals, 0)
+	chk.Equal(dsk.count(func(act Action) bool { _, ok := act.(Hold); return ok }), 1)
+}
+
+func TestCallBackPlacesNothing(t *testing.T) {
+	// An owner finds room elsewhere and calls a waiting task back. The task has bounced in the same moment and starts
+	// elsewhere; taken for a new order, the call-back would start it a second time here.
+	chk := is.New(t)
+	dsk := newDesk(t, listed("s", 32000))
+	ord := dsk.order(0, "j.0")
+	ord.Recall = true
+	dsk.did(dsk.ldr.Place(dsk.now, ord))
+	chk.Equal(len(dsk.acts), 0)
+	dsk.place(0, "k.0", "k.1", "j.0")
+	dsk.did(dsk.ldr.Place(dsk.now, ord))
+	chk.Equal(dsk.reports(NotRun), 1)
+	chk.Equal(len(dsk.starts()), 2)
+}
+
+func TestOrderAtANewLeader(t *testing.T) {
+	// A task lay with the former leader. The new one adopts its run where it finds it; while a server has not been
+	// listed the task may run there, and starts elsewhere only after a lease without renewal.
+	fresh := func(t *testing.T) *desk {
+		dsk := &desk{t: t, now: time.Unix(1000, 0)}
+		dsk.ldr = NewLeader(DefaultConfig(), "a.0", 9, dsk.now)
+		dsk.did(dsk.ldr.SetServers(dsk.now, []ServerEntry{listed("s1", 32000), listed("s2", 32000)}, nil))
+		return dsk
+	}
+	running := Look{Running: []Progress{{Run: RunID{Task: "j.0", Number: 5}, Percent: 10}}}
+	followed := func(dsk *desk) {
+		ord := dsk.order(0, "j.0")
+		ord.Followed = true
+		dsk.did(dsk.ldr.Place(dsk.now, ord))
+	}
+	cases := map[string]struct {
+		story       func(dsk *desk)
+		begun, runs int
+		stops       int
+	}{
+		"listed, then asked for": {
+			story: func(dsk *desk) { dsk.look("s1", running); dsk.look("s2", Look{}); followed(dsk) },
+			begun: 1,
+		},
+		"asked for, then listed": {
+			story: func(dsk *desk) { followed(dsk); dsk.look("s1", running); dsk.look("s2", Look{}) },
+			begun: 1,
+		},
+		"never asked for": {
+			story: func(dsk *desk) { dsk.look("s1", running); dsk.look("s2", Look{}) },
+			stops: 1,
+		},
+		"nowhere": {
+			story: func(dsk *desk) { followed(dsk); dsk.look("s1", Look{}); dsk.look("s2", Look{}) },
+			runs:  1,
+		},
+		"one server is silent, before the lease has passed": {
+			story: func(dsk *desk) { dsk.look("s1", Look{}); followed(dsk) },
+		},
+		"one server is silent, after it": {
+			story: func(dsk *desk) { dsk.look("s1", Look{}); followed(dsk); dsk.pass(700 * time.Millisecond) },
+			runs:  1,
+		},
+		"it ended meanwhile": {
+			story: func(dsk *desk) {
+				dsk.look("s1", Look{Ended: []End{{Seq: 3, Run: RunID{Task: "j.0", Number: 5}}}})
+				dsk.look("s2", Look{})
+				followed(dsk)
+			},
+		},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			dsk := fresh(t)
+			cse.story(dsk)
+			dsk.pass(DefaultConfig().Settle)
+			chk.Equal(dsk.reports(Begun), cse.begun)
+			chk.Equal(len(dsk.starts()), cse.runs)
+			chk.Equal(dsk.stops(), cse.stops)
+			if name == "it ended meanwhile" {
+				chk.Equal(dsk.reports(Done), 1)
+			}
+		})
+	}
+}
+
+func TestServerThatFailsAll(t *testing.T) {
+	// A server fails all that it starts and so always looks idle. After two submissions in a row it is passed over,
+	// and tried with one task at a time then. One submission that fails wherever it runs proves nothing.
+	fail := func(dsk *desk, tasks ...string) {
+		for num, tsk := range tasks {
+			dsk.place(0, tsk)
+			run := dsk.started(tsk, Accepted)
+			dsk.look("s", Look{Ended: []End{{Seq: int64(num + 1), Run: run, How: EndedFailed}}})
+		}
+	}
+	cases := map[string]struct {
+		failed []string
+		starts int
+	}{
+		"two submissions": {failed: []string{"j1.0", "j2.0"}, starts: 0},
+		"one submission":  {failed: []string{"j1.0", "j1.1"}, starts: 2},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			dsk := newDesk(t, listed("s", 32000))
+			fail(dsk, cse.failed...)
+			dsk.acts = nil
+			chk.Equal(len(dsk.place(0, "k.0", "k.1")), cse.starts)
+			dsk.pass(DefaultConfig().Quarantine + 10*time.Millisecond)
+			chk.Equal(len(dsk.starts()), max(cse.starts, 1))
+		})
+	}
+}
+
+func TestBurst(t *testing.T) {
+	// Twice as many tasks come as there is room for, for two seconds. In the order of arrival each waits behind late
+	// ones and nearly all are late; those in time first, half of the callers see no delay.
+	const (
+		arrivals = 200
+		every    = 10 * time.Millisecond
+		takes    = 80 * time.Millisecond
+		aim      = 150 * time.Millisecond
+	)
+	chk := is.New(t)
+	dsk := newDesk(t, listed("s1", 32000), listed("s2", 32000))
+	arrived := map[string]time.Time{}
+	ends := map[string]time.Time{}
+	seqs := map[ServerID]int64{}
+	inTime := 0
+	for step := 0; step < 2*arrivals && (step < arrivals || len(ends) > 0); step++ {
+		dsk.acts = nil
+		if step < arrivals {
+			tsk := fmt.Sprintf("j%03d.0", step)
+			arrived[tsk] = dsk.now
+			ord := dsk.order(0, tsk)
+			ord.Aim, ord.Expected = dsk.now.Add(aim), takes
+			dsk.did(dsk.ldr.Place(dsk.now, ord))
+		}
+		dsk.pass(every)
+		for tsk, end := range ends {
+			if end.After(dsk.now) {
+				continue
+			}
+			ord := dsk.ldr.orders[tsk]
+			seqs[ord.srv.ent.ID]++
+			if dsk.now.Sub(arrived[tsk]) <= aim+every {
+				inTime++
+			}
+			delete(ends, tsk)
+			dsk.look(ord.srv.ent.ID, Look{
+				Ended: []End{{Seq: seqs[ord.srv.ent.ID], Run: ord.run.id}}, Running: dsk.others(ord.srv, ord.run.id),
+			})
+		}
+		for tsk := range dsk.starts() {
+			dsk.started(tsk, Accepted)
+			ends[tsk] = dsk.now.Add(takes)
+		}
+	}
+	chk.True(inTime > arrivals*35/100)
+}
+
+func TestUrgentGoesFirst(t *testing.T) {
+	// A server comes free while tasks of all priorities wait; the most urgent starts, whoever came first.
+	chk := is.New(t)
+	dsk := newDesk(t, listed("s", 20000))
+	dsk.place(2, "j0.0")
+	run := dsk.started("j0.0", Accepted)
+	dsk.place(2, "j1.0")
+	dsk.place(1, "j2.0")
+	dsk.place(0, "j3.0")
+	dsk.acts = nil
+	dsk.look("s", Look{Ended: []End{{Seq: 1, Run: run}}})
+	chk.Equal(dsk.starts(), map[string]ServerID{"j3.0": "s"})
+}
+
+func TestTightestRoomIsTaken(t *testing.T) {
+	// A task that fits beside another one goes there, so that the empty server is left for larger ones.
+	chk := is.New(t)
+	dsk := newDesk(t, listed("half", 30000), listed("whole", 48000))
+	chk.Equal(dsk.place(0, "j.0")["j.0"], ServerID("half"))
+	chk.Equal(dsk.place(0, "j.1")["j.1"], ServerID("half"))
+	chk.Equal(dsk.place(0, "j.2")["j.2"], ServerID("whole"))
+}
+
+func BenchmarkPlace(b *testing.B) {
+	// One placement and its end, by the number of servers of the shard.
+	for _, num := range []int{16, 64, 256} {
+		b.Run(fmt.Sprint(num, "-servers"), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			ldr := NewLeader(DefaultConfig(), "a.0", 9, now)
+			var ents []ServerEntry
+			for idx := range num {
+				ents = append(ents, listed(fmt.Sprint("s", idx), 32000))
+			}
+			ldr.SetServers(now, ents, nil)
+			for _, ent := range ents {
+				ldr.Looked(now, ent.ID, now, Look{}, Accepted)
+			}
+			now = now.Add(time.Second)
+			ldr.Tick(now)
+			seqs := map[ServerID]int64{}
+			b.ReportAllocs()
+			for step := 0; b.Loop(); step++ {
+				tsk := fmt.Sprintf("j%d.0", step)
+				ldr.Place(now, Order{Task: tsk, Owner: owner, Service: "render", Processor: size, Memory: 10})
+				ord := ldr.orders[tsk]
+				srv := ord.srv.ent.ID
+				ldr.Started(now, srv, ord.run.id, Accepted, 0)
+				seqs[srv]++
+				ldr.Looked(now, srv, now, Look{Ended: []End{{Seq: seqs[srv], Run: ord.run.id}}}, Accepted)
+			}
+		})
+	}
+}
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -40,6 +40,9 @@
 			if rom := rms.best(ord, most); rom != nil {
 				rom.processor -= ord.Processor
 				rom.memory -= ord.Memory
+				if rom.srv.failing >= failuresToPause {
+					rom.processor = 0 // It is on trial, with one task at a time.
+				}
 				most = rms.most()
 				ldr.start(now, rom.srv, ord)
 			} else if ord.Bounce {
@@ -89,8 +92,7 @@
 			continue
 		}
 		if srv.failing >= failuresToPause && len(srv.runs) > 0 {
-			// A server that comes back from a pause is tried with one task at a time.
-			continue
+			continue // It is on trial, and the outcome is not yet known.
 		}
 		if prc, mem := srv.free(); prc > 0 {
 			rms = append(rms, room{srv: srv, processor: prc, memory: mem})
