--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -96,6 +96,8 @@
 	// reaches are the ways to shards that this instance may take over; asked counts the askings.
 	reaches map[shard.Name]*reach
 	asked   int
+	// cfgAt is when the configuration came into force here.
+	cfgAt time.Time
 	// passed is when a configuration was last passed to an instance.
 	passed map[shard.InstanceID]time.Time
 	// local are actions that concern this instance itself.
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -240,16 +240,26 @@
 }
 
 // passConfiguration gives a peer a newer configuration than it has, as the store may be out of its reach.
+//
+// A large one has a megabyte, and 40 instances that all pass it to all would stop the system; so a peer gets the time to
+// read it by itself, and then the others send it in turn, in an order that differs from peer to peer.
 func (dmn *Daemon) passConfiguration(now time.Time, to shard.InstanceID, data []byte) {
-	if now.Sub(dmn.passed[to]) < passPause {
+	turn := time.Duration(dmn.council.Rank(string(to)))
+	if now.Sub(dmn.cfgAt) < passAfter+turn*passTurn || now.Sub(dmn.passed[to]) < passPause {
 		return
 	}
 	dmn.passed[to] = now
 	dmn.mesh.Send(to, mesh.Configuration{Data: data})
 }
 
-// passPause leaves a peer the time to read the configuration by itself and to say so.
-const passPause = 300 * time.Millisecond
+const (
+	// passAfter is the time in which a peer reads a new configuration from a sound store, passTurn what each sender
+	// leaves to the one before it: two of them fail before the two seconds are over that a change may take.
+	passAfter = 500 * time.Millisecond
+	passTurn  = 400 * time.Millisecond
+	// passPause leaves a peer the time to say that it has the configuration.
+	passPause = time.Second
+)
 
 func (dmn *Daemon) takeMessage(now time.Time, from shard.InstanceID, msg mesh.Message) {
 	switch msg := msg.(type) {
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -116,6 +116,7 @@
 		return
 	}
 	dmn.cfgData.Store(&data)
+	dmn.cfgAt = dmn.now()
 	if dmn.cfg.Swap(cfg) == nil {
 		close(dmn.configured)
 	}
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -149,6 +149,19 @@
 // Others returns the instances that are heard.
 func (cnc *Council) Others() map[shard.InstanceID]*Instance { return cnc.others }
 
+// Rank returns how many of the instances that are heard go before the own one in a duty that one is to do, by
+// hash: 0 is the first.
+func (cnc *Council) Rank(duty string) int {
+	own := xxhash.Sum64String(duty + " " + string(cnc.self.ID))
+	rnk := 0
+	for id := range cnc.others {
+		if string(id) != duty && xxhash.Sum64String(duty+" "+string(id)) < own {
+			rnk++
+		}
+	}
+	return rnk
+}
+
 // Leads reports whether the own instance leads any shard.
 func (cnc *Council) Leads() bool { return len(cnc.self.Leads) > 0 }
 
--- a/internal/process/succession/succession_test.go
+++ b/internal/process/succession/succession_test.go
@@ -187,3 +187,29 @@
 	}
 	chk.True(tries >= 4 && tries <= 9)
 }
+
+func TestDutiesHaveAnOrder(t *testing.T) {
+	// All instances that hear each other see the same order, so that one does a duty at a time; duties are spread.
+	chk := is.New(t)
+	ids := []shard.InstanceID{"a/1", "b/2", "c/3", "d/4", "e/5"}
+	firsts := map[shard.InstanceID]bool{}
+	for num := range 20 {
+		duty := fmt.Sprint("peer/", num)
+		ranks := map[int]bool{}
+		for _, id := range ids {
+			cnc := New(DefaultConfig(), Instance{ID: id}, time.Unix(0, 0))
+			for _, oth := range ids {
+				if oth != id {
+					cnc.Heard(Instance{ID: oth})
+				}
+			}
+			rnk := cnc.Rank(duty)
+			ranks[rnk] = true
+			if rnk == 0 {
+				firsts[id] = true
+			}
+		}
+		chk.Equal(len(ranks), len(ids))
+	}
+	chk.True(len(firsts) > 2)
+}
