Split the daemon's decisions by what calls them; drop what nothing reads

Cause: one file of 445 lines held ticks, what is heard and what is carried out; an order's deadline and a desk's domain were carried and never used. Conclusion: decide, heard and carry have one matter each.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -96,7 +96,6 @@
 	Priority  int      `json:"priority"`
 	Age       int64    `json:"age-micros"`
 	Aim       int64    `json:"aim-micros"`
-	Deadline  int64    `json:"deadline-micros"`
 	Expected  int64    `json:"expected-micros"`
 	Label     string   `json:"label,omitempty"`
 	Rack      string   `json:"rack,omitempty"`
@@ -184,8 +183,8 @@
 		Shard: string(msg.Shard), Token: msg.Token, Task: ord.Task, Service: ord.Service, Payload: ord.Payload,
 		Processor: ord.Processor, Memory: ord.Memory, Priority: ord.Priority,
 		Age: now.Sub(ord.Arrived).Microseconds(), Aim: ord.Aim.Sub(now).Microseconds(),
-		Deadline: ord.Deadline.Sub(now).Microseconds(), Expected: ord.Expected.Microseconds(),
-		Label: ord.Label, Rack: ord.Rack, PerServer: ord.PerServer, Step: ord.Step,
+		Expected: ord.Expected.Microseconds(),
+		Label:    ord.Label, Rack: ord.Rack, PerServer: ord.PerServer, Step: ord.Step,
 		Bounce: ord.Bounce, Recall: ord.Recall, Followed: ord.Followed,
 	}
 	for _, id := range ord.Avoid {
@@ -218,7 +217,7 @@
 	ord := shard.Order{
 		Task: wir.Task, Owner: from, Service: wir.Service, Payload: wir.Payload,
 		Processor: wir.Processor, Memory: wir.Memory, Priority: wir.Priority,
-		Arrived: now.Add(-micros(wir.Age)), Aim: now.Add(micros(wir.Aim)), Deadline: now.Add(micros(wir.Deadline)),
+		Arrived: now.Add(-micros(wir.Age)), Aim: now.Add(micros(wir.Aim)),
 		Expected: micros(wir.Expected), Label: wir.Label, Rack: wir.Rack,
 		PerServer: wir.PerServer, Step: wir.Step,
 		Bounce: wir.Bounce, Recall: wir.Recall, Followed: wir.Followed,
--- /dev/null
+++ b/internal/process/daemon/carry.go
@@ -0,0 +1,140 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"chestnutstack/internal/connection/mesh"
+	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
+	"chestnutstack/platform"
+)
+
+// deskDo carries out what the desk decided.
+func (dmn *Daemon) deskDo(acts []submission.Action) {
+	for _, act := range acts {
+		switch act := act.(type) {
+		case submission.Place:
+			if act.Target.Leader != dmn.self {
+				msg := mesh.Order{Shard: act.Target.Shard, Token: act.Target.Token, Order: act.Order}
+				dmn.mesh.Send(act.Target.Leader, msg)
+				continue
+			}
+			dmn.local = append(dmn.local, func(now time.Time) { dmn.placeOrder(now, act.Target, act.Order) })
+		case submission.Withdraw:
+			dmn.withdraw(act)
+		case submission.Reply:
+			dmn.reply(act)
+		}
+	}
+}
+
+func (dmn *Daemon) withdraw(act submission.Withdraw) {
+	name := act.Target.Shard
+	if act.Target.Leader != dmn.self {
+		dmn.mesh.Send(act.Target.Leader, mesh.Withdrawal{Shard: name, Token: act.Target.Token, Task: act.Task})
+		return
+	}
+	dmn.local = append(dmn.local, func(now time.Time) {
+		if ldr := dmn.leader(name, act.Target.Token); ldr != nil {
+			dmn.shardDo(name, ldr.Cancel(now, dmn.self, act.Task))
+		}
+	})
+}
+
+func (dmn *Daemon) reply(act submission.Reply) {
+	if chn := dmn.callers[act.Call]; chn != nil {
+		delete(dmn.callers, act.Call)
+		chn <- act.Answer
+	}
+}
+
+// shardDo carries out what a leader decided.
+func (dmn *Daemon) shardDo(name shard.Name, acts []shard.Action) {
+	for _, act := range acts {
+		switch act := act.(type) {
+		case shard.Tell:
+			dmn.local = append(dmn.local, func(now time.Time) { dmn.tell(now, act.Owner, act.Report) })
+		case shard.StartRun:
+			dmn.group.Go(func() error { return dmn.startRun(name, act) })
+		case shard.StopRun:
+			dmn.group.Go(func() error { return dmn.stopRun(name, act) })
+		case shard.Hold:
+			dmn.group.Go(func() error { return dmn.hold(name, act) })
+		}
+	}
+	if ldr := dmn.leaders[name]; ldr != nil && ldr.Lost() > 0 {
+		dmn.abandon(dmn.now(), name, true)
+	}
+}
+
+const (
+	// startTimeout, stopTimeout and holdSlack, what a look may take besides its wait, are some 20 times what a sound
+	// server takes. An order without an answer costs its task that long.
+	startTimeout = 100 * time.Millisecond
+	stopTimeout  = 80 * time.Millisecond
+	holdSlack    = 80 * time.Millisecond
+)
+
+// leader returns the leader that an answer belongs to: an answer to an earlier one is dropped, as the
+// new one has asked the servers again.
+func (dmn *Daemon) leader(name shard.Name, token int64) *shard.Leader {
+	if ldr := dmn.leaders[name]; ldr != nil && ldr.Token() == token {
+		return ldr
+	}
+	return nil
+}
+
+func (dmn *Daemon) startRun(name shard.Name, act shard.StartRun) error {
+	ctx, cancel := context.WithTimeout(dmn.ctx, startTimeout)
+	defer cancel()
+	srv := platform.Server{ID: act.Server.ID, Address: act.Server.Address}
+	sent := dmn.now()
+	vdt, clk := dmn.prm.Servers.Start(ctx, srv, act.Run, act.Payload, act.Token, act.Until)
+	now := dmn.enter()
+	defer dmn.exit(now)
+	dmn.cnt.start(vdt, now.Sub(sent))
+	dmn.log.Info().Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server.ID)).
+		Int64("token", act.Token).Dur("took", now.Sub(sent)).Stringer("verdict", vdt).Msg("start")
+	if ldr := dmn.leader(name, act.Token); ldr != nil {
+		dmn.shardDo(name, ldr.Started(now, act.Server.ID, act.Run, vdt, clk))
+	}
+	return nil
+}
+
+func (dmn *Daemon) stopRun(name shard.Name, act shard.StopRun) error {
+	ctx, cancel := context.WithTimeout(dmn.ctx, stopTimeout)
+	defer cancel()
+	srv := platform.Server{ID: act.Server.ID, Address: act.Server.Address}
+	vdt := dmn.prm.Servers.Stop(ctx, srv, act.Run, act.Token)
+	now := dmn.enter()
+	defer dmn.exit(now)
+	dmn.cnt.stops.Add(1)
+	dmn.log.Info().Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server.ID)).
+		Stringer("verdict", vdt).Msg("stop")
+	if ldr := dmn.leader(name, act.Token); ldr != nil {
+		dmn.shardDo(name, ldr.Stopped(now, act.Server.ID, act.Run, vdt))
+	}
+	return nil
+}
+
+func (dmn *Daemon) hold(name shard.Name, act shard.Hold) error {
+	if act.Pause > 0 && !pause(dmn.ctx, act.Pause) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(dmn.ctx, act.Wait+holdSlack)
+	defer cancel()
+	srv := platform.Server{ID: act.Server.ID, Address: act.Server.Address}
+	sent := dmn.now()
+	look, vdt, err := dmn.prm.Servers.Hold(ctx, srv, act.Token, act.Seen, act.Until, act.Wait)
+	now := dmn.enter()
+	defer dmn.exit(now)
+	dmn.cnt.looks.Add(1)
+	if vdt != shard.Accepted {
+		dmn.log.Warn().Err(err).Str("server", string(act.Server.ID)).Stringer("verdict", vdt).Msg("look failed")
+	}
+	if ldr := dmn.leader(name, act.Token); ldr != nil {
+		dmn.shardDo(name, ldr.Looked(now, sent, act, look, vdt))
+	}
+	return nil
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -229,7 +229,7 @@
 	dmn.life, dmn.round = life, life
 	dmn.self = mesh.ID(set.Instance, life)
 	dmn.desk = submission.NewDesk(submission.Config{
-		Self: dmn.self, Domain: set.FailureDomain, Proof: proof, NoLeader: noLeader, Vacancy: vacancy,
+		Self: dmn.self, Proof: proof, NoLeader: noLeader, Vacancy: vacancy,
 	}, now)
 	close(dmn.joined)
 	dmn.council = succession.New(succession.DefaultConfig(), succession.Instance{
--- /dev/null
+++ b/internal/process/daemon/heard.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"maps"
+	"time"
+
+	"chestnutstack/internal/connection/mesh"
+	"chestnutstack/internal/process/succession"
+	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
+)
+
+// Beat implements mesh.Handler.
+func (dmn *Daemon) Beat() mesh.Beat {
+	dmn.mu.Lock()
+	defer dmn.mu.Unlock()
+	bet := mesh.Beat{
+		Domain: dmn.prm.Settings.FailureDomain, Processor: dmn.prm.Settings.Processor, Ready: dmn.council.Ready(),
+		Leaving: dmn.leaving.Load(), Round: dmn.round, Divisions: maps.Clone(dmn.divisions),
+	}
+	if cfg := dmn.cfg.Load(); cfg != nil {
+		bet.ConfigVersion = cfg.Version()
+	}
+	for name, ldr := range dmn.leaders {
+		bet.Leads = append(bet.Leads, mesh.Lead{Shard: name, Token: ldr.Token(), Load: dmn.loads[name]})
+	}
+	return bet
+}
+
+// Heard implements mesh.Handler.
+func (dmn *Daemon) Heard(from shard.InstanceID, bet mesh.Beat, msgs []mesh.Message) {
+	now := dmn.enter()
+	defer dmn.exit(now)
+	dmn.hear(now, from, bet)
+	for _, msg := range msgs {
+		dmn.takeMessage(now, from, msg)
+	}
+}
+
+func (dmn *Daemon) hear(now time.Time, from shard.InstanceID, bet mesh.Beat) {
+	dmn.round = max(dmn.round, bet.Round)
+	if dmn.divisions.Merge(bet.Divisions) {
+		dmn.log.Info().Str("from", string(from)).Interface("divisions", bet.Divisions).Msg("division into shards changed")
+		dmn.redivide(now)
+	}
+	ins := succession.Instance{
+		ID: from, Domain: bet.Domain, Processor: bet.Processor,
+		Ready: bet.Ready, Leaving: bet.Leaving, Leads: map[shard.Name]int64{},
+	}
+	for _, led := range bet.Leads {
+		ins.Leads[led.Shard] = led.Token
+	}
+	fresh, changed := dmn.council.Heard(ins)
+	if fresh {
+		dmn.log.Info().Str("instance", string(from)).Msg("instance heard")
+	}
+	if changed {
+		dmn.updateLeaders()
+	}
+	for _, led := range bet.Leads {
+		if dmn.desk.Leads(submission.Target{Shard: led.Shard, Leader: from, Token: led.Token}) {
+			dmn.deskDo(dmn.desk.SetLoad(led.Shard, led.Load))
+		}
+	}
+	if data := dmn.cfgData.Load(); data != nil && bet.ConfigVersion < dmn.cfg.Load().Version() {
+		dmn.passConfiguration(now, from, *data)
+	}
+}
+
+// passConfiguration gives a peer a newer configuration than it has, as the store may be out of its reach.
+//
+// A large one has a megabyte, and 40 instances that all pass it to all would stop the system; so a peer gets the time to
+// read it by itself, and then the others send it in turn, in an order that differs from peer to peer.
+func (dmn *Daemon) passConfiguration(now time.Time, to shard.InstanceID, data []byte) {
+	turn := time.Duration(dmn.council.Rank(string(to)))
+	if now.Sub(dmn.cfgAt) < passAfter+turn*passTurn || now.Sub(dmn.passed[to]) < passPause {
+		return
+	}
+	dmn.passed[to] = now
+	dmn.mesh.Send(to, mesh.Configuration{Data: data})
+}
+
+const (
+	// passAfter is the time in which a peer reads a new configuration from a sound store, passTurn what each sender
+	// leaves to the one before it: two of them fail before the two seconds are over that a change may take.
+	passAfter = 500 * time.Millisecond
+	passTurn  = 400 * time.Millisecond
+	// passPause leaves a peer the time to say that it has the configuration.
+	passPause = time.Second
+)
+
+func (dmn *Daemon) takeMessage(now time.Time, from shard.InstanceID, msg mesh.Message) {
+	switch msg := msg.(type) {
+	case mesh.Order:
+		dmn.placeOrder(now, submission.Target{Shard: msg.Shard, Leader: dmn.self, Token: msg.Token}, msg.Order)
+	case mesh.Withdrawal:
+		if ldr := dmn.leader(msg.Shard, msg.Token); ldr != nil {
+			dmn.shardDo(msg.Shard, ldr.Cancel(now, from, msg.Task))
+		}
+	case mesh.Report:
+		dmn.logReport(from, msg.Report)
+		dmn.deskDo(dmn.desk.Report(now, from, msg.Report))
+	case mesh.Configuration:
+		// It takes the lock itself.
+		dmn.group.Go(func() error {
+			dmn.takeConfiguration(msg.Data, string(from))
+			return nil
+		})
+	}
+}
+
+// placeOrder gives an order to the leader of a shard, or says that it lies with none here.
+func (dmn *Daemon) placeOrder(now time.Time, tgt submission.Target, ord shard.Order) {
+	ldr := dmn.leader(tgt.Shard, tgt.Token)
+	if ldr == nil {
+		// Whoever leads the shard now may know of the task; the owner waits for it.
+		dmn.tell(now, ord.Owner, shard.Report{Task: ord.Task, Token: tgt.Token, Outcome: shard.Lost})
+		return
+	}
+	dmn.shardDo(tgt.Shard, ldr.Place(now, ord))
+}
+
+// tell passes a report to the owner of an order.
+func (dmn *Daemon) tell(now time.Time, owner shard.InstanceID, rep shard.Report) {
+	if owner != dmn.self {
+		dmn.mesh.Send(owner, mesh.Report{Report: rep})
+		return
+	}
+	dmn.logReport(dmn.self, rep)
+	dmn.deskDo(dmn.desk.Report(now, dmn.self, rep))
+}
+
+// Lost implements mesh.Handler.
+func (dmn *Daemon) Lost(id shard.InstanceID) {
+	now := dmn.enter()
+	defer dmn.exit(now)
+	dmn.log.Warn().Str("instance", string(id)).Msg("instance lost")
+	dmn.council.Lost(now, id)
+	for name, ldr := range dmn.leaders {
+		dmn.shardDo(name, ldr.OwnerLost(now, id))
+	}
+	dmn.deskDo(dmn.desk.InstanceLost(now, id))
+	dmn.updateLeaders()
+}
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -73,7 +73,7 @@
 func (dsk *desk) order(priority int, task string) Order {
 	return Order{
 		Task: task, Owner: owner, Service: "render", Processor: size, Memory: 10, Priority: priority,
-		Arrived: dsk.now, Aim: dsk.now.Add(time.Second), Deadline: dsk.now.Add(5 * time.Second),
+		Arrived: dsk.now, Aim: dsk.now.Add(time.Second),
 		Expected: 100 * time.Millisecond, Step: strings.Split(task, ".")[0],
 	}
 }
--- a/internal/request/shard/words.go
+++ b/internal/request/shard/words.go
@@ -98,8 +98,8 @@
 	// Processor is in thousandths of a core, Memory in MB.
 	Processor, Memory int64
 	Priority          int
-	// Arrived is when the submission came in, Aim when its answer is due, Deadline when its caller leaves.
-	Arrived, Aim, Deadline time.Time
+	// Arrived is when the submission came in, Aim when its answer is due.
+	Arrived, Aim time.Time
 	// Expected is a rough guess of the run time.
 	Expected time.Duration
 	// Label, if set, is one that the server must have; Rack is the label of the rack that has its data.
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -39,8 +39,7 @@
 
 // Config has the times that a Desk works with.
 type Config struct {
-	Self   shard.InstanceID
-	Domain string
+	Self shard.InstanceID
 	// Proof is how long after the loss of a leader everything that it ran for this instance is surely over:
 	// it misses this instance, its stops stay without an answer, and the leases lapse.
 	Proof time.Duration
@@ -222,7 +221,7 @@
 	dsk.do(Place{Target: tsk.target(), Order: shard.Order{
 		Task: tsk.name, Owner: dsk.cfg.Self, Service: jb.sub.Service, Payload: jb.sub.Payload,
 		Processor: stp.Processor, Memory: stp.Memory, Priority: jb.sub.Priority,
-		Arrived: jb.arrived, Aim: jb.arrived.Add(jb.sub.Objective(stp.Expected)), Deadline: jb.deadline,
+		Arrived: jb.arrived, Aim: jb.arrived.Add(jb.sub.Objective(stp.Expected)),
 		Expected: stp.Expected, Label: stp.Label, Rack: stp.Rack,
 		PerServer: stp.PerServer, Step: fmt.Sprintf("%s.%d", jb.sub.ID, tsk.step),
 		Avoid: slices.Clone(tsk.avoid), Bounce: how.Bounce, Recall: how.Recall, Followed: how.Followed,
--- a/internal/request/submission/desk_test.go
+++ b/internal/request/submission/desk_test.go
@@ -26,7 +26,7 @@
 func newBench() *bench {
 	bch := &bench{now: time.Unix(1000, 0)}
 	bch.dsk = NewDesk(Config{
-		Self: self, Domain: "a", Proof: proof, NoLeader: time.Second, Vacancy: 1500 * time.Millisecond,
+		Self: self, Proof: proof, NoLeader: time.Second, Vacancy: 1500 * time.Millisecond,
 	}, bch.now)
 	return bch
 }
