Take shards over one at a time; cut a failure domain in two as soon as it has grown enough

Conclusion: a test's story of a leader that is left alone now has a leader of one shard; a leader of two makes way by design.

--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -110,7 +110,7 @@
 	dmn.divisions.Confirm()
 	ldr := shard.NewLeader(dmn.shardConfig(), name, tok, now)
 	dmn.leaders[name] = ldr
-	dmn.council.Took(name, tok)
+	dmn.council.Took(now, name, tok)
 	dmn.log.Info().Str("shard", string(name)).Int64("token", tok).Msg("taking the shard over")
 	for shd, ents := range dmn.divided {
 		if shd.Name == name {
--- a/internal/process/succession/shards.go
+++ b/internal/process/succession/shards.go
@@ -64,7 +64,7 @@
 	want := max(1, (servers+serversPerShard/2)/serversPerShard)
 	if old.Stamp == 0 {
 		dvs[domain] = shard.Division{Count: want}
-	} else if want > 2*old.Count {
+	} else if want >= 2*old.Count {
 		// The list shrinks for a while when the store is away, so that fewer servers change nothing.
 		dvs[domain] = shard.Division{Count: want, Stamp: old.Stamp + 1}
 	}
