--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -267,7 +267,11 @@
 	}
 }
 
+// pause waits and reports whether ctx goes on. No time takes no timer.
 func pause(ctx context.Context, dur time.Duration) bool {
+	if dur <= 0 {
+		return ctx.Err() == nil
+	}
 	select {
 	case <-ctx.Done():
 		return false
--- a/internal/process/daemon/world_test.go
+++ b/internal/process/daemon/world_test.go
@@ -332,6 +332,10 @@
 }
 
 func (wld *world) call(ctx context.Context, to string, job jobSpec) (int, string) {
+	return wld.callHost(ctx, wld.entries[to].host, job)
+}
+
+func (wld *world) callHost(ctx context.Context, host string, job jobSpec) (int, string) {
 	if job.path == "" {
 		job.path = "/thumb/"
 	}
@@ -346,7 +350,7 @@
 	ctx, cancel := context.WithTimeout(ctx, job.patience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+wld.entries[to].host+":1"+job.path+job.id, bytes.NewReader(body))
+		"http://"+host+":1"+job.path+job.id, bytes.NewReader(body))
 	if err != nil {
 		wld.t.Fatal(err)
 	}
@@ -389,9 +393,11 @@
 
 func (wld *world) sendAsync(ctx context.Context, to string, job jobSpec) *sent {
 	snt := &sent{done: make(chan struct{})}
+	// The caller's address is fixed now: the instance of that name may be another one when it sends.
+	host := wld.entries[to].host
 	wld.grp.Go(func() error {
 		defer close(snt.done)
-		snt.status, snt.body = wld.call(ctx, to, job)
+		snt.status, snt.body = wld.callHost(ctx, host, job)
 		return nil
 	})
 	return snt
