Carry local actions out in one place; take the platform's names from its folder in tests

Cause: the loop over local actions stood twice, greet said what it did not do, and tests spelled wire names of their own. Conclusion: no behaviour changes.

--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -32,14 +32,19 @@
 
 // exit carries out what the event led to and releases the lock.
 func (dmn *Daemon) exit(now time.Time) {
+	dmn.carryOut(now)
+	dmn.shareLoads(now)
+	dmn.mu.Unlock()
+}
+
+// carryOut does what concerns this instance itself, and what follows from that.
+func (dmn *Daemon) carryOut(now time.Time) {
 	for len(dmn.local) > 0 {
 		next := dmn.local[0]
 		dmn.local = dmn.local[1:]
 		next(now)
 	}
 	dmn.local = nil
-	dmn.shareLoads(now)
-	dmn.mu.Unlock()
 }
 
 // shareInterval is how old the own shards' loads may be in what the desk and the others are told; a task that
@@ -56,11 +61,7 @@
 		dmn.loads[name] = ldr.Load(now)
 		dmn.deskDo(dmn.desk.SetLoad(name, dmn.loads[name]))
 	}
-	for len(dmn.local) > 0 {
-		next := dmn.local[0]
-		dmn.local = dmn.local[1:]
-		next(now)
-	}
+	dmn.carryOut(now)
 }
 
 // runTicks drives what is due by time alone.
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -121,12 +121,11 @@
 		close(dmn.configured)
 	}
 	dmn.log.Info().Int64("version", cfg.Version()).Str("from", from).Msg("configuration in force")
-	dmn.greet()
+	dmn.announce()
 }
 
-// greet tells the council that this instance can lead, once it has all that it takes, and the others
-// what is new here.
-func (dmn *Daemon) greet() {
+// announce tells the others at once what is new here; an instance that has not joined has nobody to tell.
+func (dmn *Daemon) announce() {
 	if dmn.mesh != nil {
 		dmn.mesh.Nudge()
 	}
--- a/internal/process/daemon/servers_story_test.go
+++ b/internal/process/daemon/servers_story_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"chestnutstack/platform"
 )
 
 func TestTaskStandsStill(t *testing.T) {
@@ -85,7 +87,7 @@
 	// the store has turned away, and when the store has dropped its history; it never reverts.
 	cases := map[string]func(wld *world){
 		"calm":            func(*world) {},
-		"history dropped": func(wld *world) { wld.sto.Compact("keyed.op") },
+		"history dropped": func(wld *world) { wld.sto.Compact(string(platform.ConfigurationTopic)) },
 		"one turned away": func(wld *world) { wld.net.Separate(wld.entries["entry-1-1"].host, storeHost) },
 	}
 	for name, trouble := range cases {
--- a/internal/process/daemon/world_test.go
+++ b/internal/process/daemon/world_test.go
@@ -157,7 +157,7 @@
 			"Priority": num, "TargetLatencyMs": 60, "Stretch": 1.6,
 		})
 	}
-	wld.sto.Put("keyed.op", "config", map[string]any{"Version": wld.version, "Routes": rts})
+	wld.sto.Put(string(platform.ConfigurationTopic), platform.ConfigurationKey, map[string]any{"Version": wld.version, "Routes": rts})
 }
 
 func (wld *world) startServer(id, domain string) {
@@ -177,7 +177,7 @@
 }
 
 func (wld *world) list(id, domain, state string) {
-	wld.sto.Put("keyed.servers", id, map[string]any{
+	wld.sto.Put(string(platform.ServersTopic), id, map[string]any{
 		"Service": "render", "Address": id + ":1", "Zone": domain, "State": state,
 		"Capacity": map[string]int64{"Cpu": serverProcessor, "MemMb": serverMemory}, "Labels": []string{"a"},
 	})
@@ -355,7 +355,7 @@
 		wld.t.Fatal(err)
 	}
 	req.Host = "jobs.example"
-	req.Header.Set("X-Chestnutstack-Deadline-Ms", fmt.Sprint(job.patience.Milliseconds()))
+	req.Header.Set(platform.DeadlineHeader, fmt.Sprint(job.patience.Milliseconds()))
 	return wld.do(req)
 }
 
