Play real daemons under troubles from outside: a soak

Processes on loopback, a proxy on every way between two of them, stand-ins of the store and of backend servers in the soak, signals, 24 kinds of trouble, seeded and overlapping. Checks what callers and servers see.

--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -40,6 +40,7 @@
 	Job       jobCommand       `cmd:"" help:"Submit, show, watch, cancel and resubmit jobs."`
 	Platform  platformCommand  `cmd:"" help:"Check settings of the users' platform."`
 	Report    reportCommand    `cmd:"" help:"Report on service levels."`
+	Soak      soakCommand      `cmd:"" help:"Play real daemons under troubles and check their promises."`
 	Load      loadCommand      `cmd:"" help:"Send a bounded, seeded load and check every answer."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/process/soak/faults.go
@@ -0,0 +1,234 @@
+package soak
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"chestnutstack/platform/standin"
+)
+
+const (
+	// lateness is how long after its order a server carries a start out that it left unanswered.
+	lateness = 2500 * time.Millisecond
+	// lapseOfEntry is when the store drops the entry of a server that it does not hear.
+	lapseOfEntry = 3 * time.Second
+	// stopGap is the pause between two instances of a rolling stop.
+	stopGap = 700 * time.Millisecond
+	// slowWay is added to each piece on a slow way: less than what the system takes for silence.
+	slowWay   = 30 * time.Millisecond
+	slowStore = 400 * time.Millisecond
+	// slower is how many times as long a task takes on a slow server.
+	slower = 6
+)
+
+// hit is a trouble with what it hits.
+type hit struct {
+	trouble
+	ins, oth *instance
+	srv      *server
+}
+
+// strike does a trouble and undoes it; it returns when that is over.
+func (ply *play) strike(ctx context.Context, trb trouble) error {
+	num := len(ply.sys.ins)
+	ht := &hit{
+		trouble: trb, ins: ply.sys.ins[trb.one%num], oth: ply.sys.ins[(trb.one+1+trb.two%(num-1))%num],
+		srv: ply.sys.servers[trb.two%len(ply.sys.servers)],
+	}
+	switch trb.kind {
+	case kill, stop, rollingStop, killAll, powerOff, pauseProcess, reload:
+		return ply.strikeProcesses(ctx, ht)
+	case cutDomain, cutStore, cutOneWay, silence, resetAll, slowLinks:
+		ply.strikeLinks(ctx, ht)
+	case storeDown, storeSlow, storeLoses, storeForgets, configuration:
+		ply.strikeStore(ctx, ht)
+	case serverLate, serverCrash, serverLeaves, serverFails, serverStands, serverSlow:
+		ply.strikeServer(ctx, ht)
+	}
+	return nil
+}
+
+func (ply *play) strikeProcesses(ctx context.Context, ht *hit) error {
+	switch ht.kind {
+	case kill:
+		return ply.restart(ctx, ht.ins, syscall.SIGKILL, ht.lasts)
+	case stop:
+		return ply.restart(ctx, ht.ins, syscall.SIGTERM, 0)
+	case rollingStop:
+		for _, ins := range ply.sys.ins {
+			if err := ply.restart(ctx, ins, syscall.SIGTERM, stopGap); err != nil {
+				return err
+			}
+		}
+	case killAll:
+		return ply.killAll(ctx, ht.lasts)
+	case powerOff:
+		ply.sys.each(touching(ht.ins.mch.Name), (*link).cutBoth)
+		err := ply.restart(ctx, ht.ins, syscall.SIGKILL, ht.lasts)
+		ply.sys.each(touching(ht.ins.mch.Name), (*link).heal)
+		return err
+	case pauseProcess:
+		ht.ins.signal(syscall.SIGSTOP)
+		sleep(ctx, ht.lasts)
+		ht.ins.signal(syscall.SIGCONT)
+	default:
+		return ply.reload(ht.ins)
+	}
+	return nil
+}
+
+// reload changes a setting of an instance and tells it so.
+func (ply *play) reload(ins *instance) error {
+	ins.restarts.Lock()
+	defer ins.restarts.Unlock()
+	ins.mch.StopTimeout -= time.Millisecond
+	if err := ins.writeSettings(); err != nil {
+		return err
+	}
+	ins.signal(syscall.SIGHUP)
+	return nil
+}
+
+func (ply *play) strikeLinks(ctx context.Context, ht *hit) {
+	name := ht.ins.mch.Name
+	chosen, do := touching(name), (*link).cutBoth
+	switch ht.kind {
+	case cutDomain:
+		dom := ht.ins.mch.Domain
+		chosen = func(lnk *link) bool {
+			return (ply.sys.domainOf(lnk.from) == dom) != (ply.sys.domainOf(lnk.to) == dom)
+		}
+	case cutStore:
+		chosen = func(lnk *link) bool { return lnk.from == name && lnk.to == storeName }
+	case cutOneWay:
+		chosen = func(lnk *link) bool { return lnk.from == name && lnk.to == ht.oth.mch.Name }
+		do = func(lnk *link) { lnk.set(func() { lnk.cut = true }) }
+	case slowLinks:
+		do = func(lnk *link) { lnk.set(func() { lnk.delay = slowWay }) }
+	case silence:
+		ply.sys.each(chosen, (*link).silence)
+		return
+	default:
+		ply.sys.each(chosen, (*link).reset)
+		return
+	}
+	ply.sys.each(chosen, do)
+	sleep(ctx, ht.lasts)
+	ply.sys.each(chosen, (*link).heal)
+}
+
+func (ply *play) strikeStore(ctx context.Context, ht *hit) {
+	sto := ply.sys.sto
+	switch ht.kind {
+	case storeDown:
+		sto.SetDown(true)
+		sleep(ctx, ht.lasts)
+		sto.SetDown(false)
+	case storeSlow:
+		sto.SetDelay(slowStore)
+		sleep(ctx, ht.lasts)
+		sto.SetDelay(0)
+	case storeLoses:
+		sto.LoseAnswers(1 + ht.one%2)
+	case storeForgets:
+		sto.CompactServers()
+		sto.CompactConfigurations()
+	default:
+		ply.watchVersion(ply.sys.configure())
+	}
+}
+
+func (ply *play) strikeServer(ctx context.Context, ht *hit) {
+	var trb standin.Trouble
+	switch ht.kind {
+	case serverLate:
+		ht.srv.now.Load().LoseAnswers(1+ht.one%3, lateness)
+		return
+	case serverCrash:
+		ply.crash(ctx, ht.srv, ht.lasts)
+		return
+	case serverLeaves:
+		ply.leave(ctx, ht.srv)
+		return
+	case serverFails:
+		trb.Fails = true
+	case serverStands:
+		trb.Stands = true
+	default:
+		trb.Slower = slower
+	}
+	ht.srv.now.Load().SetTrouble(trb)
+	sleep(ctx, ht.lasts)
+	ht.srv.now.Load().SetTrouble(standin.Trouble{})
+}
+
+func (lnk *link) cutBoth() { lnk.set(func() { lnk.cut, lnk.back = true, true }) }
+
+// restart ends the process of an instance and starts the next one after a pause.
+func (ply *play) restart(ctx context.Context, ins *instance, sig syscall.Signal, pause time.Duration) error {
+	ins.restarts.Lock()
+	defer ins.restarts.Unlock()
+	ins.signal(sig)
+	if !ins.await() && sig == syscall.SIGTERM {
+		ply.chk.note("%s did not end within its time to stop", ins.mch.Name)
+	}
+	if err := ply.sys.listening(ins, false); err != nil {
+		return err
+	}
+	sleep(ctx, pause)
+	return ply.sys.start(ins)
+}
+
+func (ply *play) killAll(ctx context.Context, pause time.Duration) error {
+	for _, ins := range ply.sys.ins {
+		ins.restarts.Lock() // All go through them in one order, so that none waits for another.
+		defer ins.restarts.Unlock()
+	}
+	for _, ins := range ply.sys.ins {
+		ins.signal(syscall.SIGKILL)
+	}
+	for _, ins := range ply.sys.ins {
+		ins.await()
+		if err := ply.sys.listening(ins, false); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, pause)
+	for _, ins := range ply.sys.ins {
+		if err := ply.sys.start(ins); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// crash ends a backend server with all that runs there; its next life comes at the same address.
+func (ply *play) crash(ctx context.Context, srv *server, pause time.Duration) {
+	sys := ply.sys
+	to := func(lnk *link) bool { return lnk.to == srv.name }
+	old := srv.now.Load()
+	sys.each(to, (*link).cutBoth)
+	old.Close()
+	sys.grp.Go(func() error {
+		sleep(ctx, lapseOfEntry)
+		sys.sto.Unlist(old)
+		return nil
+	})
+	sleep(ctx, pause)
+	sys.bear(srv)
+	sys.each(to, (*link).heal)
+}
+
+// leave has a backend server announce that it leaves, finish what runs and go; a new one comes in its place.
+func (ply *play) leave(ctx context.Context, srv *server) {
+	old := srv.now.Load()
+	ply.sys.sto.List(old, service, srv.address, srv.domain, true)
+	sleep(ctx, drainTime)
+	old.Close()
+	ply.sys.sto.Unlist(old)
+	ply.sys.bear(srv)
+}
+
+// drainTime is how long a leaving server still serves: new starts stop within 2 s, and tasks take up to 0.9 s.
+const drainTime = 4 * time.Second
--- /dev/null
+++ b/internal/process/soak/instance.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutstack/platform/standin"
+)
+
+// instance is a machine of the system and the process on it.
+type instance struct {
+	mch          standin.Machine
+	dir, program string
+	grp          *errgroup.Group
+
+	// restarts lets one trouble at a time end and start the process.
+	restarts sync.Mutex
+
+	mu   sync.Mutex
+	life int
+	cmd  *exec.Cmd
+	// over is closed once the process of this life has ended; meant is set before the soak ends it.
+	over  chan struct{}
+	meant bool
+	// stoppedAt is when the process was last told to stop or was started, for what may be held against it.
+	stoppedAt time.Time
+	// own are processes that ended by themselves.
+	own []string
+}
+
+func (ins *instance) settingsPath() string { return filepath.Join(ins.dir, ins.mch.Name+".conf") }
+
+// writeSettings puts the settings where the process finds them.
+func (ins *instance) writeSettings() error {
+	return errors.Wrap(os.WriteFile(ins.settingsPath(), ins.mch.Settings(), 0o600), "settings")
+}
+
+// start starts the next life of the process; its logs go to a file of its own.
+func (ins *instance) start() error {
+	ins.mu.Lock()
+	defer ins.mu.Unlock()
+	ins.life++
+	out, err := os.Create(filepath.Join(ins.dir, fmt.Sprintf("%s.%d.log", ins.mch.Name, ins.life)))
+	if err != nil {
+		return errors.Wrap(err, "log file")
+	}
+	cmd := exec.Command(ins.program, "--settings", ins.settingsPath(), "--log-level", "debug") //nolint:forbidigo // the soak's subject is processes
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		_ = out.Close() // Nothing was written.
+		return errors.Wrap(err, "start instance")
+	}
+	over := make(chan struct{})
+	ins.cmd, ins.over, ins.meant, ins.stoppedAt = cmd, over, false, time.Time{}
+	life := ins.life
+	ins.grp.Go(func() error {
+		err := cmd.Wait()
+		_ = out.Close() // The process has written all that it will.
+		ins.mu.Lock()
+		defer ins.mu.Unlock()
+		if !ins.meant {
+			ins.own = append(ins.own, fmt.Sprintf("%s, life %d, ended by itself: %v", ins.mch.Name, life, err))
+		}
+		close(over)
+		return nil
+	})
+	return nil
+}
+
+// signal sends a signal to the process that this soak started, if it still runs.
+func (ins *instance) signal(sig syscall.Signal) {
+	ins.mu.Lock()
+	defer ins.mu.Unlock()
+	if ins.ended() {
+		return
+	}
+	if sig == syscall.SIGTERM || sig == syscall.SIGKILL {
+		ins.meant = true
+	}
+	if sig == syscall.SIGTERM {
+		ins.stoppedAt = time.Now()
+	}
+	_ = ins.cmd.Process.Signal(sig) // It may have ended a moment ago.
+}
+
+// ended reports whether no process runs; the lock is held.
+func (ins *instance) ended() bool {
+	if ins.cmd == nil {
+		return true
+	}
+	select {
+	case <-ins.over:
+		return true
+	default:
+		return false
+	}
+}
+
+// await waits until the process has ended, and kills it after its time to stop.
+func (ins *instance) await() (inTime bool) {
+	ins.mu.Lock()
+	over := ins.over
+	ins.mu.Unlock()
+	select {
+	case <-over:
+		return true
+	case <-time.After(ins.mch.StopTimeout):
+	}
+	ins.signal(syscall.SIGCONT)
+	ins.signal(syscall.SIGKILL)
+	<-over
+	return false
+}
+
+// inRotation reports whether the balancer sends new connections here: it asks each second whether the instance is ready
+// and believes the second answer.
+func (ins *instance) inRotation() bool {
+	ins.mu.Lock()
+	defer ins.mu.Unlock()
+	return ins.stoppedAt.IsZero() || time.Since(ins.stoppedAt) < balancerNotice
+}
+
+const balancerNotice = 2 * time.Second
+
+// lifetime returns the number of the process's life, and whether it was told to stop.
+func (ins *instance) lifetime() (life int, stopped bool) {
+	ins.mu.Lock()
+	defer ins.mu.Unlock()
+	return ins.life, !ins.stoppedAt.IsZero()
+}
--- /dev/null
+++ b/internal/process/soak/plan.go
@@ -0,0 +1,99 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// kind is a kind of trouble.
+type kind string
+
+// The kinds of trouble.
+const (
+	kill          kind = "kill"
+	powerOff      kind = "power-off"
+	stop          kind = "stop"
+	rollingStop   kind = "rolling-stop"
+	pauseProcess  kind = "pause"
+	killAll       kind = "kill-all"
+	cutDomain     kind = "cut-domain"
+	cutStore      kind = "cut-store"
+	cutOneWay     kind = "cut-one-way"
+	silence       kind = "silence"
+	resetAll      kind = "reset"
+	slowLinks     kind = "slow-links"
+	storeDown     kind = "store-down"
+	storeSlow     kind = "store-slow"
+	storeLoses    kind = "store-loses-answers"
+	storeForgets  kind = "store-forgets"
+	serverLate    kind = "server-late"
+	serverCrash   kind = "server-crash"
+	serverLeaves  kind = "server-leaves"
+	serverFails   kind = "server-fails"
+	serverStands  kind = "server-stands"
+	serverSlow    kind = "server-slow"
+	configuration kind = "configuration"
+	reload        kind = "reload"
+)
+
+// planned troubles are an operator's work: they alone may cut nothing off.
+var planned = map[kind]bool{stop: true, rollingStop: true, configuration: true, reload: true, serverLeaves: true}
+
+var kinds = []kind{
+	kill, powerOff, stop, rollingStop, pauseProcess, killAll, cutDomain, cutStore, cutOneWay, silence, resetAll,
+	slowLinks, storeDown, storeSlow, storeLoses, storeForgets, serverLate, serverCrash, serverLeaves, serverFails,
+	serverStands, serverSlow, configuration, reload,
+}
+
+// trouble is something that goes wrong at a time, or an operator's work.
+type trouble struct {
+	kind kind
+	at   time.Duration
+	// lasts is how long it takes.
+	lasts time.Duration
+	// one and two choose what it hits.
+	one, two int
+}
+
+// Shape is the size and length of a play.
+type Shape struct {
+	// Domains have Entries instances and Servers backend servers each.
+	Domains, Entries, Servers int
+	// For is how long callers send, Troubles how many things go wrong meanwhile.
+	For      time.Duration
+	Troubles int
+}
+
+// DefaultShape returns a system of six instances and twelve backend servers: a few dozen processes and ways.
+func DefaultShape() Shape {
+	return Shape{Domains: 3, Entries: 2, Servers: 4, For: 14 * time.Second, Troubles: 10}
+}
+
+// quietTail is how long before the end of a play the last trouble begins: every trouble ends, and what it broke heals.
+const quietTail = 5 * time.Second
+
+// makePlan draws the troubles of a seed. Every other seed has operators' work alone half of the time, as a promise about
+// that can be checked only while nothing else goes wrong.
+func makePlan(seed uint64, shp Shape) []trouble {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	trbs := make([]trouble, shp.Troubles)
+	calm := seed%2 == 0
+	for idx := range trbs {
+		trb := trouble{
+			kind: kinds[rnd.IntN(len(kinds))], at: time.Second + upTo(rnd, shp.For-quietTail-time.Second),
+			lasts: 300*time.Millisecond + upTo(rnd, 3*time.Second), one: rnd.IntN(1 << 16), two: rnd.IntN(1 << 16),
+		}
+		for calm && trb.at < shp.For/2 && !planned[trb.kind] {
+			trb.kind = kinds[rnd.IntN(len(kinds))]
+		}
+		trbs[idx] = trb
+	}
+	slices.SortFunc(trbs, func(one, two trouble) int { return int(one.at - two.at) })
+	return trbs
+}
+
+// upTo draws a time below most.
+func upTo(rnd *rand.Rand, most time.Duration) time.Duration {
+	return time.Duration(rnd.Int64N(int64(most)))
+}
