Find slow servers out by the tasks of one step

The tasks of one step have the same estimate, so their times are compared with each other. The test's stand-ins use the platform's stand-in caller and records in place of their own.

--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -71,6 +71,9 @@
 		switch act := act.(type) {
 		case shard.Tell:
 			dmn.local = append(dmn.local, func(now time.Time) { dmn.tell(now, act.Owner, act.Report) })
+		case shard.Judge:
+			dmn.log.Info().Str("server", string(act.Server)).Float64("measure", act.Measure).Dur("pause", act.Pause).
+				Msg(act.Reason)
 		case shard.StartRun:
 			dmn.group.Go(func() error { return dmn.startRun(name, act) })
 		case shard.StopRun:
--- a/internal/process/daemon/servers_story_test.go
+++ b/internal/process/daemon/servers_story_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"chestnutstack/platform"
+	"chestnutstack/platform/standin"
 )
 
 func TestTaskStandsStill(t *testing.T) {
@@ -209,3 +210,51 @@
 		chk.True(time.Since(began) < time.Second)
 	})
 }
+
+func TestSlowServers(t *testing.T) {
+	// A sixth of the servers takes six times as long for whatever it runs, and answers well. Most jobs of eight tasks have
+	// one there and are late, until the servers are found out by the other tasks of the same jobs. When they are fast
+	// again they serve again.
+	inWorld(t, 1, 1, 12, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		slow := func(times int) {
+			for _, id := range []string{"server-1-1", "server-1-11"} {
+				wld.servers[id].SetTrouble(standin.Trouble{Slower: times})
+			}
+		}
+		first := 0
+		// play sends 15 jobs a second of 60 or 300 ms and returns the share that was done in time.
+		play := func(dur time.Duration) float64 {
+			var done []*sent
+			var limits []time.Duration
+			for began := time.Now(); time.Since(began) < dur; time.Sleep(66 * time.Millisecond) {
+				first++
+				job := jobSpec{id: jobID(first), tasks: 8, payload: payload{Millis: 60}}
+				if first%5 == 0 {
+					job.tasks, job.Millis = 2, 300
+				}
+				done = append(done, wld.sendAsync(wld.ctx, "entry-1-1", job))
+				limits = append(limits, 2*time.Duration(job.Millis)*time.Millisecond+30*time.Millisecond)
+			}
+			inTime := 0
+			for idx, snt := range done {
+				<-snt.done
+				if snt.status == http.StatusOK && snt.took <= limits[idx] {
+					inTime++
+				}
+			}
+			return float64(inTime) / float64(len(done))
+		}
+		chk.Equal(play(time.Second), 1.0)
+		slow(6)
+		before := play(time.Second)
+		after := play(5 * time.Second)
+		slow(1)
+		play(5 * time.Second)
+		again := play(2 * time.Second)
+		t.Logf("in time: %.2f in the first second, %.2f later, %.2f when they are fast again", before, after, again)
+		chk.True(after >= 0.93)
+		chk.Equal(again, 1.0)
+		chk.True(strings.Contains(wld.logged(), "server is slow"))
+	})
+}
--- a/internal/process/daemon/world_test.go
+++ b/internal/process/daemon/world_test.go
@@ -72,6 +72,7 @@
 	serverMemory    = 131072
 	clientHost      = "client"
 	storeHost       = "store"
+	service         = "render"
 )
 
 // payload is what the tasks of a test say of themselves.
@@ -156,14 +157,13 @@
 // route publishes a configuration with just these prefixes.
 func (wld *world) route(prefixes ...string) {
 	wld.version++
-	rts := []map[string]any{}
+	rts := []standin.Route{}
 	for num, pfx := range prefixes {
-		rts = append(rts, map[string]any{
-			"Name": "r" + pfx, "Host": "jobs.example", "PathPrefix": pfx, "Service": "render", "Attempts": 3,
-			"Priority": num, "TargetLatencyMs": 60, "Stretch": 1.6,
+		rts = append(rts, standin.Route{
+			Prefix: pfx, Service: service, Attempts: 3, Priority: num, Target: 60 * time.Millisecond, Stretch: 1.6,
 		})
 	}
-	wld.sto.Put(string(platform.ConfigurationTopic), platform.ConfigurationKey, map[string]any{"Version": wld.version, "Routes": rts})
+	wld.sto.Configure(wld.version, rts)
 }
 
 func (wld *world) startServer(id, domain string) {
@@ -183,10 +183,7 @@
 }
 
 func (wld *world) list(id, domain, state string) {
-	wld.sto.Put(string(platform.ServersTopic), id, map[string]any{
-		"Service": "render", "Address": id + ":1", "Zone": domain, "State": state,
-		"Capacity": map[string]int64{"Cpu": serverProcessor, "MemMb": serverMemory}, "Labels": []string{"a"},
-	})
+	wld.sto.List(wld.servers[id], service, id+":1", domain, state == "draining")
 }
 
 // startEntry starts a process on a machine of its own; the same name again is its next life.
@@ -349,50 +346,37 @@
 		job.patience = 5 * time.Second
 	}
 	text, _ := json.Marshal(job.payload) // Plain fields always encode.
-	body, _ := json.Marshal(map[string]any{
-		"Spec": string(text), "BestEffort": true,
-		"Steps": []map[string]any{{"Count": job.tasks, "Cpu": taskProcessor, "MemMb": 64, "EstRuntimeMs": job.Millis}},
-	})
 	ctx, cancel := context.WithTimeout(ctx, job.patience)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+host+":1"+job.path+job.id, bytes.NewReader(body))
+	rep, err := wld.client().Submit(ctx, host+":1", &standin.Job{
+		ID: job.id, Queue: job.path, Tasks: job.tasks, Processor: taskProcessor, Memory: 64,
+		Expected: time.Duration(job.Millis) * time.Millisecond, Payload: string(text), Patience: job.patience,
+	})
 	if err != nil {
-		wld.t.Fatal(err)
+		return 0, err.Error()
 	}
-	req.Host = "jobs.example"
-	req.Header.Set(platform.DeadlineHeader, fmt.Sprint(job.patience.Milliseconds()))
-	return wld.do(req)
+	return rep.Status, rep.Body
 }
 
-func (wld *world) do(req *http.Request) (int, string) {
-	cli := &http.Client{Transport: &http.Transport{DialContext: wld.net.Dialer(clientHost), DisableKeepAlives: true}}
-	rep, err := cli.Do(req)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer func() { _ = rep.Body.Close() }()
-	var buf bytes.Buffer
-	if _, err := buf.ReadFrom(rep.Body); err != nil {
-		return 0, err.Error()
-	}
-	return rep.StatusCode, buf.String()
+func (wld *world) client() *standin.Client {
+	return standin.NewClient(&http.Client{
+		Transport: &http.Transport{DialContext: wld.net.Dialer(clientHost), DisableKeepAlives: true},
+	})
 }
 
-// queue asks an instance for a queue and returns the status.
+// queue asks an instance for a queue and returns the status, 0 if there was no answer.
 func (wld *world) queue(at, path string) int {
-	req, err := http.NewRequestWithContext(wld.ctx, http.MethodGet, "http://"+wld.entries[at].host+":1"+path, nil)
+	rep, err := wld.client().Queue(wld.ctx, wld.entries[at].host+":1", path)
 	if err != nil {
-		wld.t.Fatal(err)
+		return 0
 	}
-	req.Host = "jobs.example"
-	status, _ := wld.do(req)
-	return status
+	return rep.Status
 }
 
 // sent is a submission in progress.
 type sent struct {
 	status int
+	took   time.Duration
 	body   string
 	done   chan struct{}
 }
@@ -403,7 +387,9 @@
 	host := wld.entries[to].host
 	wld.grp.Go(func() error {
 		defer close(snt.done)
+		began := time.Now()
 		snt.status, snt.body = wld.callHost(ctx, host, job)
+		snt.took = time.Since(began)
 		return nil
 	})
 	return snt
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -5,7 +5,7 @@
 // Name names a shard: a part of a failure domain's backend servers.
 type Name string
 
-// Action is something that the shell does for a Leader: StartRun, StopRun, Hold or Tell.
+// Action is something that the shell does for a Leader: StartRun, StopRun, Hold, Judge or Tell.
 type Action interface{ action() }
 
 // StartRun orders a run; its verdict goes to Started.
@@ -44,6 +44,16 @@
 	Report Report
 }
 
+// Judge tells that a server gets nothing for a while, as it is slow or fails what it runs.
+type Judge struct {
+	Server ServerID
+	Reason string
+	// Measure is what decided: how many times as long as elsewhere runs take, or how many submissions failed in a row.
+	Measure float64
+	Pause   time.Duration
+}
+
+func (Judge) action()    {}
 func (StartRun) action() {}
 func (StopRun) action()  {}
 func (Hold) action()     {}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -198,12 +198,13 @@
 	if prg.Percent > rn.percent {
 		rn.percent, rn.progressAt = prg.Percent, now
 	}
+	ldr.crawl(now, srv, rn)
 }
 
 // giveUp stops a run because of its server and has its task start elsewhere.
 func (ldr *Leader) giveUp(now time.Time, srv *server, rn *run) {
 	rn.ord.Avoid = append(rn.ord.Avoid, srv.ent.ID)
-	srv.failed(now, rn.ord.submission(), ldr.cfg)
+	ldr.failed(now, srv, rn.ord.submission())
 	ldr.stop(now, srv, rn)
 }
 
@@ -241,8 +242,9 @@
 	switch end.How {
 	case EndedDone:
 		srv.succeeded()
+		ldr.timed(now, srv, rn, now.Sub(rn.sentAt))
 	case EndedFailed:
-		srv.failed(now, ord.submission(), ldr.cfg)
+		ldr.failed(now, srv, ord.submission())
 	case EndedStopped:
 		// A stop or a lapse says nothing of the server.
 	}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -18,6 +18,9 @@
 	// ends are ends found at the take-over whose owners have not yet asked.
 	ends map[string]foundEnd
 	acts []Action
+	// steps has the times that tasks of each step took; old ones were dropped at stepsAt.
+	steps   map[string]*siblings
+	stepsAt time.Time
 	// loads counts the loads that were told.
 	loads int64
 	// scratch is the memory that rounds of placing share.
@@ -38,6 +41,7 @@
 	return &Leader{
 		cfg: cfg, name: name, token: token, since: now,
 		servers: map[ServerID]*server{}, orders: map[string]*order{}, ends: map[string]foundEnd{},
+		steps: map[string]*siblings{}, stepsAt: now,
 	}
 }
 
@@ -190,6 +194,7 @@
 			}
 			srv.assign(rn, ord)
 			ord.run, ord.srv = rn, srv
+			rn.timed = true // Nobody here knows when it began.
 			if rn.state == running {
 				rn.sentAt, rn.progressAt = now, now
 				ldr.report(ord, Begun, 0)
@@ -298,6 +303,7 @@
 		ldr.tend(now, srv)
 		ldr.forget(now, srv)
 	}
+	ldr.forgetSteps(now)
 	ldr.advance(now, nil)
 	return ldr.take()
 }
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -40,7 +40,7 @@
 			if rom := rms.best(ord, most); rom != nil {
 				rom.processor -= ord.Processor
 				rom.memory -= ord.Memory
-				if rom.srv.failing >= failuresToPause {
+				if rom.srv.failing >= failuresToPause || rom.srv.spd.onTrial() {
 					rom.processor = 0 // It is on trial, with one task at a time.
 				}
 				most = rms.most()
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -46,6 +46,7 @@
 	// the next task may be tried.
 	failing     int
 	failedLast  string
+	spd         speed
 	pausedUntil time.Time
 }
 
@@ -64,6 +65,8 @@
 	// stopAt is when the first stop was sent, stopDue when the next is; stopped when one was accepted.
 	stopAt, stopDue, stopped time.Time
 	stopping                 bool
+	// timed is set once the run has told of its server's speed.
+	timed bool
 }
 
 type runState int
@@ -122,7 +125,8 @@
 
 // open reports whether a new task may go to the server.
 func (srv *server) open(now time.Time) bool {
-	return srv.state == held && srv.doubts == 0 && !srv.ent.Leaving && (srv.failing == 0 || !now.Before(srv.pausedUntil))
+	return srv.state == held && srv.doubts == 0 && !srv.ent.Leaving && !srv.slow(now) &&
+		(srv.failing == 0 || !now.Before(srv.pausedUntil))
 }
 
 // takes reports whether the server may run an order, its room aside.
@@ -180,9 +184,9 @@
 	return false
 }
 
-// failed notes a failed run. A submission that fails wherever it runs says nothing of the server, so
+// failed notes a run that failed at a server. A submission that fails wherever it runs says nothing of the server, so
 // only failures of different submissions in a row count.
-func (srv *server) failed(now time.Time, submission string, cfg Config) {
+func (ldr *Leader) failed(now time.Time, srv *server, submission string) {
 	if submission == srv.failedLast {
 		return
 	}
@@ -191,8 +195,11 @@
 	if srv.failing < failuresToPause {
 		return
 	}
-	pause := min(cfg.Quarantine<<min(srv.failing-failuresToPause, maxDoublings), cfg.MaxQuarantine)
+	pause := min(ldr.cfg.Quarantine<<min(srv.failing-failuresToPause, maxDoublings), ldr.cfg.MaxQuarantine)
 	srv.pausedUntil = now.Add(pause)
+	ldr.do(Judge{
+		Server: srv.ent.ID, Reason: "server fails what it runs", Measure: float64(srv.failing), Pause: pause,
+	})
 }
 
 const (
