--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -153,14 +153,15 @@
 		if now.Sub(checked) > msh.cfg.Interval {
 			// This process had no processor for a while: what the others sent meanwhile lies unread, and would be
 			// taken for silence. A process that is short of processor all the time has to miss them all the same.
-			time.Sleep(readTime)
+			time.Sleep(ReadTime)
 			now = msh.cfg.Now()
 		}
 		checked = now
 		msh.mu.Lock()
 		var quiet []*peer
 		for _, per := range msh.peers {
-			if per.silent(now, msh.cfg.SilentBeats) {
+			patience := time.Duration(msh.cfg.SilentBeats) * msh.cfg.Interval
+			if per.silent(now, msh.cfg.SilentBeats) || per.stuck(now, patience) {
 				quiet = append(quiet, per)
 			}
 		}
@@ -171,8 +172,8 @@
 	}
 }
 
-// readTime is what a process that was held up gets to read what has come: some hundred batches on a fifth of a core.
-const readTime = 20 * time.Millisecond
+// ReadTime is what a process that was held up gets to read what has come: some hundred batches on a fifth of a core.
+const ReadTime = 20 * time.Millisecond
 
 // silenceChecks is how often within an interval silence is looked for.
 const silenceChecks = 2
--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,6 +29,22 @@
 	// skipped is what the clock is ahead by, and starved makes it jump each time it is read.
 	skipped time.Duration
 	starved bool
+	// bound makes all dials of the node hang.
+	bound bool
+}
+
+// dialer returns the node's way out.
+func (nod *node) dialer(dial mesh.DialFunc) mesh.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		nod.mu.Lock()
+		bnd := nod.bound
+		nod.mu.Unlock()
+		if bnd {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return dial(ctx, network, address)
+	}
 }
 
 // clock is the time of a process that may get little processor: it jumps by more than a beat each time.
@@ -89,9 +106,9 @@
 		start := func(name, oth string) *node {
 			nod := &node{name: name, heard: map[shard.InstanceID]int{}}
 			nod.msh = mesh.New(mesh.Config{
-				Name: name, Life: 1, Interval: 100 * time.Millisecond, SilentBeats: 4,
+				Name: name, Life: 1, Address: name + ":1", Interval: 100 * time.Millisecond, SilentBeats: 4,
 				CallTimeout: 150 * time.Millisecond, Now: nod.clock,
-			}, ntw.Dialer(name), nod)
+			}, nod.dialer(ntw.Dialer(name)), nod)
 			nod.msh.SetPeers([]mesh.Peer{{Name: oth, Address: oth + ":1"}})
 			lis := ntw.Listen(name + ":1")
 			grp.Go(func() error { return nod.msh.Run(ctx, lis) })
@@ -192,3 +209,36 @@
 		chk.Equal(lost, 1)
 	})
 }
+
+func TestAddressOfTheListIsOutOfDate(t *testing.T) {
+	// An instance has started again at another address, and the store can't be asked for the new one. It calls the other
+	// end, which has something to tell it and learns the way from the call.
+	inPair(t, func(_ *pipe.Network, one, two *node) {
+		chk := is.New(t)
+		two.msh.SetPeers([]mesh.Peer{{Name: "one", Address: "gone:1"}})
+		time.Sleep(300 * time.Millisecond)
+		two.send("one", 7)
+		time.Sleep(300 * time.Millisecond)
+		got, _, _ := one.seen()
+		chk.Equal(got, []string{"7"})
+	})
+}
+
+func TestWayBackIsCut(t *testing.T) {
+	// An end hears its peer and can't reach it: its connections have gone silent, and new ones don't come about. What it
+	// has to tell would never arrive, and the peer would wait for it. It gives the session up, and the peer learns that.
+	inPair(t, func(ntw *pipe.Network, one, two *node) {
+		chk := is.New(t)
+		two.mu.Lock()
+		two.bound = true
+		two.mu.Unlock()
+		ntw.Forget("one", "two")
+		time.Sleep(300 * time.Millisecond)
+		two.send("one", 7)
+		time.Sleep(700 * time.Millisecond)
+		for _, nod := range []*node{one, two} {
+			_, lost, _ := nod.seen()
+			chk.True(lost > 0)
+		}
+	})
+}
--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -132,8 +132,11 @@
 		per.sending, per.outbox, per.counted = per.outbox, nil, true
 		per.sequence++
 	}
+	if len(per.sending)+len(per.outbox) > 0 && per.stuckSince.IsZero() {
+		per.stuckSince = now
+	}
 	dlv := &meshpb.Delivery{
-		From: msh.cfg.Name, Own: per.own.encode(), Other: per.other.encode(), Sequence: per.sequence, Beat: encodeBeat(bet),
+		From: msh.cfg.Name, Address: msh.cfg.Address, Own: per.own.encode(), Other: per.other.encode(), Sequence: per.sequence, Beat: encodeBeat(bet),
 	}
 	for _, msg := range per.sending {
 		add(dlv, now, msg)
@@ -166,7 +169,7 @@
 	msh.mu.Lock()
 	current, was, ended := per.greet(greetingOf(rcp))
 	if current && per.sequence == dlv.GetSequence() && greetingOf(dlv).from == per.own {
-		per.sending, per.counted = nil, false
+		per.sending, per.counted, per.stuckSince = nil, false, time.Time{}
 	}
 	if current {
 		// The receipt is from the life of the session: it proves that the peer is there.
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -94,6 +94,10 @@
 	msh.mu.Lock()
 	per := msh.peer(dlv.GetFrom())
 	before := per.up
+	if adr := dlv.GetAddress(); adr != "" && !decodeEpoch(dlv.GetOwn()).before(per.other) {
+		// The list may be out of reach, and the peer's machine may have been replaced by one at another address.
+		per.address = adr
+	}
 	current, was, ended := per.greet(greetingOf(dlv))
 	next := current && dlv.GetSequence() > 0 && per.isNext(dlv.GetSequence())
 	if current {
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -36,6 +36,8 @@
 	sending []Message
 	counted bool
 	heardAt time.Time
+	// stuckSince is when the first try was made to deliver what waits.
+	stuckSince time.Time
 	// answeredAt is when a batch of the peer's was last answered, with a beat.
 	answeredAt time.Time
 	// interval is the pause between beats, since pacedAt.
@@ -60,6 +62,13 @@
 	return per.up && now.Sub(since) > time.Duration(beats)*per.interval
 }
 
+// stuck reports whether messages have been without a receipt for too long. The peer may be heard all the while, as it
+// reaches this instance, and wait for what can't reach it: reports of tasks that were done stayed away until their
+// callers' deadlines.
+func (per *peer) stuck(now time.Time, patience time.Duration) bool {
+	return per.up && !per.stuckSince.IsZero() && now.Sub(per.stuckSince) > patience
+}
+
 // reset gives the session up if one is up, and reports whose it was.
 func (per *peer) reset() (was shard.InstanceID, had bool) {
 	if !per.up {
@@ -75,6 +84,7 @@
 func (per *peer) clear() {
 	per.sequence, per.inSequence = 0, 0
 	per.outbox, per.sending, per.counted = nil, nil, false
+	per.stuckSince = time.Time{}
 }
 
 // greeting is what one side says of a session: its own epoch, and the other's as it knows it.
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -77,6 +77,8 @@
 type Config struct {
 	Name string
 	Life int64
+	// Address is where the others reach this instance.
+	Address string
 	// Interval is the pause between beats with instances that depend on each other. An instance may go unheard
 	// for SilentBeats of the intervals that hold for it.
 	Interval    time.Duration
--- a/internal/process/daemon/random_test.go
+++ b/internal/process/daemon/random_test.go
@@ -14,7 +14,11 @@
 // and overlapping. Whatever happens, no task runs twice at once, no server is overfull, refused jobs start nothing,
 // and after the last trouble jobs are served again.
 func TestRandomTroubles(t *testing.T) {
-	for seed := range uint64(12) {
+	seeds := []uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}
+	// An instance had started again while the store was away, and others had reports for it that they sent to its former
+	// address until its callers' deadlines (25 of 150 plays of this seed).
+	seeds = append(seeds, 225)
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playRandomTroubles(t, seed) })
 	}
 }
--- a/internal/process/daemon/reload.go
+++ b/internal/process/daemon/reload.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
+	"chestnutstack/internal/process/hangup"
 	"chestnutstack/platform"
 )
 
@@ -19,9 +17,6 @@
 // change while it runs is the time to the kill. Everything else that changed is logged and takes effect
 // with the next start.
 func (dmn *Daemon) watchSettings(ctx context.Context, path string) error {
-	sig := make(chan os.Signal, 1)
-	signal.Notify(sig, syscall.SIGHUP)
-	defer signal.Stop(sig)
 	tck := time.NewTicker(reloadInterval)
 	defer tck.Stop()
 	for {
@@ -29,7 +24,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-sig:
+		case <-hangup.Signals:
 			cause = "signal"
 		case <-tck.C:
 		}
--- a/internal/process/daemon/story_test.go
+++ b/internal/process/daemon/story_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"chestnutstack/internal/connection/mesh"
 	"chestnutstack/internal/request/shard"
-	"chestnutstack/platform"
 )
 
 func TestCalmDay(t *testing.T) {
@@ -221,10 +221,12 @@
 	// the time after which an owner starts tasks elsewhere, and callers send their jobs again.
 	chk := is.NewRelaxed(t)
 	cfg := shard.DefaultConfig()
-	noticed := silentBeats*beatInterval + beatInterval/2
+	noticed := silentBeats*beatInterval + beatInterval/2 + mesh.ReadTime
 	over := noticed + cfg.StopPatience + cfg.Lapse()
 	chk.True(over < proof)
 	chk.True(over < leastResend)
+	// An order that follows its shard to a new leader comes once its owner has missed the former one.
+	chk.True(over < silentBeats*beatInterval+cfg.Doubt)
 }
 
 func TestShardGoesToAFreshInstanceWhoseListIsShort(t *testing.T) {
@@ -237,7 +239,7 @@
 		snt := wld.sendAsync(wld.ctx, "entry-2-1", job)
 		time.Sleep(300 * time.Millisecond)
 		chk.Equal(wld.ldg.Running(), 8)
-		wld.sto.Put(string(platform.ServersTopic), "server-1-1", nil)
+		wld.sto.Unlist(wld.servers["server-1-1"])
 		time.Sleep(500 * time.Millisecond)
 		wld.startEntry("entry-1-2", "domain-1")
 		time.Sleep(400 * time.Millisecond)
@@ -255,7 +257,7 @@
 		snt := wld.sendAsync(wld.ctx, "entry-2-1", jobSpec{id: jobID(1), tasks: 8, payload: payload{Millis: 2500}})
 		time.Sleep(300 * time.Millisecond)
 		chk.Equal(wld.ldg.Running(), 8)
-		wld.sto.Put(string(platform.ServersTopic), "server-1-1", nil)
+		wld.sto.Unlist(wld.servers["server-1-1"])
 		time.Sleep(500 * time.Millisecond)
 		wld.entries[wld.leader("domain-1")].stop()
 		<-snt.done
