--- a/internal/process/cli/soak.go
+++ b/internal/process/cli/soak.go
@@ -15,16 +15,17 @@
 
 // soakCommand plays daemons under troubles.
 type soakCommand struct {
-	Daemon   string        `help:"The binary of chestnutstackd." default:"target/chestnutstackd" type:"existingfile"`
-	First    uint64        `help:"The first seed; 0 takes the time of day, to play fresh ones." default:"1"`
-	Seeds    int           `help:"How many seeds to play." default:"3"`
-	Parallel int           `help:"How many at the same time." default:"2"`
-	Domains  int           `help:"Failure domains." default:"3"`
-	Entries  int           `help:"Entry instances of each failure domain." default:"2"`
-	Servers  int           `help:"Backend servers of each failure domain." default:"4"`
-	Troubles int           `help:"Troubles of each seed." default:"10"`
-	For      time.Duration `help:"How long callers send." default:"14s"`
-	Logs     string        `help:"Directory for the processes' logs; those of seeds that broke nothing are removed." default:"target/soak"`
+	Daemon      string        `help:"The binary of chestnutstackd." default:"target/chestnutstackd" type:"existingfile"`
+	First       uint64        `help:"The first seed; 0 takes the time of day, to play fresh ones." default:"1"`
+	Seeds       int           `help:"How many seeds to play." default:"3"`
+	Regressions bool          `help:"Play the seeds that ever broke a promise instead."`
+	Parallel    int           `help:"How many at the same time." default:"2"`
+	Domains     int           `help:"Failure domains." default:"3"`
+	Entries     int           `help:"Entry instances of each failure domain." default:"2"`
+	Servers     int           `help:"Backend servers of each failure domain." default:"4"`
+	Troubles    int           `help:"Troubles of each seed." default:"10"`
+	For         time.Duration `help:"How long callers send." default:"14s"`
+	Logs        string        `help:"Directory for the processes' logs; those of seeds that broke nothing are removed." default:"target/soak"`
 }
 
 // Help implements kong.HelpProvider.
@@ -52,13 +53,14 @@
 	if err := cfg.Check(); err != nil {
 		return &usageError{cause: err}
 	}
-	results := make([]soak.Result, cmd.Seeds)
+	seeds := cmd.seeds()
+	results := make([]soak.Result, len(seeds))
 	grp, ctx := errgroup.WithContext(ctx)
 	grp.SetLimit(max(1, cmd.Parallel))
 	for idx := range results {
 		grp.Go(func() error {
 			var err error
-			results[idx], err = soak.Play(ctx, cfg, cmd.First+uint64(idx))
+			results[idx], err = soak.Play(ctx, cfg, seeds[idx])
 			return err
 		})
 	}
@@ -68,6 +70,20 @@
 	return cmd.report(str, results)
 }
 
+func (cmd *soakCommand) seeds() []uint64 {
+	var seeds []uint64
+	if cmd.Regressions {
+		for _, reg := range soak.Regressions() {
+			seeds = append(seeds, reg.Seed)
+		}
+		return seeds
+	}
+	for num := range cmd.Seeds {
+		seeds = append(seeds, cmd.First+uint64(num))
+	}
+	return seeds
+}
+
 func (cmd *soakCommand) report(str *streams, results []soak.Result) error {
 	red := 0
 	for _, res := range results {
--- a/internal/process/soak/instance.go
+++ b/internal/process/soak/instance.go
@@ -32,6 +32,7 @@
 	meant bool
 	// stoppedAt is when the process was last told to stop or was started, for what may be held against it.
 	stoppedAt time.Time
+	startedAt time.Time
 	// own are processes that ended by themselves.
 	own []string
 }
@@ -59,7 +60,7 @@
 		return errors.Wrap(err, "start instance")
 	}
 	over := make(chan struct{})
-	ins.cmd, ins.over, ins.meant, ins.stoppedAt = cmd, over, false, time.Time{}
+	ins.cmd, ins.over, ins.meant, ins.stoppedAt, ins.startedAt = cmd, over, false, time.Time{}, time.Now()
 	life := ins.life
 	ins.grp.Go(func() error {
 		err := cmd.Wait()
@@ -91,6 +92,13 @@
 	_ = ins.cmd.Process.Signal(sig) // It may have ended a moment ago.
 }
 
+// age returns for how long the process has run.
+func (ins *instance) age() time.Duration {
+	ins.mu.Lock()
+	defer ins.mu.Unlock()
+	return time.Since(ins.startedAt)
+}
+
 // ended reports whether no process runs; the lock is held.
 func (ins *instance) ended() bool {
 	if ins.cmd == nil {
