Leave shards alone that a held-up instance believes to have lost their leader

An instance that was held up within 500 ms takes no shard whose leader it has missed, and further candidates of the domain take their turn each 250 ms later. TestHeldUpInstanceTrustsNothingItMissed and TestCandidatesFollowInTurn were red before.

--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -102,13 +102,14 @@
 	}
 }
 
-// SetPaces tells the mesh how many intervals to leave between the beats with each instance. Both sides have
-// to see it alike.
-func (msh *Mesh) SetPaces(paces map[shard.InstanceID]int) {
+// SetPaces tells the mesh how to talk to each instance. The side with the faster pace does the calling.
+func (msh *Mesh) SetPaces(paces map[shard.InstanceID]Pace) {
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
 	for _, per := range msh.peers {
-		want := time.Duration(paces[per.id()]) * msh.cfg.Interval
+		pce := paces[per.id()]
+		per.owes = pce.Owes
+		want := time.Duration(pce.Intervals) * msh.cfg.Interval
 		if !per.up || want == 0 || per.interval == want {
 			continue
 		}
@@ -150,9 +151,11 @@
 		case <-tck.C:
 		}
 		now := msh.cfg.Now()
-		if now.Sub(checked) > msh.cfg.Interval {
+		late := now.Sub(checked) > msh.cfg.Interval
+		if late {
 			// This process had no processor for a while: what the others sent meanwhile lies unread, and would be
-			// taken for silence. A process that is short of processor all the time has to miss them all the same.
+			// taken for silence. Where orders lie open, a process that is short of processor all the time has to
+			// miss the other all the same; else the next check tells.
 			time.Sleep(ReadTime)
 			now = msh.cfg.Now()
 		}
@@ -161,6 +164,9 @@
 		var quiet []*peer
 		for _, per := range msh.peers {
 			patience := time.Duration(msh.cfg.SilentBeats) * msh.cfg.Interval
+			if late && !per.owes {
+				continue
+			}
 			if per.silent(now, msh.cfg.SilentBeats) || per.stuck(now, patience) {
 				quiet = append(quiet, per)
 			}
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -43,6 +43,7 @@
 	// interval is the pause between beats, since pacedAt.
 	interval time.Duration
 	pacedAt  time.Time
+	owes     bool
 	wake     chan struct{}
 }
 
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -73,6 +73,14 @@
 	Name, Address string
 }
 
+// Pace is how two instances talk.
+type Pace struct {
+	// Intervals is how many intervals lie between beats.
+	Intervals int
+	// Owes says that orders lie open between the two, so that silence has to be noticed in time whatever else goes on.
+	Owes bool
+}
+
 // Config has what a Mesh is told.
 type Config struct {
 	Name string
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -103,6 +103,8 @@
 	// succeeded is set once the own instance has taken a shard or left one, or the shards have changed: the next tick
 	// tells the desk.
 	succeeded bool
+	// tickedAt is when the last tick came.
+	tickedAt time.Time
 	// indebted are the instances with which orders lie open, as of debtsAt.
 	indebted map[shard.InstanceID]bool
 	debtsAt  time.Time
@@ -166,6 +168,8 @@
 	startPatience = time.Second
 	// never is longer than any process lives.
 	never = 100 * 365 * 24 * time.Hour
+	// heldUpFor is how late a tick comes in a process that is short of processor: a dozen batches on a fifth of a core.
+	heldUpFor = 60 * time.Millisecond
 	// frozenFor is how long a machine may stand still before its beliefs are stale: others are about to
 	// take its shards over.
 	frozenFor = 250 * time.Millisecond
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"chestnutstack/internal/connection/mesh"
 	"chestnutstack/internal/process/succession"
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
@@ -81,6 +82,10 @@
 }
 
 func (dmn *Daemon) tick(now time.Time) {
+	if now.Sub(dmn.tickedAt) > heldUpFor {
+		dmn.council.HeldUp(now)
+	}
+	dmn.tickedAt = now
 	if dmn.listed && dmn.cfg.Load() != nil && len(dmn.entries) > 0 {
 		if !dmn.council.Ready() {
 			dmn.council.SetReady(now)
@@ -139,7 +144,7 @@
 // updatePaces tells the mesh how often to talk to each instance.
 func (dmn *Daemon) updatePaces() {
 	vacant := dmn.council.Vacant(dmn.prm.Settings.FailureDomain)
-	paces := make(map[shard.InstanceID]int, len(dmn.council.Others()))
+	paces := make(map[shard.InstanceID]mesh.Pace, len(dmn.council.Others()))
 	for id, ins := range dmn.council.Others() {
 		near := ins.Domain == dmn.prm.Settings.FailureDomain
 		leads := dmn.council.Leads() || len(ins.Leads) > 0
@@ -150,7 +155,7 @@
 		case leads:
 			pace = leaderPace
 		}
-		paces[id] = pace
+		paces[id] = mesh.Pace{Intervals: pace, Owes: dmn.indebted[id]}
 	}
 	dmn.mesh.SetPaces(paces)
 }
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +41,11 @@
 	// Alone is how long an instance that hears nobody waits before it takes over what others led: it is
 	// more likely cut off than the last one.
 	Alone time.Duration
+	// HeldUp is for how long an instance that was short of processor does not trust what it missed: it may have lost
+	// leaders that were fine.
+	HeldUp time.Duration
+	// Turn is how much longer than the instance before it each further candidate waits.
+	Turn time.Duration
 	// Return is how long an instance is ready before it takes over a shard of its failure domain from one
 	// outside.
 	Return time.Duration
@@ -56,6 +60,8 @@
 		Foreign:    400 * time.Millisecond,
 		Newcomer:   120 * time.Millisecond,
 		Alone:      1500 * time.Millisecond,
+		HeldUp:     500 * time.Millisecond,
+		Turn:       250 * time.Millisecond,
 		Return:     500 * time.Millisecond,
 		Backoff:    50 * time.Millisecond,
 		MaxBackoff: 5 * time.Second,
@@ -75,6 +81,9 @@
 	shards  []Shard
 	// tookAt is when the own instance last took a shard over.
 	tookAt time.Time
+	// heldUpAt is when the own process was last short of processor; led has the shards that were seen to have a leader.
+	heldUpAt time.Time
+	led      map[shard.Name]bool
 	// vacant is since when a shard looks as if it had no leader.
 	vacant map[shard.Name]time.Time
 	losses map[shard.Name]loss
@@ -92,9 +101,13 @@
 		cfg: cfg, self: self,
 		started: now, aloneAt: now,
 		others: map[shard.InstanceID]*Instance{}, vacant: map[shard.Name]time.Time{}, losses: map[shard.Name]loss{},
+		led: map[shard.Name]bool{},
 	}
 }
 
+// HeldUp tells the council that its own process was short of processor a moment ago.
+func (cnc *Council) HeldUp(now time.Time) { cnc.heldUpAt = now }
+
 // SetShards tells the council which shards there are.
 func (cnc *Council) SetShards(shs []Shard) { cnc.shards = shs }
 
@@ -241,8 +254,13 @@
 	if !cnc.self.Ready || cnc.self.Leaving || now.Sub(cnc.readyAt) < cnc.cfg.Newcomer || now.Before(cnc.losses[shd.Name].until) {
 		return false
 	}
-	if led != "" && !cnc.replaceable(now, shd, led) {
-		delete(cnc.vacant, shd.Name)
+	if led != "" {
+		cnc.led[shd.Name] = true
+		if !cnc.replaceable(now, shd, led) {
+			delete(cnc.vacant, shd.Name)
+			return false
+		}
+	} else if cnc.led[shd.Name] && now.Sub(cnc.heldUpAt) < cnc.cfg.HeldUp {
 		return false
 	}
 	since, waiting := cnc.vacant[shd.Name]
@@ -254,10 +272,13 @@
 	if cnc.self.Domain != shd.Domain {
 		patience = cnc.cfg.Foreign
 	}
-	if now.Sub(since) < patience || cnc.mayBeCutOff(now) {
+	before := cnc.before(shd)
+	if before > 0 && (led != "" || cnc.self.Domain != shd.Domain) {
 		return false
 	}
-	return cnc.candidate(shd) == cnc.self.ID
+	// The candidates before this one may be held up.
+	patience += time.Duration(before) * cnc.cfg.Turn
+	return now.Sub(since) >= patience && !cnc.mayBeCutOff(now)
 }
 
 // mayBeCutOff reports whether the instance hears nobody although there were others a moment ago.
@@ -293,24 +314,25 @@
 // leastProcessor keeps the burden finite for an instance that does not say what it has.
 const leastProcessor = 0.01
 
-// candidate returns who should lead a shard: an instance of its failure domain if there is one, the one
-// on which it weighs least, and by hash among equals.
-func (cnc *Council) candidate(shd Shard) shard.InstanceID {
-	cds := []*Instance{}
+// before returns how many instances are to lead a shard rather than the own one: those of its failure domain go first,
+// then those on which it weighs least, and by hash among equals.
+func (cnc *Council) before(shd Shard) int {
+	num := 0
 	for _, ins := range cnc.others {
-		if ins.Ready && !ins.Leaving {
-			cds = append(cds, ins)
+		if ins.Ready && !ins.Leaving && preferred(ins, &cnc.self, shd) {
+			num++
 		}
 	}
-	cds = append(cds, &cnc.self)
-	first := slices.MinFunc(cds, func(one, two *Instance) int {
-		return cmp.Or(
-			-cmp.Compare(near(one, shd), near(two, shd)),
-			cmp.Compare(burden(one, 1), burden(two, 1)),
-			cmp.Compare(weight(one, shd), weight(two, shd)),
-		)
-	})
-	return first.ID
+	return num
+}
+
+// preferred reports whether one instance is to lead a shard rather than another.
+func preferred(one, two *Instance, shd Shard) bool {
+	return cmp.Or(
+		-cmp.Compare(near(one, shd), near(two, shd)),
+		cmp.Compare(burden(one, 1), burden(two, 1)),
+		cmp.Compare(weight(one, shd), weight(two, shd)),
+	) < 0
 }
 
 func near(ins *Instance, shd Shard) int {
--- a/internal/process/succession/succession_test.go
+++ b/internal/process/succession/succession_test.go
@@ -249,3 +249,43 @@
 	dvs.Divide(servers("a", 117))
 	chk.Equal(dvs["a"], shard.Division{Count: 2, Stamp: 2})
 }
+
+func TestHeldUpInstanceTrustsNothingItMissed(t *testing.T) {
+	// A weak machine that has just started is short of processor and misses the leader of its shard, which is fine. It
+	// leaves the shard alone until it has kept up for a while; a shard that never had a leader it takes at once.
+	chk := is.New(t)
+	cases := map[string]struct {
+		led, heldUp bool
+		want        bool
+	}{
+		"its leader is missed, kept up":  {led: true, want: true},
+		"its leader is missed, held up":  {led: true, heldUp: true},
+		"it never had a leader, held up": {heldUp: true, want: true},
+		"it never had a leader, kept up": {want: true},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(*testing.T) {
+			brd := newBoard(0.2)
+			if cse.led {
+				brd.hear("one/2", "a", 0.8, false, "a.0")
+				brd.taken(time.Second)
+				brd.cnc.Lost(brd.now, "one/2")
+			}
+			brd.hear("two/3", "b", 0.8, false, "b.0")
+			if cse.heldUp {
+				brd.cnc.HeldUp(brd.now)
+			}
+			chk.Equal(brd.taken(400 * time.Millisecond)["a.0"], cse.want)
+		})
+	}
+}
+
+func TestCandidatesFollowInTurn(t *testing.T) {
+	// The strongest instance of the failure domain does not take a shard that has lost its leader: it is held up. The next
+	// one does after a while.
+	chk := is.New(t)
+	brd := newBoard(0.2)
+	brd.hear("strong/2", "a", 0.8, false)
+	chk.True(!brd.taken(200 * time.Millisecond)["a.0"])
+	chk.True(brd.taken(400 * time.Millisecond)["a.0"])
+}
