--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -108,7 +108,7 @@
 	defer msh.mu.Unlock()
 	for _, per := range msh.peers {
 		pce := paces[per.id()]
-		per.owes = pce.Owes
+		per.openOrders = pce.OpenOrders
 		want := time.Duration(pce.Intervals) * msh.cfg.Interval
 		if !per.up || want == 0 || per.interval == want {
 			continue
@@ -164,7 +164,7 @@
 		var quiet []*peer
 		for _, per := range msh.peers {
 			patience := time.Duration(msh.cfg.SilentBeats) * msh.cfg.Interval
-			if late && !per.owes {
+			if late && !per.openOrders {
 				continue
 			}
 			if per.silent(now, msh.cfg.SilentBeats) || per.stuck(now, patience) {
--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -205,7 +205,7 @@
 	for owes, want := range map[bool]int{true: 1, false: 0} {
 		inPair(t, func(ntw *pipe.Network, one, _ *node) {
 			chk := is.New(t)
-			one.msh.SetPaces(map[shard.InstanceID]mesh.Pace{mesh.ID("two", 1): {Intervals: 1, Owes: owes}})
+			one.msh.SetPaces(map[shard.InstanceID]mesh.Pace{mesh.ID("two", 1): {Intervals: 1, OpenOrders: owes}})
 			one.starve()
 			ntw.Separate("one", "two")
 			time.Sleep(600 * time.Millisecond)
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -41,10 +41,10 @@
 	// answeredAt is when a batch of the peer's was last answered, with a beat.
 	answeredAt time.Time
 	// interval is the pause between beats, since pacedAt.
-	interval time.Duration
-	pacedAt  time.Time
-	owes     bool
-	wake     chan struct{}
+	interval   time.Duration
+	pacedAt    time.Time
+	openOrders bool
+	wake       chan struct{}
 }
 
 func newPeer(name string, life int64, interval time.Duration) *peer {
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -77,8 +77,8 @@
 type Pace struct {
 	// Intervals is how many intervals lie between beats.
 	Intervals int
-	// Owes says that orders lie open between the two, so that silence has to be noticed in time whatever else goes on.
-	Owes bool
+	// OpenOrders says that orders lie open between the two, so that silence has to be noticed in time whatever else goes on.
+	OpenOrders bool
 }
 
 // Config has what a Mesh is told.
--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -19,7 +19,7 @@
 		case submission.Place:
 			dmn.logPlace(&act)
 			if act.Target.Leader != dmn.self {
-				dmn.owe(act.Target.Leader)
+				dmn.noteOrder(act.Target.Leader)
 				msg := mesh.Order{Shard: act.Target.Shard, Token: act.Target.Token, Order: act.Order}
 				dmn.mesh.Send(act.Target.Leader, msg)
 				continue
@@ -71,7 +71,7 @@
 		switch act := act.(type) {
 		case shard.Tell:
 			dmn.local = append(dmn.local, func(now time.Time) { dmn.tell(now, act.Owner, act.Report) })
-		case shard.Judge:
+		case shard.PauseServer:
 			dmn.log.Info().Str("server", string(act.Server)).Float64("measure", act.Measure).Dur("pause", act.Pause).
 				Msg(act.Reason)
 		case shard.StartRun:
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -105,9 +105,9 @@
 	succeeded bool
 	// tickedAt is when the last tick came.
 	tickedAt time.Time
-	// indebted are the instances with which orders lie open, as of debtsAt.
-	indebted map[shard.InstanceID]bool
-	debtsAt  time.Time
+	// openWith are the instances with which orders lie open, as of openAt.
+	openWith map[shard.InstanceID]bool
+	openAt   time.Time
 	// cfgAt is when the configuration came into force here.
 	cfgAt time.Time
 	// passed is when a configuration was last passed to an instance.
@@ -131,7 +131,7 @@
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{},
 		callers: map[submission.Call]chan submission.Answer{},
 		passed:  map[shard.InstanceID]time.Time{},
-		reaches: map[shard.Name]*reach{}, indebted: map[shard.InstanceID]bool{},
+		reaches: map[shard.Name]*reach{}, openWith: map[shard.InstanceID]bool{},
 		loads:   map[shard.Name]shard.Load{},
 		wholeAt: prm.Now().Add(never),
 		joined:  make(chan struct{}), configured: make(chan struct{}),
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -107,7 +107,7 @@
 		dmn.updateLeaders()
 		dmn.updatePaces()
 	}
-	dmn.updateDebts(now)
+	dmn.updateOpen(now)
 	for name, ldr := range dmn.leaders {
 		dmn.shardDo(name, ldr.Tick(now))
 	}
@@ -150,35 +150,35 @@
 		leads := dmn.council.Leads() || len(ins.Leads) > 0
 		pace := strangerPace
 		switch {
-		case dmn.indebted[id], near && (leads || vacant):
+		case dmn.openWith[id], near && (leads || vacant):
 			pace = 1
 		case leads:
 			pace = leaderPace
 		}
-		paces[id] = mesh.Pace{Intervals: pace, Owes: dmn.indebted[id]}
+		paces[id] = mesh.Pace{Intervals: pace, OpenOrders: dmn.openWith[id]}
 	}
 	dmn.mesh.SetPaces(paces)
 }
 
-// updateDebts notes the instances with which orders lie open, on either side.
-func (dmn *Daemon) updateDebts(now time.Time) {
-	if now.Sub(dmn.debtsAt) < beatInterval {
+// updateOpen notes the instances with which orders lie open, on either side.
+func (dmn *Daemon) updateOpen(now time.Time) {
+	if now.Sub(dmn.openAt) < beatInterval {
 		return
 	}
-	dmn.debtsAt = now
-	clear(dmn.indebted)
+	dmn.openAt = now
+	clear(dmn.openWith)
 	for _, ldr := range dmn.leaders {
-		ldr.Owners(dmn.indebted)
+		ldr.Owners(dmn.openWith)
 	}
-	dmn.desk.Leaders(dmn.indebted)
+	dmn.desk.Leaders(dmn.openWith)
 	dmn.updatePaces()
 }
 
-// owe notes an order that is about to lie open between this instance and another one: from now on each of them misses
+// noteOrder notes an order that is about to lie open between this instance and another one: from now on each of them misses
 // the other after four beats, as the chain of leases needs.
-func (dmn *Daemon) owe(id shard.InstanceID) {
-	if !dmn.indebted[id] && id != dmn.self {
-		dmn.indebted[id] = true
+func (dmn *Daemon) noteOrder(id shard.InstanceID) {
+	if !dmn.openWith[id] && id != dmn.self {
+		dmn.openWith[id] = true
 		dmn.updatePaces()
 	}
 }
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -118,7 +118,7 @@
 		dmn.tell(now, ord.Owner, shard.Report{Task: ord.Task, Token: tgt.Token, Outcome: shard.Lost})
 		return
 	}
-	dmn.owe(ord.Owner)
+	dmn.noteOrder(ord.Owner)
 	dmn.shardDo(tgt.Shard, ldr.Place(now, ord))
 }
 
--- a/internal/process/soak/faults.go
+++ b/internal/process/soak/faults.go
@@ -25,39 +25,39 @@
 	slower = 6
 )
 
-// hit is a trouble with what it hits.
-type hit struct {
+// injection is a trouble with what it hits.
+type injection struct {
 	trouble
 	ins, oth *instance
 	srv      *server
 }
 
-// strike does a trouble and undoes it; it returns when that is over.
-func (ply *play) strike(ctx context.Context, trb trouble) error {
+// inject does a trouble and undoes it; it returns when that is over.
+func (ply *play) inject(ctx context.Context, trb trouble) error {
 	num := len(ply.sys.ins)
-	ht := &hit{
+	inj := &injection{
 		trouble: trb, ins: ply.sys.ins[trb.one%num], oth: ply.sys.ins[(trb.one+1+trb.two%(num-1))%num],
 		srv: ply.sys.servers[trb.two%len(ply.sys.servers)],
 	}
 	switch trb.kind {
 	case kill, stop, rollingStop, killAll, powerOff, pauseProcess, reload:
-		return ply.strikeProcesses(ctx, ht)
+		return ply.injectProcesses(ctx, inj)
 	case cutDomain, cutStore, cutOneWay, silence, resetAll, slowLinks:
-		ply.strikeLinks(ctx, ht)
+		ply.injectLinks(ctx, inj)
 	case storeDown, storeSlow, storeLoses, storeForgets, configuration:
-		ply.strikeStore(ctx, ht)
+		ply.injectStore(ctx, inj)
 	case serverLate, serverCrash, serverLeaves, serverFails, serverStands, serverSlow:
-		ply.strikeServer(ctx, ht)
+		ply.injectServer(ctx, inj)
 	}
 	return nil
 }
 
-func (ply *play) strikeProcesses(ctx context.Context, ht *hit) error {
-	switch ht.kind {
+func (ply *play) injectProcesses(ctx context.Context, inj *injection) error {
+	switch inj.kind {
 	case kill:
-		return ply.restart(ctx, ht.ins, syscall.SIGKILL, ht.lasts)
+		return ply.restart(ctx, inj.ins, syscall.SIGKILL, inj.lasts)
 	case stop:
-		return ply.restart(ctx, ht.ins, syscall.SIGTERM, 0)
+		return ply.restart(ctx, inj.ins, syscall.SIGTERM, 0)
 	case rollingStop:
 		for _, ins := range ply.sys.ins {
 			if err := ply.restart(ctx, ins, syscall.SIGTERM, stopGap); err != nil {
@@ -65,18 +65,18 @@
 			}
 		}
 	case killAll:
-		return ply.killAll(ctx, ht.lasts)
+		return ply.killAll(ctx, inj.lasts)
 	case powerOff:
-		ply.sys.each(touching(ht.ins.mch.Name), (*link).cutBoth)
-		err := ply.restart(ctx, ht.ins, syscall.SIGKILL, ht.lasts)
-		ply.sys.each(touching(ht.ins.mch.Name), (*link).heal)
+		ply.sys.each(touching(inj.ins.mch.Name), (*link).cutBoth)
+		err := ply.restart(ctx, inj.ins, syscall.SIGKILL, inj.lasts)
+		ply.sys.each(touching(inj.ins.mch.Name), (*link).heal)
 		return err
 	case pauseProcess:
-		ht.ins.signal(syscall.SIGSTOP)
-		sleep(ctx, ht.lasts)
-		ht.ins.signal(syscall.SIGCONT)
+		inj.ins.signal(syscall.SIGSTOP)
+		sleep(ctx, inj.lasts)
+		inj.ins.signal(syscall.SIGCONT)
 	default:
-		return ply.reload(ht.ins)
+		return ply.reload(inj.ins)
 	}
 	return nil
 }
@@ -94,19 +94,19 @@
 	return nil
 }
 
-func (ply *play) strikeLinks(ctx context.Context, ht *hit) {
-	name := ht.ins.mch.Name
+func (ply *play) injectLinks(ctx context.Context, inj *injection) {
+	name := inj.ins.mch.Name
 	chosen, do := touching(name), (*link).cutBoth
-	switch ht.kind {
+	switch inj.kind {
 	case cutDomain:
-		dom := ht.ins.mch.Domain
+		dom := inj.ins.mch.Domain
 		chosen = func(lnk *link) bool {
 			return (ply.sys.domainOf(lnk.from) == dom) != (ply.sys.domainOf(lnk.to) == dom)
 		}
 	case cutStore:
 		chosen = func(lnk *link) bool { return lnk.from == name && lnk.to == storeName }
 	case cutOneWay:
-		chosen = func(lnk *link) bool { return lnk.from == name && lnk.to == ht.oth.mch.Name }
+		chosen = func(lnk *link) bool { return lnk.from == name && lnk.to == inj.oth.mch.Name }
 		do = func(lnk *link) { lnk.set(func() { lnk.cut = true }) }
 	case slowLinks:
 		do = func(lnk *link) { lnk.set(func() { lnk.delay = slowWay }) }
@@ -118,23 +118,23 @@
 		return
 	}
 	ply.sys.each(chosen, do)
-	sleep(ctx, ht.lasts)
+	sleep(ctx, inj.lasts)
 	ply.sys.each(chosen, (*link).heal)
 }
 
-func (ply *play) strikeStore(ctx context.Context, ht *hit) {
+func (ply *play) injectStore(ctx context.Context, inj *injection) {
 	sto := ply.sys.sto
-	switch ht.kind {
+	switch inj.kind {
 	case storeDown:
 		sto.SetDown(true)
-		sleep(ctx, ht.lasts)
+		sleep(ctx, inj.lasts)
 		sto.SetDown(false)
 	case storeSlow:
 		sto.SetDelay(slowStore)
-		sleep(ctx, ht.lasts)
+		sleep(ctx, inj.lasts)
 		sto.SetDelay(0)
 	case storeLoses:
-		sto.LoseAnswers(1 + ht.one%2)
+		sto.LoseAnswers(1 + inj.one%2)
 	case storeForgets:
 		sto.CompactServers()
 		sto.CompactConfigurations()
@@ -143,17 +143,17 @@
 	}
 }
 
-func (ply *play) strikeServer(ctx context.Context, ht *hit) {
+func (ply *play) injectServer(ctx context.Context, inj *injection) {
 	var trb standin.Trouble
-	switch ht.kind {
+	switch inj.kind {
 	case serverLate:
-		ht.srv.now.Load().LoseAnswers(1+ht.one%3, lateness)
+		inj.srv.now.Load().LoseAnswers(1+inj.one%3, lateness)
 		return
 	case serverCrash:
-		ply.crash(ctx, ht.srv, ht.lasts)
+		ply.crash(ctx, inj.srv, inj.lasts)
 		return
 	case serverLeaves:
-		ply.leave(ctx, ht.srv)
+		ply.leave(ctx, inj.srv)
 		return
 	case serverFails:
 		trb.Fails = true
@@ -162,9 +162,9 @@
 	default:
 		trb.Slower = slower
 	}
-	ht.srv.now.Load().SetTrouble(trb)
-	sleep(ctx, ht.lasts)
-	ht.srv.now.Load().SetTrouble(standin.Trouble{})
+	inj.srv.now.Load().SetTrouble(trb)
+	sleep(ctx, inj.lasts)
+	inj.srv.now.Load().SetTrouble(standin.Trouble{})
 }
 
 func (lnk *link) cutBoth() { lnk.set(func() { lnk.cut, lnk.back = true, true }) }
@@ -220,7 +220,7 @@
 		return nil
 	})
 	sleep(ctx, pause)
-	sys.bear(srv)
+	sys.startServer(srv)
 	sys.each(to, (*link).heal)
 }
 
@@ -231,7 +231,7 @@
 	sleep(ctx, drainTime)
 	old.Close()
 	ply.sys.sto.Unlist(old)
-	ply.sys.bear(srv)
+	ply.sys.startServer(srv)
 }
 
 // drainTime is how long a leaving server still serves: new starts stop within 2 s, and tasks take up to 0.9 s.
--- a/internal/process/soak/instance.go
+++ b/internal/process/soak/instance.go
@@ -20,6 +20,8 @@
 	mch          standin.Machine
 	dir, program string
 	grp          *errgroup.Group
+	// linkHost is where the links from here listen.
+	linkHost string
 
 	// restarts lets one trouble at a time end and start the process.
 	restarts sync.Mutex
--- a/internal/process/soak/link.go
+++ b/internal/process/soak/link.go
@@ -35,11 +35,13 @@
 	silent bool
 }
 
-func newLink(from, to, target string, grp *errgroup.Group) (*link, error) {
+// newLink returns a link that listens on a free port of an address that nothing else listens on: the port has to be free
+// again after the link was closed for a while.
+func newLink(from, to, target, host string, grp *errgroup.Group) (*link, error) {
 	lnk := &link{
 		from: from, to: to, target: target, grp: grp, conns: map[*pair]bool{}, changed: make(chan struct{}),
 	}
-	return lnk, lnk.open("127.0.0.1:0")
+	return lnk, lnk.open(net.JoinHostPort(host, "0"))
 }
 
 // open listens; a link whose target is gone refuses connections as its machine would.
--- a/internal/process/soak/link_test.go
+++ b/internal/process/soak/link_test.go
@@ -30,7 +30,7 @@
 			})
 		}
 	})
-	lnk, err := newLink("one", "two", lis.Addr().String(), grp)
+	lnk, err := newLink("one", "two", lis.Addr().String(), "127.0.0.2", grp)
 	chk.NoErr(err)
 	con, err := net.Dial("tcp", lnk.address)
 	chk.NoErr(err)
--- a/internal/process/soak/play.go
+++ b/internal/process/soak/play.go
@@ -140,7 +140,7 @@
 			if !planned[trb.kind] {
 				defer ply.chk.begin()()
 			}
-			return ply.strike(ctx, trb)
+			return ply.inject(ctx, trb)
 		})
 	}
 	err := grp.Wait()
--- a/internal/process/soak/system.go
+++ b/internal/process/soak/system.go
@@ -75,9 +75,10 @@
 		for num := range shp.Entries {
 			idx := len(sys.ins)
 			// Plays that run side by side keep apart by this process and their seeds.
-			adr := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, seed%256, idx+1)
+			subnet := fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, seed%256)
+			adr := fmt.Sprintf("%s.%d", subnet, idx+1)
 			sys.ins = append(sys.ins, &instance{
-				dir: dir, program: program, grp: grp,
+				dir: dir, program: program, grp: grp, linkHost: subnet + ".250",
 				mch: standin.Machine{
 					Name: fmt.Sprintf("entry-%d-%d", dom+1, num+1), Domain: domainName(dom), IP: adr,
 					CallerPort: callerPort, ReadyPort: readyPort, PeerPort: peerPort, StopTimeout: stopTimeout,
@@ -117,12 +118,12 @@
 		return err
 	}
 	sys.servers = append(sys.servers, srv)
-	sys.bear(srv)
+	sys.startServer(srv)
 	return nil
 }
 
-// bear starts the next life of a backend server.
-func (sys *system) bear(srv *server) {
+// startServer starts the next life of a backend server.
+func (sys *system) startServer(srv *server) {
 	srv.lives++
 	next := standin.NewServer(fmt.Sprintf("%s-%d", srv.name, srv.lives), serverProcessor, serverMemory, sys.ldg, parseWork)
 	srv.now.Store(next)
@@ -133,7 +134,7 @@
 func (sys *system) connect(ins *instance) error {
 	ways := map[string]string{}
 	add := func(to, target string) (string, error) {
-		lnk, err := newLink(ins.mch.Name, to, target, sys.grp)
+		lnk, err := newLink(ins.mch.Name, to, target, ins.linkHost, sys.grp)
 		if err != nil {
 			return "", err
 		}
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -5,7 +5,7 @@
 // Name names a shard: a part of a failure domain's backend servers.
 type Name string
 
-// Action is something that the shell does for a Leader: StartRun, StopRun, Hold, Judge or Tell.
+// Action is something that the shell does for a Leader: StartRun, StopRun, Hold, PauseServer or Tell.
 type Action interface{ action() }
 
 // StartRun orders a run; its verdict goes to Started.
@@ -44,8 +44,8 @@
 	Report Report
 }
 
-// Judge tells that a server gets nothing for a while, as it is slow or fails what it runs.
-type Judge struct {
+// PauseServer tells that a server gets nothing for a while, as it is slow or fails what it runs.
+type PauseServer struct {
 	Server ServerID
 	Reason string
 	// Measure is what decided: how many times as long as elsewhere runs take, or how many submissions failed in a row.
@@ -53,11 +53,11 @@
 	Pause   time.Duration
 }
 
-func (Judge) action()    {}
-func (StartRun) action() {}
-func (StopRun) action()  {}
-func (Hold) action()     {}
-func (Tell) action()     {}
+func (PauseServer) action() {}
+func (StartRun) action()    {}
+func (StopRun) action()     {}
+func (Hold) action()        {}
+func (Tell) action()        {}
 
 // Config has the times that a Leader works with.
 type Config struct {
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -198,7 +198,7 @@
 	if prg.Percent > rn.percent {
 		rn.percent, rn.progressAt = prg.Percent, now
 	}
-	ldr.crawl(now, srv, rn)
+	ldr.checkProgress(now, srv, rn)
 }
 
 // giveUp stops a run because of its server and has its task start elsewhere.
@@ -242,7 +242,7 @@
 	switch end.How {
 	case EndedDone:
 		srv.succeeded()
-		ldr.timed(now, srv, rn, now.Sub(rn.sentAt))
+		ldr.observe(now, srv, rn, now.Sub(rn.sentAt))
 	case EndedFailed:
 		ldr.failed(now, srv, ord.submission())
 	case EndedStopped:
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -197,7 +197,7 @@
 	}
 	pause := min(ldr.cfg.Quarantine<<min(srv.failing-failuresToPause, maxDoublings), ldr.cfg.MaxQuarantine)
 	srv.pausedUntil = now.Add(pause)
-	ldr.do(Judge{
+	ldr.do(PauseServer{
 		Server: srv.ent.ID, Reason: "server fails what it runs", Measure: float64(srv.failing), Pause: pause,
 	})
 }
--- a/internal/request/shard/speed.go
+++ b/internal/request/shard/speed.go
@@ -59,8 +59,8 @@
 // mean returns the average logarithm of the times.
 func (sib *siblings) mean() float64 { return sib.sum / float64(sib.count) }
 
-// timed takes in how long a run took, or will take as it seems, and judges its server by its siblings.
-func (ldr *Leader) timed(now time.Time, srv *server, rn *run, took time.Duration) {
+// observe takes in how long a run took, or will take as it seems, and judges its server by its siblings.
+func (ldr *Leader) observe(now time.Time, srv *server, rn *run, took time.Duration) {
 	if rn.timed || took <= 0 || rn.ord == nil {
 		return
 	}
@@ -87,7 +87,7 @@
 	case spd.count < slowSamples && spd.pauses == 0:
 	case slow:
 		pause := min(firstSlowPause<<min(spd.pauses, maxDoublings), longestSlowPause)
-		ldr.do(Judge{Server: srv.ent.ID, Reason: "server is slow", Measure: math.Exp(spd.mean), Pause: pause})
+		ldr.do(PauseServer{Server: srv.ent.ID, Reason: "server is slow", Measure: math.Exp(spd.mean), Pause: pause})
 		spd.until = now.Add(pause)
 		spd.pauses++
 		spd.mean, spd.count = 0, 0
@@ -96,10 +96,10 @@
 	}
 }
 
-// crawl looks at a run that is under way: one that will take much longer than its siblings did tells of its server
+// checkProgress looks at a run that is under way: one that will take much longer than its siblings did tells of its server
 // early. If the server is slow and there is room elsewhere, the task starts again there, provided that it is done
 // sooner so.
-func (ldr *Leader) crawl(now time.Time, srv *server, rn *run) {
+func (ldr *Leader) checkProgress(now time.Time, srv *server, rn *run) {
 	if rn.state != running || rn.ord == nil || rn.percent < leastPercent {
 		return
 	}
@@ -113,7 +113,7 @@
 	if whole < time.Duration(slowFactor*float64(usual)) {
 		return
 	}
-	ldr.timed(now, srv, rn, whole)
+	ldr.observe(now, srv, rn, whole)
 	if now.Before(srv.spd.until) && whole-elapsed > restartGain*usual && ldr.roomBeside(now, srv, rn.ord) {
 		rn.ord.Avoid = append(rn.ord.Avoid, srv.ent.ID)
 		ldr.stop(now, srv, rn)
