--- a/internal/process/soak/faults.go
+++ b/internal/process/soak/faults.go
@@ -209,6 +209,8 @@
 
 // crash ends a backend server with all that runs there; its next life comes at the same address.
 func (ply *play) crash(ctx context.Context, srv *server, pause time.Duration) {
+	srv.changes.Lock()
+	defer srv.changes.Unlock()
 	sys := ply.sys
 	to := func(lnk *link) bool { return lnk.to == srv.name }
 	old := srv.now.Load()
@@ -226,6 +228,8 @@
 
 // leave has a backend server announce that it leaves, finish what runs and go; a new one comes in its place.
 func (ply *play) leave(ctx context.Context, srv *server) {
+	srv.changes.Lock()
+	defer srv.changes.Unlock()
 	old := srv.now.Load()
 	ply.sys.sto.List(old, service, srv.address, srv.domain, true)
 	sleep(ctx, drainTime)
--- a/internal/process/soak/system.go
+++ b/internal/process/soak/system.go
@@ -41,6 +41,8 @@
 	name, domain, address string
 	now                   atomic.Pointer[standin.Server]
 	lives                 int
+	// changes lets one trouble at a time end a life and start the next.
+	changes sync.Mutex
 }
 
 // ServeHTTP implements http.Handler.
