--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -100,9 +100,9 @@
 	// reaches are the ways to shards that this instance may take over; asked counts the askings.
 	reaches map[shard.Name]*reach
 	asked   int
-	// succeeded is set once the own instance has taken a shard or left one, or the shards have changed: the next tick
+	// leadersChanged is set once the own instance has taken a shard or left one, or the shards have changed: the next tick
 	// tells the desk.
-	succeeded bool
+	leadersChanged bool
 	// tickedAt is when the last tick came.
 	tickedAt time.Time
 	// openWith are the instances with which orders lie open, as of openAt.
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -102,8 +102,8 @@
 			dmn.takeOver(now, shd.Name)
 		}
 	}
-	if dmn.succeeded {
-		dmn.succeeded = false
+	if dmn.leadersChanged {
+		dmn.leadersChanged = false
 		dmn.updateLeaders()
 		dmn.updatePaces()
 	}
@@ -121,7 +121,7 @@
 	ldr := shard.NewLeader(dmn.shardConfig(), name, tok, now)
 	dmn.leaders[name] = ldr
 	dmn.council.Took(now, name, tok)
-	dmn.succeeded = true
+	dmn.leadersChanged = true
 	dmn.log.Info().Str("shard", string(name)).Int64("token", tok).Msg("taking the shard over")
 	for shd := range dmn.divided {
 		if shd.Name == name {
@@ -137,7 +137,7 @@
 	delete(dmn.leaders, name)
 	dmn.shardDo(name, ldr.Resign())
 	dmn.council.Left(now, name, fenced)
-	dmn.succeeded = true
+	dmn.leadersChanged = true
 	dmn.log.Info().Str("shard", string(name)).Bool("fenced", fenced).Msg("leaving the shard")
 }
 
@@ -219,7 +219,7 @@
 	}
 	dmn.divided = dmn.divisions.Divide(ents)
 	dmn.council.SetShards(succession.Sorted(dmn.divided))
-	dmn.succeeded = true
+	dmn.leadersChanged = true
 	gone := maps.Clone(dmn.leaders)
 	for shd := range dmn.divided {
 		delete(gone, shd.Name)
