Keep a system with narrow links together: small shards, a bound on the bytes under way

Cause: on links of 2 Mbit/s the leaders of four shards of 37 servers sent all starts.

Beats leave out the divisions that the peer has, a third of their bytes. Bytes by way are logged each second.

--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,6 +22,8 @@
 	dial DialFunc
 	hdl  Handler
 	cnt  rpc.Counters
+	// outstanding counts the bytes of payloads in batches without a receipt.
+	outstanding atomic.Int64
 
 	// mu guards the peers; it is not held while a Handler works.
 	mu    sync.Mutex
@@ -37,6 +40,10 @@
 // Stats returns the bytes and calls since the start.
 func (msh *Mesh) Stats() rpc.Stats { return msh.cnt.Stats() }
 
+// Outstanding returns the bytes of payloads that are on their way to other instances: sent and not yet acknowledged, or about
+// to be sent.
+func (msh *Mesh) Outstanding() int64 { return msh.outstanding.Load() * 4 / 3 } // Base64 makes four of three.
+
 // Run serves and calls until ctx is done.
 func (msh *Mesh) Run(ctx context.Context, lis net.Listener) error {
 	grp, ctx := errgroup.WithContext(ctx)
@@ -93,8 +100,10 @@
 	defer msh.mu.Unlock()
 	for _, per := range msh.peers {
 		if per.up && per.id() == to {
-			per.outbox = append(per.outbox, msg)
+			byt := per.push(msg)
+			msh.outstanding.Add(byt)
 			if !lazy(msg) {
+				per.waitsSince(msh.cfg.Now())
 				signal(per.wake)
 			}
 			return
@@ -161,19 +170,22 @@
 		}
 		checked = now
 		msh.mu.Lock()
-		var quiet []*peer
+		quiet := map[*peer]Cause{}
 		for _, per := range msh.peers {
 			patience := time.Duration(msh.cfg.SilentBeats) * msh.cfg.Interval
 			if late && !per.openOrders {
 				continue
 			}
-			if per.silent(now, msh.cfg.SilentBeats) || per.stuck(now, patience) {
-				quiet = append(quiet, per)
+			switch {
+			case per.silent(now, msh.cfg.SilentBeats):
+				quiet[per] = Silent
+			case per.stuck(now, patience):
+				quiet[per] = Stuck
 			}
 		}
 		msh.mu.Unlock()
-		for _, per := range quiet {
-			msh.lose(per)
+		for per, cau := range quiet {
+			msh.lose(per, cau)
 		}
 	}
 }
@@ -184,12 +196,19 @@
 // silenceChecks is how often within an interval silence is looked for.
 const silenceChecks = 2
 
+// forget counts the payloads of a session that has ended no more; the lock is held.
+func (msh *Mesh) forget(per *peer) {
+	msh.outstanding.Add(-per.dropped)
+	per.dropped = 0
+}
+
 // lose gives up the session with a peer.
-func (msh *Mesh) lose(per *peer) {
+func (msh *Mesh) lose(per *peer, cau Cause) {
 	msh.mu.Lock()
 	was, had := per.reset()
+	msh.forget(per)
 	msh.mu.Unlock()
 	if had {
-		msh.hdl.Lost(was)
+		msh.hdl.Lost(was, cau)
 	}
 }
--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -60,7 +60,7 @@
 // else is tried again on a fresh connection until the silence has lasted too long.
 func (msh *Mesh) failed(ctx context.Context, per *peer, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		msh.lose(per)
+		msh.lose(per, Refused)
 	}
 	msh.mu.Lock()
 	heard := per.up
@@ -95,7 +95,9 @@
 
 // deliver sends what is waiting, or the batch whose receipt did not come, and takes the receipt in.
 func (msh *Mesh) deliver(ctx context.Context, per *peer, lin *line) error {
-	ctx, cancel := context.WithTimeout(ctx, msh.cfg.CallTimeout)
+	patience := msh.patience(per)
+	began := msh.cfg.Now()
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	dlv, address := msh.batch(per)
 	if address == "" {
@@ -110,7 +112,9 @@
 	}
 	msh.cnt.Call()
 	var ans []byte
-	if err := lin.cnn.Call(ctx, methodDeliver, data, &ans); err != nil {
+	err = lin.cnn.Call(ctx, methodDeliver, data, &ans)
+	msh.took(per, msh.cfg.Now().Sub(began))
+	if err != nil {
 		return errors.Wrap(err, "deliver")
 	}
 	rcp := &meshpb.Receipt{}
@@ -121,6 +125,20 @@
 	return nil
 }
 
+// patience returns how long to wait for a receipt. Two links on which starts queue take longer than a sound way ever does;
+// a batch that is sent again on a fresh connection then comes even later, until the peer is missed that is fine.
+func (msh *Mesh) patience(per *peer) time.Duration {
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	return per.receipts.Patience(msh.cfg.CallTimeout, time.Duration(msh.cfg.SilentBeats)*msh.cfg.Interval)
+}
+
+func (msh *Mesh) took(per *peer, dur time.Duration) {
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	per.receipts.Add(dur)
+}
+
 // batch returns what is to be delivered next.
 func (msh *Mesh) batch(per *peer) (*meshpb.Delivery, string) {
 	// The beat is taken first: the Handler may call Send under its own lock.
@@ -130,13 +148,15 @@
 	defer msh.mu.Unlock()
 	if per.up && !per.counted {
 		per.sending, per.outbox, per.counted = per.outbox, nil, true
+		per.sendingBytes, per.waitingBytes = per.waitingBytes, 0
 		per.sequence++
 	}
-	if len(per.sending)+len(per.outbox) > 0 && per.stuckSince.IsZero() {
-		per.stuckSince = now
+	if len(per.sending) > 0 {
+		per.waitsSince(now)
 	}
 	dlv := &meshpb.Delivery{
-		From: msh.cfg.Name, Address: msh.cfg.Address, Own: per.own.encode(), Other: per.other.encode(), Sequence: per.sequence, Beat: encodeBeat(bet),
+		From: msh.cfg.Name, Address: msh.cfg.Address, Own: per.own.encode(), Other: per.other.encode(), Sequence: per.sequence,
+		Beat: encodeBeat(per.news(bet)),
 	}
 	for _, msg := range per.sending {
 		add(dlv, now, msg)
@@ -170,17 +190,31 @@
 	current, was, ended := per.greet(greetingOf(rcp))
 	if current && per.sequence == dlv.GetSequence() && greetingOf(dlv).from == per.own {
 		per.sending, per.counted, per.stuckSince = nil, false, time.Time{}
+		if len(per.outbox) > 0 {
+			per.waitsSince(msh.cfg.Now())
+		}
+		msh.outstanding.Add(-per.sendingBytes)
+		per.sendingBytes = 0
 	}
 	if current {
 		// The receipt is from the life of the session: it proves that the peer is there.
 		per.heardAt = msh.cfg.Now()
 	}
+	msh.forget(per)
 	id := per.id()
+	bet := decodeBeat(rcp.GetBeat())
+	if current {
+		per.complete(&bet)
+		// Without a beat of its own the peer has taken none: it did not know the session yet.
+		if dvs := decodeBeat(dlv.GetBeat()).Divisions; len(dvs) > 0 && rcp.GetBeat() != nil {
+			per.toldDivisions = dvs
+		}
+	}
 	msh.mu.Unlock()
 	if ended {
-		msh.hdl.Lost(was)
+		msh.hdl.Lost(was, Reset)
 	}
 	if current && rcp.GetBeat() != nil {
-		msh.hdl.Heard(id, decodeBeat(rcp.GetBeat()), nil)
+		msh.hdl.Heard(id, bet, nil)
 	}
 }
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -107,11 +107,16 @@
 		// The other side is to hear at once that the session is up, or what it lacks for that.
 		signal(per.wake)
 	}
+	msh.forget(per)
 	id := per.id()
+	bet := decodeBeat(dlv.GetBeat())
+	if current {
+		per.complete(&bet)
+	}
 	rcp := &meshpb.Receipt{Own: per.own.encode(), Other: per.other.encode()}
 	msh.mu.Unlock()
 	if ended {
-		msh.hdl.Lost(was)
+		msh.hdl.Lost(was, Reset)
 	}
 	if !current {
 		return rcp
@@ -120,7 +125,10 @@
 	if next {
 		msgs = decodeMessages(dlv, now, id)
 	}
-	msh.hdl.Heard(id, decodeBeat(dlv.GetBeat()), msgs)
-	rcp.Beat = encodeBeat(msh.hdl.Beat())
+	msh.hdl.Heard(id, bet, msgs)
+	own := msh.hdl.Beat()
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	rcp.Beat = encodeBeat(per.news(own))
 	return rcp
 }
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -1,9 +1,12 @@
 package mesh
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
+	"chestnutstack/internal/request/roundtrip"
 	"chestnutstack/internal/request/shard"
 )
 
@@ -35,8 +38,12 @@
 	// sending is the batch that has no receipt yet.
 	sending []Message
 	counted bool
-	heardAt time.Time
-	// stuckSince is when the first try was made to deliver what waits.
+	// waitingBytes are those of the payloads in outbox, sendingBytes in sending; dropped ones await their end in the count.
+	waitingBytes, sendingBytes, dropped int64
+	// divisions are those that the peer has last told in this session, toldDivisions those that it surely has from here.
+	divisions, toldDivisions map[string]shard.Division
+	heardAt                  time.Time
+	// stuckSince is since when something waits for its receipt.
 	stuckSince time.Time
 	// answeredAt is when a batch of the peer's was last answered, with a beat.
 	answeredAt time.Time
@@ -44,7 +51,9 @@
 	interval   time.Duration
 	pacedAt    time.Time
 	openOrders bool
-	wake       chan struct{}
+	// receipts are the times until receipts came.
+	receipts roundtrip.Estimate
+	wake     chan struct{}
 }
 
 func newPeer(name string, life int64, interval time.Duration) *peer {
@@ -70,6 +79,13 @@
 	return per.up && !per.stuckSince.IsZero() && now.Sub(per.stuckSince) > patience
 }
 
+// waitsSince notes that something waits for its receipt; an earlier wait goes first.
+func (per *peer) waitsSince(now time.Time) {
+	if per.stuckSince.IsZero() {
+		per.stuckSince = now
+	}
+}
+
 // reset gives the session up if one is up, and reports whose it was.
 func (per *peer) reset() (was shard.InstanceID, had bool) {
 	if !per.up {
@@ -82,9 +98,31 @@
 	return was, true
 }
 
+// push puts a message into the next batch and returns the bytes of the payload that it adds there.
+func (per *peer) push(msg Message) int64 {
+	var byt int64
+	if ord, ok := msg.(Order); ok && !per.carries(ord.Order.Payload) {
+		byt = int64(len(ord.Order.Payload))
+	}
+	per.outbox = append(per.outbox, msg)
+	per.waitingBytes += byt
+	return byt
+}
+
+// carries reports whether an order of the next batch has a payload.
+func (per *peer) carries(payload string) bool {
+	return slices.ContainsFunc(per.outbox, func(msg Message) bool {
+		ord, ok := msg.(Order)
+		return ok && ord.Order.Payload == payload
+	})
+}
+
 func (per *peer) clear() {
 	per.sequence, per.inSequence = 0, 0
 	per.outbox, per.sending, per.counted = nil, nil, false
+	per.dropped += per.waitingBytes + per.sendingBytes
+	per.waitingBytes, per.sendingBytes = 0, 0
+	per.divisions, per.toldDivisions = nil, nil
 	per.stuckSince = time.Time{}
 }
 
@@ -118,3 +156,19 @@
 	per.inSequence = sequence
 	return true
 }
+
+// complete fills a beat in with what the peer has said before in this session.
+func (per *peer) complete(bet *Beat) {
+	if len(bet.Divisions) > 0 {
+		per.divisions = bet.Divisions
+	}
+	bet.Divisions = per.divisions
+}
+
+// news leaves out of a beat what the peer has had before in this session: the divisions are a third of most batches.
+func (per *peer) news(bet Beat) Beat {
+	if per.up && maps.Equal(per.toldDivisions, bet.Divisions) {
+		bet.Divisions = nil
+	}
+	return bet
+}
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"chestnutstack/internal/connection/meshpb"
@@ -44,6 +45,7 @@
 		msg.Leads = append(msg.Leads, &meshpb.Lead{
 			Shard: string(led.Shard), Token: led.Token,
 			Number: led.Load.Number, Free: led.Load.Free, Capacity: led.Load.Capacity, Waiting: led.Load.Waiting[:],
+			LinkWindow: led.Load.LinkWindow, LinkBusy: led.Load.LinkBusy,
 		})
 	}
 	return msg
@@ -61,7 +63,10 @@
 		}
 	}
 	for _, led := range msg.GetLeads() {
-		lod := shard.Load{Number: led.GetNumber(), Free: led.GetFree(), Capacity: led.GetCapacity()}
+		lod := shard.Load{
+			Number: led.GetNumber(), Free: led.GetFree(), Capacity: led.GetCapacity(),
+			LinkWindow: led.GetLinkWindow(), LinkBusy: led.GetLinkBusy(),
+		}
 		copy(lod.Waiting[:], led.GetWaiting())
 		bet.Leads = append(bet.Leads, Lead{Shard: shard.Name(led.GetShard()), Token: led.GetToken(), Load: lod})
 	}
@@ -89,12 +94,14 @@
 
 func encodeOrder(dlv *meshpb.Delivery, now time.Time, msg Order) *meshpb.Order {
 	ord := &msg.Order
-	if lst := len(dlv.Payloads) - 1; lst < 0 || dlv.Payloads[lst] != ord.Payload {
+	idx := slices.Index(dlv.Payloads, ord.Payload)
+	if idx < 0 {
+		idx = len(dlv.Payloads)
 		dlv.Payloads = append(dlv.Payloads, ord.Payload)
 	}
 	wir := &meshpb.Order{
 		Shard: string(msg.Shard), Token: msg.Token, Task: ord.Task, Service: ord.Service,
-		Payload:   uint32(len(dlv.Payloads) - 1),
+		Payload:   uint32(idx),
 		Processor: ord.Processor, Memory: ord.Memory, Priority: int64(ord.Priority),
 		AgeMicros: now.Sub(ord.Arrived).Microseconds(), AimMicros: ord.Aim.Sub(now).Microseconds(),
 		ExpectedMicros: ord.Expected.Microseconds(),
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -65,9 +65,24 @@
 	// Heard takes a batch; the beat is the sender's newest.
 	Heard(from shard.InstanceID, beat Beat, msgs []Message)
 	// Lost says that an instance is not heard any more; nothing of its old session follows.
-	Lost(id shard.InstanceID)
+	Lost(id shard.InstanceID, cause Cause)
 }
 
+// Cause says why a session has ended.
+type Cause string
+
+// The causes of a session's end.
+const (
+	// Silent peers were not heard for several beats.
+	Silent Cause = "not heard"
+	// Stuck peers are heard and have given no receipt.
+	Stuck Cause = "no receipt"
+	// Refused peers have no process at their address.
+	Refused Cause = "connection refused"
+	// Reset sessions were ended by the peer, which has missed this instance or is another life.
+	Reset Cause = "ended by the peer"
+)
+
 // Peer is another instance as the platform's store names it.
 type Peer struct {
 	Name, Address string
--- a/internal/connection/rpc/conn.go
+++ b/internal/connection/rpc/conn.go
@@ -41,7 +41,7 @@
 	lastRead     atomic.Int64
 }
 
-// Watch returns a connection that counts, and bounds the time of each write.
+// Watch returns a connection that counts, and bounds the time of each write unless the bound is 0.
 func Watch(con net.Conn, cnt *Counters, writeTimeout time.Duration) *Conn {
 	return &Conn{Conn: con, cnt: cnt, writeTimeout: writeTimeout, start: time.Now()}
 }
@@ -58,8 +58,10 @@
 
 // Write implements net.Conn.
 func (wcn *Conn) Write(buf []byte) (int, error) {
-	if err := wcn.SetWriteDeadline(time.Now().Add(wcn.writeTimeout)); err != nil {
-		return 0, err
+	if wcn.writeTimeout > 0 {
+		if err := wcn.SetWriteDeadline(time.Now().Add(wcn.writeTimeout)); err != nil {
+			return 0, err
+		}
 	}
 	num, err := wcn.Conn.Write(buf)
 	wcn.cnt.out.Add(uint64(num))
--- a/internal/process/cli/platform.go
+++ b/internal/process/cli/platform.go
@@ -60,6 +60,7 @@
 		{"metrics-address", set.MetricsAddress, "serves counters and histograms"},
 		{"store-address", set.StoreAddress, "the platform's metadata store"},
 		{"processor", fmt.Sprintf("%.3g", set.Processor), "cores; instances with more lead more shards"},
+		{"link", fmt.Sprintf("%d bytes a second", set.LinkBytes), "what starts and orders on their way are bounded by; 0 for no bound"},
 		{"memory", fmt.Sprintf("%d MB", set.MemoryBytes>>20), "limit of the process"},
 		{"longest-lease", set.LongestLease.String(), "that a backend server grants"},
 		{"resend-after", set.ResendAfter.String(), "when a client that lost its connection sends its job again"},
--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -75,11 +75,14 @@
 			dmn.log.Info().Str("server", string(act.Server)).Float64("measure", act.Measure).Dur("pause", act.Pause).
 				Msg(act.Reason)
 		case shard.StartRun:
-			dmn.group.Go(func() error { return dmn.startRun(name, act) })
+			patience := dmn.uplink.Patience()
+			dmn.group.Go(func() error { return dmn.startRun(name, act, patience) })
 		case shard.StopRun:
-			dmn.group.Go(func() error { return dmn.stopRun(name, act) })
+			patience := dmn.uplink.Patience()
+			dmn.group.Go(func() error { return dmn.stopRun(name, act, patience) })
 		case shard.Hold:
-			dmn.group.Go(func() error { return dmn.hold(name, act) })
+			patience := act.Wait + dmn.uplink.Patience()
+			dmn.group.Go(func() error { return dmn.hold(name, act, patience) })
 		}
 	}
 	if ldr := dmn.leaders[name]; ldr != nil && ldr.Lost() > 0 {
@@ -87,14 +90,6 @@
 	}
 }
 
-const (
-	// startTimeout, stopTimeout and holdSlack, what a look may take besides its wait, are some 20 times what a sound
-	// server takes. An order without an answer costs its task that long.
-	startTimeout = 100 * time.Millisecond
-	stopTimeout  = 80 * time.Millisecond
-	holdSlack    = 80 * time.Millisecond
-)
-
 // leader returns the leader that an answer belongs to: an answer to an earlier one is dropped, as the
 // new one has asked the servers again.
 func (dmn *Daemon) leader(name shard.Name, token int64) *shard.Leader {
@@ -104,8 +99,8 @@
 	return nil
 }
 
-func (dmn *Daemon) startRun(name shard.Name, act shard.StartRun) error {
-	ctx, cancel := context.WithTimeout(dmn.ctx, startTimeout)
+func (dmn *Daemon) startRun(name shard.Name, act shard.StartRun, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(dmn.ctx, patience)
 	defer cancel()
 	srv := platform.Server{ID: act.Server.ID, Address: act.Server.Address}
 	sent := dmn.now()
@@ -113,6 +108,7 @@
 	now := dmn.enter()
 	defer dmn.exit(now)
 	dmn.cnt.start(vdt, now.Sub(sent))
+	dmn.uplink.Answered(act.Payload, now.Sub(sent), vdt)
 	dmn.log.Info().Err(err).Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server.ID)).
 		Int64("token", act.Token).Dur("took", now.Sub(sent)).Stringer("verdict", vdt).Msg("start")
 	if ldr := dmn.leader(name, act.Token); ldr != nil {
@@ -121,8 +117,8 @@
 	return nil
 }
 
-func (dmn *Daemon) stopRun(name shard.Name, act shard.StopRun) error {
-	ctx, cancel := context.WithTimeout(dmn.ctx, stopTimeout)
+func (dmn *Daemon) stopRun(name shard.Name, act shard.StopRun, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(dmn.ctx, patience)
 	defer cancel()
 	srv := platform.Server{ID: act.Server.ID, Address: act.Server.Address}
 	vdt, err := dmn.prm.Servers.Stop(ctx, srv, act.Run, act.Token)
@@ -137,11 +133,11 @@
 	return nil
 }
 
-func (dmn *Daemon) hold(name shard.Name, act shard.Hold) error {
+func (dmn *Daemon) hold(name shard.Name, act shard.Hold, patience time.Duration) error {
 	if act.Pause > 0 && !pause(dmn.ctx, act.Pause) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(dmn.ctx, act.Wait+holdSlack)
+	ctx, cancel := context.WithTimeout(dmn.ctx, patience)
 	defer cancel()
 	srv := platform.Server{ID: act.Server.ID, Address: act.Server.Address}
 	sent := dmn.now()
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"chestnutstack/internal/connection/rpc"
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
 )
@@ -39,6 +40,7 @@
 	starts                                                       [shard.Overfull + 1]atomic.Int64
 	answers                                                      [submission.Unfinished + 1]atomic.Int64
 	startTimes, answerTimes                                      histogram
+	traffic                                                      traffic
 }
 
 func (cnt *counters) start(vdt shard.Verdict, took time.Duration) {
@@ -65,6 +67,12 @@
 		for res := range cnt.answers {
 			line("answers-"+submission.Result(res).String(), cnt.answers[res].Load())
 		}
+		for way, rpc := range map[string]*rpc.Counters{
+			"callers": &cnt.traffic.callers, "servers": &cnt.traffic.servers, "store": &cnt.traffic.store,
+		} {
+			line(way+"-bytes-in", int64(rpc.Stats().BytesIn))
+			line(way+"-bytes-out", int64(rpc.Stats().BytesOut))
+		}
 		cnt.startTimes.write("start", line)
 		cnt.answerTimes.write("answer", line)
 		if mem := expvar.Get("memstats"); mem != nil {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -80,6 +80,8 @@
 	desk    *submission.Desk
 	council *succession.Council
 	leaders map[shard.Name]*shard.Leader
+	// uplink is what the leaders share of the way to the servers.
+	uplink  *shard.Uplink
 	divided map[succession.Shard][]shard.ServerEntry
 	// divisions are agreed with the other instances.
 	divisions succession.Divisions
@@ -128,7 +130,7 @@
 	}
 	return &Daemon{
 		prm: prm, log: prm.Log, now: prm.Now, cnt: prm.Counters,
-		leaders: map[shard.Name]*shard.Leader{}, divisions: succession.Divisions{},
+		leaders: map[shard.Name]*shard.Leader{}, uplink: shard.NewUplink(prm.Settings.LinkBytes), divisions: succession.Divisions{},
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{},
 		callers: map[submission.Call]chan submission.Answer{},
 		passed:  map[shard.InstanceID]time.Time{},
@@ -187,7 +189,7 @@
 	}
 	dmn.log.Info().Str("failure-domain", set.FailureDomain).Str("callers", set.CallerAddress).
 		Float64("processor", set.Processor).Msg("started")
-	dmn.serveHTTP(work, lis.Callers, platform.Front(dmn))
+	dmn.serveHTTP(work, countedListener{lis.Callers, &dmn.cnt.traffic.callers}, platform.Front(dmn))
 	dmn.serveHTTP(work, lis.Ready, platform.Ready(dmn))
 	dmn.serveHTTP(work, lis.Metrics, dmn.cnt.handler())
 	grp.Go(func() error { return dmn.follow(work, dmn.configurations()) })
@@ -251,7 +253,7 @@
 	dmn.life, dmn.round = life, life
 	dmn.self = mesh.ID(set.Instance, life)
 	dmn.desk = submission.NewDesk(submission.Config{
-		Self: dmn.self, Proof: proof, RetryAfter: retryAfter, Vacancy: vacancy,
+		Self: dmn.self, Proof: proof, RetryAfter: retryAfter, Vacancy: vacancy, Link: dmn.uplink,
 	}, now)
 	close(dmn.joined)
 	dmn.council = succession.New(succession.DefaultConfig(), succession.Instance{
@@ -266,6 +268,7 @@
 	dmn.log.Info().Int64("life", life).Msg("registered")
 	dmn.group.Go(func() error { return dmn.follow(ctx, dmn.instances()) })
 	dmn.group.Go(func() error { return dmn.runTicks(ctx) })
+	dmn.group.Go(func() error { return dmn.logTraffic(ctx) })
 	return dmn.mesh.Run(ctx, lis)
 }
 
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -17,6 +17,9 @@
 func (dmn *Daemon) enter() time.Time {
 	dmn.mu.Lock()
 	now := dmn.now()
+	if dmn.mesh != nil {
+		dmn.uplink.SetPeers(dmn.mesh.Outstanding())
+	}
 	if slp := dmn.prm.Suspended(); slp-dmn.suspended > frozenFor {
 		dmn.thaw(now, slp-dmn.suspended)
 		dmn.suspended = slp
@@ -118,7 +121,7 @@
 func (dmn *Daemon) takeOver(now time.Time, name shard.Name) {
 	tok := dmn.token()
 	dmn.divisions.Confirm()
-	ldr := shard.NewLeader(dmn.shardConfig(), name, tok, now)
+	ldr := shard.NewLeader(dmn.shardConfig(), dmn.uplink, name, tok, now)
 	dmn.leaders[name] = ldr
 	dmn.council.Took(now, name, tok)
 	dmn.leadersChanged = true
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -133,10 +133,10 @@
 }
 
 // Lost implements mesh.Handler.
-func (dmn *Daemon) Lost(id shard.InstanceID) {
+func (dmn *Daemon) Lost(id shard.InstanceID, cau mesh.Cause) {
 	now := dmn.enter()
 	defer dmn.exit(now)
-	dmn.log.Warn().Str("peer", string(id)).Msg("instance lost")
+	dmn.log.Warn().Str("peer", string(id)).Str("cause", string(cau)).Msg("instance lost")
 	dmn.council.Lost(now, id)
 	for name, ldr := range dmn.leaders {
 		dmn.shardDo(name, ldr.OwnerLost(now, id))
--- a/internal/process/daemon/load_test.go
+++ b/internal/process/daemon/load_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // TestLoadOfManyJobs sends 100 jobs a second of three tasks for ten seconds; all are done in time. Run with
@@ -31,3 +35,66 @@
 		}
 	})
 }
+
+func TestNarrowLinks(t *testing.T) {
+	// Instances have links of 2 Mbit/s, and jobs of eight tasks come whose payloads fill those of the two leaders of 64
+	// servers, but not those of all eight instances. Starts took longer than their timeout, heartbeats waited behind
+	// them, sound leaders were missed, and their orders were sent again and again: nothing was done ever after.
+	cases := map[string]struct {
+		linkBytes, perSecond, least int
+	}{
+		"shares of all links":      {linkBytes: 250_000, perSecond: 40, least: 95},
+		"more than all links take": {linkBytes: 125_000, perSecond: 60, least: 0},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				playWith(t, &world{linkBytes: cse.linkBytes}, 2, 4, 36, func(wld *world) {
+					chk := is.NewRelaxed(t)
+					inTime, all := playPadded(wld, cse.perSecond, 5*time.Second)
+					t.Logf("%d of %d jobs in time", inTime, all)
+					chk.True(inTime*100 >= all*cse.least)
+					// After the load the system is what it was.
+					time.Sleep(2 * time.Second)
+					inTime, all = playPadded(wld, 20, time.Second)
+					t.Logf("%d of %d jobs in time afterwards", inTime, all)
+					chk.True(inTime*100 >= all*80)
+				})
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// playPadded sends jobs of eight tasks of 60 ms with payloads of 2.4 KB at a rate, and returns how many were answered well
+// within half a second, of how many.
+func playPadded(wld *world, perSecond int, dur time.Duration) (inTime, all int) {
+	var good atomic.Int64
+	nms := wld.names()
+	pad := strings.Repeat("x", 2400)
+	for end := time.Now().Add(dur); time.Now().Before(end); all++ {
+		wld.lives++
+		job := jobSpec{id: jobID(wld.lives), tasks: 8, patience: 2 * time.Second, payload: payload{Millis: 60, Pad: pad}}
+		to := nms[all%len(nms)]
+		wld.grp.Go(func() error {
+			began := time.Now()
+			if wld.send(wld.ctx, to, job) == http.StatusOK && time.Since(began) < 500*time.Millisecond {
+				good.Add(1)
+			}
+			return nil
+		})
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	time.Sleep(2 * time.Second)
+	var sent, calls uint64
+	var looks, starts int64
+	for _, prc := range wld.entries {
+		stt := prc.dmn.mesh.Stats()
+		sent += stt.BytesOut
+		calls += stt.Calls
+		looks += prc.dmn.cnt.looks.Load()
+		starts += prc.dmn.cnt.starts[0].Load()
+	}
+	wld.t.Logf("%d KB in %d batches, %d looks, %d starts", sent/1000, calls, looks, starts)
+	return int(good.Load()), all
+}
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
+	"chestnutstack/internal/connection/rpc"
 	"chestnutstack/platform"
 )
 
@@ -87,8 +88,8 @@
 	clk := newClock()
 	dmn := New(Params{
 		Settings: set, SettingsPath: flg.Settings,
-		Store:   platform.NewStore(newClient(0), set.StoreAddress),
-		Servers: platform.NewServers(newClient(connsPerServer)),
+		Store:   platform.NewStore(newClient(0, &cnt.traffic.store), set.StoreAddress),
+		Servers: platform.NewServers(newClient(connsPerServer, &cnt.traffic.servers)),
 		Dial:    (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		Now:     clk.now, Suspended: clk.suspended,
 		Log:      lgr,
@@ -97,9 +98,9 @@
 	return dmn.Run(ctx, lis)
 }
 
-func newClient(connsPerHost int) *http.Client {
+func newClient(connsPerHost int, cnt *rpc.Counters) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
+		DialContext:         counted((&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext, cnt),
 		MaxConnsPerHost:     connsPerHost,
 		MaxIdleConnsPerHost: connsPerServer,
 		IdleConnTimeout:     idleConn,
--- a/internal/process/pipe/pipe.go
+++ b/internal/process/pipe/pipe.go
@@ -20,11 +20,13 @@
 	// dead has hosts that nothing reaches and that reach nothing.
 	dead  map[string]bool
 	conns []*conn
+	// links has the hosts whose links are narrow.
+	links map[string]*link
 }
 
 // New returns a network without hosts.
 func New() *Network {
-	return &Network{listeners: map[string]*listener{}, cut: map[[2]string]bool{}, dead: map[string]bool{}}
+	return &Network{listeners: map[string]*listener{}, cut: map[[2]string]bool{}, dead: map[string]bool{}, links: map[string]*link{}}
 }
 
 type address string
@@ -96,6 +98,7 @@
 		one := &conn{Conn: near, from: host, to: hostOf(addr)}
 		two := &conn{Conn: far, from: hostOf(addr), to: host}
 		ntw.mu.Lock()
+		one.out, two.out = ntw.links[one.from], ntw.links[two.from]
 		ntw.conns = append(ntw.conns, one, two)
 		ntw.mu.Unlock()
 		select {
@@ -222,9 +225,11 @@
 type conn struct {
 	net.Conn
 	from, to string
-	mu       sync.Mutex
-	silent   bool
-	closed   bool
+	// out is the narrow link of the sending host, if it has one.
+	out    *link
+	mu     sync.Mutex
+	silent bool
+	closed bool
 }
 
 // Close implements net.Conn.
@@ -270,5 +275,38 @@
 	if con.isSilent() {
 		return len(data), nil
 	}
+	if con.out != nil {
+		con.out.carry(len(data))
+	}
 	return con.Conn.Write(data)
 }
+
+// Narrow gives a host a link that carries so many bytes a second of what it sends, over connections opened from now on.
+func (ntw *Network) Narrow(host string, perSecond int) {
+	ntw.mu.Lock()
+	defer ntw.mu.Unlock()
+	ntw.links[host] = &link{perSecond: perSecond}
+}
+
+// link is the way out of a host: what is sent waits for all that was sent before.
+type link struct {
+	perSecond int
+	mu        sync.Mutex
+	freeAt    time.Time
+}
+
+// packetBytes is what the headers of a packet and its acknowledgement take up on the link.
+const packetBytes = 80
+
+// carry returns once so many more bytes have left the host.
+func (lnk *link) carry(num int) {
+	lnk.mu.Lock()
+	now := time.Now()
+	if lnk.freeAt.Before(now) {
+		lnk.freeAt = now
+	}
+	lnk.freeAt = lnk.freeAt.Add(time.Duration(num+packetBytes) * time.Second / time.Duration(lnk.perSecond))
+	until := lnk.freeAt
+	lnk.mu.Unlock()
+	time.Sleep(until.Sub(now))
+}
--- a/internal/process/succession/shards.go
+++ b/internal/process/succession/shards.go
@@ -9,9 +9,10 @@
 	"chestnutstack/internal/request/shard"
 )
 
-// serversPerShard is the size that shards are cut to: the larger a shard, the better its tasks are packed
-// and the fewer instances lead; a leader with 0.8 of a core calls some 60 servers with 8 starts a second each.
-const serversPerShard = 64
+// serversPerShard is the size that shards are cut to. With some ten backend servers an instance, each instance leads about one
+// shard and sends its share of the starts, by its link and its processor; the larger a shard, the better its tasks are
+// packed. Of 64 servers, a quarter of the instances sent all starts.
+const serversPerShard = 9
 
 // Divisions has the division of each failure domain.
 type Divisions map[string]shard.Division
--- /dev/null
+++ b/internal/request/roundtrip/roundtrip_test.go
@@ -0,0 +1,36 @@
+package roundtrip
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestPatience(t *testing.T) {
+	// A link fills, and answers that took 2 ms take 150. Asked again after 100 ms each time, the servers would get two
+	// orders for one, and the link would never empty.
+	const least, most = 100 * time.Millisecond, 300 * time.Millisecond
+	cases := map[string]struct {
+		took     []time.Duration
+		from, to time.Duration
+	}{
+		"nothing known":    {from: least, to: least},
+		"sound":            {took: []time.Duration{2, 3, 2, 2}, from: least, to: least},
+		"slow all along":   {took: []time.Duration{90, 95, 90, 95, 90, 92, 91, 90}, from: 101 * time.Millisecond, to: most},
+		"becomes slow":     {took: []time.Duration{2, 2, 2, 100, 150, 150}, from: 200 * time.Millisecond, to: most},
+		"slow without end": {took: []time.Duration{500, 500, 500}, from: most, to: most},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			var est Estimate
+			for _, tok := range cse.took {
+				est.Add(tok * time.Millisecond)
+			}
+			got := est.Patience(least, most)
+			chk.True(got >= cse.from)
+			chk.True(got <= cse.to)
+		})
+	}
+}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -9,6 +9,7 @@
 		srv.setClock(now, clock)
 	}
 	if rn == nil || !rn.acceptedAt.IsZero() {
+		ldr.advance(now, nil)
 		return ldr.take()
 	}
 	switch vdt {
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -8,6 +8,7 @@
 // It is not safe for concurrent use.
 type Leader struct {
 	cfg     Config
+	link    *Uplink
 	name    Name
 	token   int64
 	since   time.Time
@@ -36,10 +37,10 @@
 	server ServerID
 }
 
-// NewLeader returns the leader of a shard that was taken over with a fencing token.
-func NewLeader(cfg Config, name Name, token int64, now time.Time) *Leader {
+// NewLeader returns the leader of a shard that was taken over with a fencing token; link is the instance's.
+func NewLeader(cfg Config, link *Uplink, name Name, token int64, now time.Time) *Leader {
 	return &Leader{
-		cfg: cfg, name: name, token: token, since: now,
+		cfg: cfg, link: link, name: name, token: token, since: now,
 		servers: map[ServerID]*server{}, orders: map[string]*order{}, ends: map[string]foundEnd{},
 		steps: map[string]*siblings{}, stepsAt: now,
 	}
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -32,11 +32,19 @@
 // callers see no delay.
 func (ldr *Leader) placeRank(now time.Time, ords []*order, rms rooms) {
 	most := rms.most()
+	ahead := int64(0)
 	for _, late := range []bool{false, true} {
 		for _, ord := range ords {
 			if ord.run != nil || ord.late(now) != late || now.Before(ord.notBefore) {
 				continue
 			}
+			if ord.Followed {
+				ldr.bounce(ord) // It runs nowhere, and has no payload here.
+				continue
+			}
+			if !ldr.link.Fits(ord.Payload) {
+				continue // A short wait costs less than the way to another leader, with the payload.
+			}
 			if rom := rms.best(ord, most); rom != nil {
 				rom.processor -= ord.Processor
 				rom.memory -= ord.Memory
@@ -45,14 +53,52 @@
 				}
 				most = rms.most()
 				ldr.start(now, rom.srv, ord)
-			} else if ord.Bounce {
-				delete(ldr.orders, ord.Task)
-				ldr.report(ord, NotRun, 0)
+				continue
+			}
+			ahead += ord.work()
+			if ord.Bounce && ahead > ldr.capacity()*bounceWait.Milliseconds() {
+				ldr.bounce(ord)
 			}
 		}
 	}
 }
 
+// bounceWait is the expected wait from which on an order that was to start at once goes back to its owner. The way back and to
+// another leader takes some 2 ms of time, but 1 ms of processor time and its payload once more; in a pool of 20 tasks
+// of 200 ms one ends each 10 ms.
+const bounceWait = 20 * time.Millisecond
+
+// work is what a task takes up, in thousandths of a core times milliseconds.
+func (ord *order) work() int64 { return ord.Processor * ord.Expected.Milliseconds() }
+
+// capacity is that of the servers that take tasks.
+func (ldr *Leader) capacity() int64 {
+	var num int64
+	for _, srv := range ldr.servers {
+		if srv.usable() {
+			num += srv.ent.Processor
+		}
+	}
+	return num
+}
+
+// bounce gives an order back that is to wait nowhere.
+func (ldr *Leader) bounce(ord *order) {
+	delete(ldr.orders, ord.Task)
+	ldr.report(ord, NotRun, 0)
+}
+
+// waitingBytes is what the queue will put on the link.
+func (ldr *Leader) waitingBytes() int64 {
+	var num int64
+	for _, ord := range ldr.que.orders {
+		if ord.run == nil {
+			num += StartBytes(ord.Payload)
+		}
+	}
+	return num
+}
+
 func (ldr *Leader) start(now time.Time, srv *server, ord *order) {
 	// A task's numbers must rise over all its leaders; the time of day does, and a leader that starts a
 	// task twice within a millisecond counts on.
@@ -61,6 +107,7 @@
 	srv.add(rn)
 	ord.run, ord.srv = rn, srv
 	srv.renewedAt = now
+	ldr.link.sent(ord.Payload)
 	ldr.do(StartRun{
 		Server: srv.ent, Run: rn.id, Payload: ord.Payload, Token: ldr.token,
 		Until: srv.until(now, ldr.cfg.Lease),
@@ -148,6 +195,8 @@
 	// thousandths of a core times their expected run time in milliseconds.
 	Capacity int64
 	Waiting  [Priorities]int64
+	// LinkWindow are the bytes of starts that the leader's link takes at once, LinkBusy those that are under way or wait.
+	LinkWindow, LinkBusy int64
 }
 
 // Priorities is how many priorities are told apart in a Load; less urgent ones count as the last.
@@ -157,17 +206,18 @@
 func (ldr *Leader) Load(now time.Time) Load {
 	ldr.loads++
 	lod := Load{Number: ldr.loads}
+	lod.LinkWindow, lod.LinkBusy = ldr.link.window, ldr.link.busy()+ldr.waitingBytes()
+	lod.Capacity = ldr.capacity()
 	for _, srv := range ldr.servers {
 		if !srv.open(now) {
 			continue
 		}
-		lod.Capacity += srv.ent.Processor
 		if prc, _ := srv.free(); prc > 0 {
 			lod.Free = append(lod.Free, prc)
 		}
 	}
 	for _, ord := range ldr.que.orders {
-		lod.Waiting[min(max(ord.Priority, 0), Priorities-1)] += ord.Processor * ord.Expected.Milliseconds()
+		lod.Waiting[min(max(ord.Priority, 0), Priorities-1)] += ord.work()
 	}
 	return lod
 }
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -134,6 +134,9 @@
 	return !srv.onTrial() || len(srv.runs) == 0
 }
 
+// usable reports whether the server is a part of the shard's room, leaving out pauses.
+func (srv *server) usable() bool { return srv.state == held && !srv.ent.Leaving }
+
 // onTrial reports whether the next end decides on a server that was paused.
 func (srv *server) onTrial() bool { return srv.failing >= failuresToPause || srv.spd.onTrial() }
 
--- a/internal/request/shard/words.go
+++ b/internal/request/shard/words.go
@@ -120,7 +120,9 @@
 	Step      string
 	// Avoid has servers where the task failed before; they are used if no other has room.
 	Avoid []ServerID
-	// Followed says that the order lay with an earlier leader of the shard, which may have started it; At is the server
+	// Followed says that the order lay with an earlier leader of the shard, which may have started it. It has no payload:
+	// most such tasks run, and after the loss of a leader the payloads of all others would fill links for long enough
+	// that the next leader is missed. One that runs nowhere goes back to its owner, which orders it anew. At is the server
 	// where it last ran, if its owner has heard of that.
 	Followed bool
 	At       ServerID
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -20,21 +20,20 @@
 	load shard.Load
 	// sent is what was sent since the last load, in the unit of Load.Waiting.
 	sent int64
+	// payload is the job whose payload was last sent there.
+	payload string
 }
 
 // fits returns how many tasks of a size would start at once.
 func (viw *view) fits(processor int64) int64 {
-	if processor <= 0 {
-		return int64(len(viw.load.Free))
-	}
 	num := int64(0)
 	for _, fre := range viw.load.Free {
-		num += fre / processor
+		num += fre / max(processor, 1)
 	}
 	return num
 }
 
-// wait estimates how long a task of a priority waits, in milliseconds times an arbitrary constant.
+// wait estimates how long a task of a priority waits for room, in milliseconds.
 func (viw *view) wait(priority int) float64 {
 	work := viw.sent
 	for pri := 0; pri <= min(max(priority, 0), shard.Priorities-1); pri++ {
@@ -43,8 +42,16 @@
 	return float64(work) / float64(max(viw.load.Capacity, 1))
 }
 
+// linkWait estimates how long a start of so many bytes waits for the leader's link, in milliseconds.
+func (viw *view) linkWait(bytes int64) float64 {
+	return millis(shard.LinkDelay(viw.load.LinkWindow, viw.load.LinkBusy+bytes))
+}
+
+func millis(dur time.Duration) float64 { return float64(dur) / float64(time.Millisecond) }
+
 // placed counts a task that was just sent, so that the next one does not go after the same room.
-func (viw *view) placed(processor int64, fits bool) {
+func (viw *view) placed(processor, bytes int64, fits bool) {
+	viw.load.LinkBusy += bytes
 	if !fits {
 		viw.sent += processor
 		return
@@ -57,40 +64,58 @@
 	}
 }
 
-// choose returns the shard for a task and whether it is believed to start there at once: a near shard
-// with room, else the one with the most room, else the one with the shortest wait.
+// choose returns the shard where a task is expected to start first, and whether it is believed to find room there. Among equals
+// it is the one with the most room.
 //
 // Pools of a failure domain are small (some 36 tasks of 14 cores): tasks that find theirs full and
 // go to another one's room don't wait for their neighbours' 0.9 s.
 func (dsk *Desk) choose(tsk *task, stp *Step) (*view, bool) {
-	var room, queue *view
-	var most int64
+	var bst *view
 	var least float64
+	var most int64
 	for _, viw := range dsk.sorted() {
 		if viw.leader == "" {
 			continue
 		}
 		num := viw.fits(stp.Processor)
-		if viw.near && num > 0 {
-			num += nearBonus
-		}
-		if num > most {
-			room, most = viw, num
+		cst := dsk.cost(viw, tsk.job)
+		if num == 0 {
+			cst += noRoom + viw.wait(tsk.job.sub.Priority)
 		}
-		wat := viw.wait(tsk.job.sub.Priority)
-		if queue == nil || wat < least || wat == least && viw.near && !queue.near {
-			queue, least = viw, wat
+		if bst == nil || cst < least || cst == least && num > most {
+			bst, least, most = viw, cst, num
 		}
 	}
-	if room != nil {
-		return room, true
+	return bst, most > 0
+}
+
+// cost is how much later a task starts in a shard than in one that is led here with a free link, in milliseconds.
+func (dsk *Desk) cost(viw *view, jb *job) float64 {
+	byt := shard.StartBytes(jb.sub.Payload)
+	cst := viw.linkWait(byt)
+	switch {
+	case viw.leader == dsk.cfg.Self:
+		return cst
+	case viw.near:
+		cst += nearCost
+	default:
+		cst += farCost
+	}
+	if viw.payload != jb.sub.ID {
+		// The payload is still to be sent there, once for all tasks of the job.
+		cst += millis(dsk.cfg.Link.Delay(byt))
 	}
-	return queue, false
+	return cst
 }
 
-// nearBonus puts any near shard with room before all others: the way to another failure domain costs up
-// to 2 ms and bytes that are paid for.
-const nearBonus = 1 << 30
+// In milliseconds; on the platform's pages a way within a failure domain takes 0.2 to and fro, to another one 1 to 2, over
+// links that are paid for, and a message takes half of one for the processors at both ends.
+const (
+	nearCost = 1
+	farCost  = 4
+	// noRoom is the least wait where all servers are full: what is believed to be free may be gone, but is the better guess.
+	noRoom = 20
+)
 
 func (dsk *Desk) sorted() []*view {
 	vws := make([]*view, 0, len(dsk.shards))
@@ -152,7 +177,8 @@
 	}
 	// The former leader may have started it without a word of that here.
 	tsk.job.begun = true
-	tsk.leader, tsk.token, tsk.limbo, tsk.begun, tsk.queued = viw.leader, viw.token, time.Time{}, false, true
+	tsk.leader, tsk.token, tsk.limbo, tsk.begun, tsk.queued = viw.leader, viw.token, time.Time{}, false, false
+	tsk.followed = true
 	dsk.send(tsk, shard.Order{Followed: true, At: tsk.server})
 }
 
@@ -192,7 +218,7 @@
 	}
 	viw.load, viw.sent = lod, 0
 	viw.load.Free = slices.Clone(lod.Free)
-	if len(viw.load.Free) > 0 && dsk.anyWaiting(viw.name) {
+	if len(viw.load.Free) > 0 && viw.linkWait(0) == 0 && dsk.anyWaiting(viw.name) {
 		dsk.recall(viw)
 	}
 	return dsk.take()
@@ -221,7 +247,7 @@
 	for _, jb := range dsk.inOrder() {
 		for _, tks := range jb.tasks {
 			for _, tsk := range tks {
-				if !tsk.waits() || tsk.shard == viw.name {
+				if !tsk.waits() || tsk.shard == viw.name || !dsk.waitsLong(tsk) {
 					continue
 				}
 				need := jb.sub.Steps[tsk.step].Processor
@@ -236,6 +262,13 @@
 	}
 }
 
+// waitsLong reports whether a task will wait for room for longer than a call-back and another order are worth. One that waits
+// for its leader's link is not called back: its payload would take up its owner's link once more.
+func (dsk *Desk) waitsLong(tsk *task) bool {
+	viw := dsk.shards[tsk.shard]
+	return viw == nil || viw.linkWait(0) == 0 && viw.wait(tsk.job.sub.Priority) >= noRoom
+}
+
 // Leads reports whether a target is the known leader of its shard.
 func (dsk *Desk) Leads(tgt Target) bool {
 	viw := dsk.shards[tgt.Shard]
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -48,6 +48,17 @@
 	RetryAfter time.Duration
 	// Vacancy is how long all shards may be without a leader before submissions are refused at once.
 	Vacancy time.Duration
+	// Link is the instance's.
+	Link Link
+}
+
+// Link tells whether an order with a payload may be sent to another instance now.
+type Link interface {
+	Fits(payload string) bool
+	// Sends notes an order that is about to be sent.
+	Sends(payload string)
+	// Delay is how long so many bytes would wait.
+	Delay(bytes int64) time.Duration
 }
 
 // Desk decides for the submissions of one entry instance. It is not safe for concurrent use.
@@ -61,7 +72,9 @@
 	closing bool
 	// ledAt is when a shard was last known to have a leader, or the desk was made.
 	ledAt time.Time
-	acts  []Action
+	// held is set while tasks wait for the link.
+	held bool
+	acts []Action
 }
 
 // job is a submission that is not answered yet.
@@ -99,6 +112,8 @@
 	server shard.ServerID
 	// queued is set while the task is believed to wait with its leader; recalled once it was called back from there.
 	queued, recalled bool
+	// followed is set while the order is one that lay with an earlier leader.
+	followed bool
 }
 
 // NewDesk returns a desk without submissions.
@@ -207,11 +222,20 @@
 	if viw == nil {
 		return // No shard has a leader; the next one that appears gets the task.
 	}
+	if viw.leader != dsk.cfg.Self && !dsk.cfg.Link.Fits(tsk.job.sub.Payload) {
+		// What is not sent has not run, and does not keep heartbeats waiting.
+		dsk.held = true
+		return
+	}
 	tsk.shard, tsk.leader, tsk.token = viw.name, viw.leader, viw.token
 	bounce := fits && tsk.bounces < maxBounces
-	tsk.begun, tsk.recalled, tsk.queued, tsk.server = false, false, !bounce, ""
+	tsk.begun, tsk.recalled, tsk.followed, tsk.queued, tsk.server = false, false, false, !bounce, ""
 	dsk.send(tsk, shard.Order{Bounce: bounce})
-	viw.placed(stp.Processor, fits)
+	if viw.leader != dsk.cfg.Self && viw.payload != tsk.job.sub.ID {
+		dsk.cfg.Link.Sends(tsk.job.sub.Payload)
+		viw.payload = tsk.job.sub.ID
+	}
+	viw.placed(stp.Processor, shard.StartBytes(tsk.job.sub.Payload), fits)
 }
 
 // maxBounces is how often a task tries for a free place elsewhere before it waits in a queue: each try
@@ -231,8 +255,12 @@
 		dsk.do(Place{Target: tsk.target(), Order: shard.Order{Task: tsk.name, Owner: dsk.cfg.Self, Recall: true}})
 		return
 	}
+	payload := jb.sub.Payload
+	if how.Followed {
+		payload = ""
+	}
 	dsk.do(Place{Target: tsk.target(), Order: shard.Order{
-		Task: tsk.name, Owner: dsk.cfg.Self, Service: jb.sub.Service, Payload: jb.sub.Payload,
+		Task: tsk.name, Owner: dsk.cfg.Self, Service: jb.sub.Service, Payload: payload,
 		Processor: stp.Processor, Memory: stp.Memory, Priority: jb.sub.Priority,
 		Arrived: jb.arrived, Aim: jb.arrived.Add(jb.sub.Objective(stp.Expected)),
 		Expected: stp.Expected, Label: stp.Label, Rack: stp.Rack,
@@ -261,8 +289,10 @@
 		dsk.taskFailed(tsk, rep)
 	case shard.NotRun:
 		tsk.leader = ""
-		tsk.bounces++
-		dsk.full(tsk.shard)
+		if !tsk.followed {
+			tsk.bounces++
+			dsk.full(tsk.shard)
+		}
 		dsk.place(tsk)
 	case shard.Lost:
 		if rep.Server != "" {
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -46,6 +46,12 @@
 	if dsk.anyLeader() {
 		dsk.ledAt = now
 	}
+	if dsk.held {
+		dsk.held = false
+		for _, jb := range dsk.inOrder() {
+			dsk.advance(jb)
+		}
+	}
 	for _, jb := range dsk.jobs {
 		if !now.Before(jb.deadline) {
 			dsk.abandon(jb, "deadline passed")
