Start sooner after the loss of all instances: wait for nobody where nothing runs

Cause: after a loss of all for 1.1 s, the first tasks started 0.35 to 0.48 s after the first process was up: 120 ms of listening as a newcomer, 30 ms of patience after that, 120 ms for owners' orders although nothing ran.

Change: a take-over is complete once all that its servers list was asked for; the patience runs while the newcomer listens, for 60 ms.

TestAllLosePower: 404 to 280 ms until tasks of 100 ms are done.

--- a/internal/process/daemon/servers_story_test.go
+++ b/internal/process/daemon/servers_story_test.go
@@ -189,7 +189,8 @@
 
 func TestAllLosePower(t *testing.T) {
 	// All instances lose their power and start again. Requests that reach them before the shards have leaders wait
-	// for that instead of being refused: it takes half a second, and callers wait longer.
+	// for that instead of being refused. Nothing runs anywhere, so that nobody has to be waited for: tasks of 100 ms are
+	// done 0.28 s after the processes are up. That was 0.40 s while each take-over waited for orders.
 	inWorld(t, 2, 2, 2, func(wld *world) {
 		chk := is.NewRelaxed(t)
 		for _, name := range wld.names() {
@@ -207,7 +208,8 @@
 			<-snt.done
 			chk.Equal(snt.status, http.StatusOK)
 		}
-		chk.True(time.Since(began) < time.Second)
+		t.Logf("all are done after %s", time.Since(began))
+		chk.True(time.Since(began) < 300*time.Millisecond)
 	})
 }
 
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -58,7 +58,7 @@
 	return Config{
 		Patience:   30 * time.Millisecond,
 		Foreign:    400 * time.Millisecond,
-		Newcomer:   120 * time.Millisecond,
+		Newcomer:   60 * time.Millisecond,
 		Alone:      1500 * time.Millisecond,
 		HeldUp:     500 * time.Millisecond,
 		Turn:       250 * time.Millisecond,
@@ -251,7 +251,7 @@
 
 // shouldTake reports whether the own instance is the one to take a shard over now.
 func (cnc *Council) shouldTake(now time.Time, shd Shard, led shard.InstanceID) bool {
-	if !cnc.self.Ready || cnc.self.Leaving || now.Sub(cnc.readyAt) < cnc.cfg.Newcomer || now.Before(cnc.losses[shd.Name].until) {
+	if !cnc.self.Ready || cnc.self.Leaving || now.Before(cnc.losses[shd.Name].until) {
 		return false
 	}
 	if led != "" {
@@ -278,7 +278,7 @@
 	}
 	// The candidates before this one may be held up.
 	patience += time.Duration(before) * cnc.cfg.Turn
-	return now.Sub(since) >= patience && !cnc.mayBeCutOff(now)
+	return now.Sub(since) >= patience && now.Sub(cnc.readyAt) >= cnc.cfg.Newcomer && !cnc.mayBeCutOff(now)
 }
 
 // mayBeCutOff reports whether the instance hears nobody although there were others a moment ago.
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -333,7 +333,7 @@
 // settle ends the take-over: what nobody has asked for is stopped before any lease is renewed, or an
 // orphan would outlive its caller's patience and meet its own copy.
 func (ldr *Leader) settle(now time.Time) {
-	if now.Sub(ldr.since) < ldr.cfg.Settle {
+	if now.Sub(ldr.since) < ldr.cfg.Settle && !ldr.nothingToAdopt() {
 		return
 	}
 	ldr.settled = true
@@ -343,6 +343,21 @@
 	}
 }
 
+// nothingToAdopt reports whether every server has listed what runs there, and an owner has asked for all of it: nobody is
+// waited for then. After the loss of all instances nothing runs, and the first tasks start 0.1 s sooner; so they do
+// after a planned handover (TestAllLosePower in process/daemon).
+func (ldr *Leader) nothingToAdopt() bool {
+	if len(ldr.servers) == 0 || len(ldr.ends) > 0 || !ldr.allListed() {
+		return false
+	}
+	for _, srv := range ldr.servers {
+		if srv.orphans > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (ldr *Leader) stopOrphans(now time.Time, srv *server) {
 	for _, rn := range srv.runs {
 		if rn.ord == nil {
