Send starts without an answer again; judge servers by the share of their answers

Change: a start without an answer is sent again as the same run, twice, which a server starts once; a refusal of a repeated one waits for the next look. Orders are waited for 40 ms at least (100 before). A leader follows the share of answers lost and judges a server by it; looks wait for less where many are lost.

TestUnansweredStart now answers none of the three sends before it expects the stop.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -1,12 +1,16 @@
 package shard
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Started tells what came of a StartRun; clock is the server's, if it answered.
 func (ldr *Leader) Started(now time.Time, id ServerID, rid RunID, vdt Verdict, clock time.Duration) []Action {
 	srv, rn := ldr.find(id, rid)
 	if srv != nil {
 		srv.setClock(now, clock)
+		ldr.noteAnswer(srv, vdt)
 	}
 	if rn == nil || !rn.acceptedAt.IsZero() {
 		ldr.advance(now, nil)
@@ -16,19 +20,41 @@
 	case Accepted:
 		ldr.accepted(now, srv, rn)
 	case Unknown:
-		// It may still be carried out, seconds later even. A stop that is accepted proves that it isn't.
-		ldr.stop(now, srv, rn)
+		ldr.unanswered(now, srv, rn)
 	case Fenced:
 		ldr.fenced(srv)
 	case Replaced:
 		ldr.replaced(now, srv)
 	case Refused, Overfull:
+		if rn.repeats > 0 && rn.state == starting {
+			// An earlier try may have run and ended meanwhile: the next look lists its end, or does not list the run.
+			ldr.accepted(now, srv, rn)
+			break
+		}
 		ldr.refused(now, srv, rn)
 	}
 	ldr.advance(now, srv)
 	return ldr.take()
 }
 
+// unanswered deals with a start that got no answer: it is sent again, as the same run, which a server starts once however
+// often it is told. Where a third of the answers are lost, a job of eight tasks is done in one call more for most of
+// them; with a stop, its proof and a new run, each loss took 0.3 s.
+//
+// A server that answers none of them may carry the start out seconds later. A stop that is accepted proves that it doesn't.
+func (ldr *Leader) unanswered(now time.Time, srv *server, rn *run) {
+	if rn.state != starting || rn.repeats >= startRepeats || rn.ord == nil || srv.state != held {
+		ldr.stop(now, srv, rn)
+		return
+	}
+	rn.repeats++
+	ldr.sendStart(now, srv, rn)
+}
+
+// startRepeats leaves one start in 37 without an answer where three in ten are lost, and finds a dark server out within
+// the time of three calls.
+const startRepeats = 2
+
 // refused takes back a task that a server would not start. It may know a higher number of that task from
 // another leader, whose clock is ahead; and a server that refuses must not be asked in a tight loop.
 func (ldr *Leader) refused(now time.Time, srv *server, rn *run) {
@@ -94,6 +120,7 @@
 		}
 		return ldr.take()
 	}
+	ldr.noteAnswer(srv, vdt)
 	srv.looking = false
 	srv.lookAt = now
 	srv.pause = len(look.Ended) > 0
@@ -116,7 +143,7 @@
 // would lapse, which took two fifths of the pool's room on such days.
 func (ldr *Leader) unheard(now time.Time, srv *server) {
 	srv.doubts++
-	if srv.state == held && srv.doubts < doubtsToSilence {
+	if srv.state == held && srv.doubts < ldr.doubtsToSilence() {
 		return
 	}
 	if srv.state == held {
@@ -125,9 +152,53 @@
 	srv.lookAt = now.Add(silentPause)
 }
 
-// doubtsToSilence is how many looks in a row get no answer from a server that is gone, or one time in eight
-// thousand from a sound one on such a day.
-const doubtsToSilence = 3
+// noteAnswer follows the share of answers that are lost on the way from servers that answered the last time: one that is gone
+// counts once.
+func (ldr *Leader) noteAnswer(srv *server, vdt Verdict) {
+	if srv.doubts > 0 {
+		return
+	}
+	lost := 0.0
+	if vdt == Unknown {
+		lost = 1
+	}
+	ldr.loss += lossWeight * (lost - ldr.loss)
+}
+
+// lossy reports whether so many answers are lost that one that is missing says little of its server.
+func (ldr *Leader) lossy() bool { return ldr.loss > lossyShare }
+
+// tolerance is how many looks in a row a server may leave without an answer and still get new work. Where few are lost, one is
+// a server that has gone dark; where three in ten are, closing a server for each took two thirds of the room.
+func (ldr *Leader) tolerance() int {
+	if !ldr.lossy() {
+		return 0
+	}
+	return ldr.doubtsToSilence() / 2
+}
+
+// doubtsToSilence is how many looks in a row get no answer from a server that is gone, or one time in ten thousand from a
+// sound one by the share of answers that are lost.
+func (ldr *Leader) doubtsToSilence() int {
+	if !ldr.lossy() {
+		return leastDoubts
+	}
+	num := int(math.Ceil(math.Log(falseSilence) / math.Log(min(ldr.loss, mostLoss))))
+	return max(num, leastDoubts)
+}
+
+const (
+	// lossWeight makes the share follow some sixty answers, a third of a second of a small shard.
+	lossWeight = 1.0 / 64
+	// lossyShare lies between a sound day's losses, under one in a thousand, and the least of a day with trouble, one in
+	// twenty: a server that goes dark raises the share by a sixty-fourth.
+	lossyShare = 0.03
+	// leastDoubts at one loss in twenty is one time in eight thousand.
+	leastDoubts  = 3
+	falseSilence = 1e-4
+	// mostLoss keeps a server that is gone from being asked more than a dozen times.
+	mostLoss = 0.45
+)
 
 // lookPause is the pause after a look that listed ends: the tasks of a submission end together, and what ends
 // within the pause comes with one look. On a day of jobs of 8 tasks of 60 ms it saves a quarter of
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -31,6 +31,8 @@
 	scratch rooms
 	// whole is set once the list was read after the take-over: a former leader holds no server that it lacks.
 	whole bool
+	// loss is the share of answers that are lost.
+	loss float64
 	// lost counts the servers that obey another leader.
 	lost int
 }
@@ -398,7 +400,7 @@
 		case srv.awaitsProof():
 			srv.pause = true // A stop takes its time.
 		case srv.doubts == 0:
-			act.Wait = ldr.cfg.Wait
+			act.Wait = ldr.lookWait()
 		}
 		if !srv.unanswered(now, ldr.cfg.StopPatience) {
 			act.Until = srv.until(now, ldr.cfg.Lease)
@@ -413,3 +415,15 @@
 	srv.looking, srv.lookAt = true, now
 	ldr.do(act)
 }
+
+// lookWait returns how long a look waits for an end. That it was lost shows only after that, and what ended meanwhile waits for
+// the next one; so looks wait for less where many are lost.
+func (ldr *Leader) lookWait() time.Duration {
+	if ldr.lossy() {
+		return min(ldr.cfg.Wait, lossyWait)
+	}
+	return ldr.cfg.Wait
+}
+
+// lossyWait is the time of a call that is taken for lost: asking more often finds nothing out sooner.
+const lossyWait = 40 * time.Millisecond
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -36,12 +36,16 @@
 }
 
 func TestUnansweredStart(t *testing.T) {
-	// A start gets no answer; the server carries it out seconds later. Started elsewhere meanwhile, the task would run
-	// twice. It waits until the server has accepted a stop and a later look does not list it.
+	// A start gets no answer, however often it is sent; the server carries it out seconds later. Started elsewhere meanwhile,
+	// the task would run twice. It waits until the server has accepted a stop and a later look does not list it.
 	chk := is.New(t)
 	dsk := newDesk(t, listed("s1", 32000), listed("s2", 32000))
 	first := dsk.place(0, "j.0")["j.0"]
 	run := dsk.started("j.0", Unknown)
+	for range startRepeats {
+		chk.Equal(dsk.stops(), 0)
+		chk.Equal(dsk.started("j.0", Unknown), run) // The same run, at the same server.
+	}
 	chk.Equal(dsk.stops(), 1)
 	dsk.did(dsk.ldr.Stopped(dsk.now, first, run, Unknown))
 	dsk.acts = nil
@@ -58,6 +62,59 @@
 	chk.Equal(len(dsk.starts()), 1)
 }
 
+func TestStartThatIsSentAgain(t *testing.T) {
+	// The first start got no answer and was carried out. The server accepts the second one, as the run is there; or it refuses
+	// it, as the run has ended there already. Taken for a refusal, that would start the task a second time.
+	cases := map[string]struct {
+		answer    Verdict
+		look      func(run RunID) Look
+		done, new int
+	}{
+		"runs there": {
+			answer: Accepted, look: func(run RunID) Look { return Look{Running: []Progress{{Run: run}}} },
+		},
+		"has ended there": {
+			answer: Refused, look: func(run RunID) Look { return Look{Ended: []End{{Seq: 1, Run: run, How: EndedDone}}} }, done: 1,
+		},
+		"never came there": {
+			answer: Refused, look: func(RunID) Look { return Look{} }, new: 1,
+		},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			dsk := newDesk(t, listed("s1", 32000), listed("s2", 32000))
+			srv := dsk.place(0, "j.0")["j.0"]
+			run := dsk.started("j.0", Unknown)
+			chk.Equal(dsk.started("j.0", cse.answer), run)
+			dsk.acts = nil
+			dsk.pass(10 * time.Millisecond)
+			dsk.look(srv, cse.look(run))
+			chk.Equal(dsk.reports(Done), cse.done)
+			chk.Equal(len(dsk.starts()), cse.new)
+			chk.Equal(dsk.stops(), 0)
+		})
+	}
+}
+
+func TestServersAreJudgedByTheShareOfAnswers(t *testing.T) {
+	// A third of all answers is lost. A server that left one look without an answer goes on getting tasks, and is not taken
+	// for silent after three; on a sound day it gets none after one.
+	for lossy, want := range map[bool]int{true: 1, false: 0} {
+		chk := is.New(t)
+		dsk := newDesk(t, listed("s", 32000))
+		if lossy {
+			dsk.ldr.loss = 0.3
+		}
+		dsk.lookFrom("s", dsk.now, Look{}, Unknown)
+		chk.Equal(len(dsk.place(0, "j.0")), want)
+		for range 2 {
+			dsk.lookFrom("s", dsk.now, Look{}, Unknown)
+		}
+		chk.Equal(dsk.ldr.servers["s"].state == held, lossy)
+	}
+}
+
 func TestStopThatIsNotAnsweredEndsTheRenewals(t *testing.T) {
 	// An owner is lost and its run's stops get no answer. Renewing the server's lease for its other tasks would keep
 	// that run alive past the time at which the caller sends its job again.
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -110,10 +110,14 @@
 	rn := &run{id: RunID{Task: ord.Task, Number: ord.runNumber}, ord: ord, sentAt: now}
 	srv.add(rn)
 	ord.run, ord.srv = rn, srv
+	ldr.sendStart(now, srv, rn)
+}
+
+func (ldr *Leader) sendStart(now time.Time, srv *server, rn *run) {
 	srv.renewedAt = now
-	ldr.link.sent(ord.Payload)
+	ldr.link.sent(rn.ord.Payload)
 	ldr.do(StartRun{
-		Server: srv.ent, Run: rn.id, Payload: ord.Payload, Token: ldr.token,
+		Server: srv.ent, Run: rn.id, Payload: rn.ord.Payload, Token: ldr.token,
 		Until: srv.until(now, ldr.cfg.Lease),
 	})
 }
@@ -139,7 +143,7 @@
 func (ldr *Leader) rooms(now time.Time) rooms {
 	rms := ldr.scratch[:0]
 	for _, srv := range ldr.servers {
-		if !srv.open(now) {
+		if !srv.open(now, ldr.tolerance()) {
 			continue
 		}
 		if prc, mem := srv.free(); prc > 0 {
@@ -213,7 +217,7 @@
 	lod.LinkWindow, lod.LinkBusy = ldr.link.window, ldr.link.busy()+ldr.waitingBytes()
 	lod.Capacity = ldr.capacity()
 	for _, srv := range ldr.servers {
-		if !srv.open(now) {
+		if !srv.open(now, ldr.tolerance()) {
 			continue
 		}
 		if prc, _ := srv.free(); prc > 0 {
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -57,6 +57,8 @@
 	// ord is nil for an orphan: a run that nobody has asked this leader for, of unknown size.
 	ord    *order
 	sentAt time.Time
+	// repeats counts the starts that were sent again for want of an answer.
+	repeats int
 	// acceptedAt is when the server accepted the start, or was seen to run it.
 	acceptedAt time.Time
 	// percent was reached at progressAt.
@@ -123,10 +125,10 @@
 	return srv.ent.Processor - srv.usedProcessor, srv.ent.Memory - srv.usedMemory
 }
 
-// open reports whether a new task may go to the server. One that was paused is on trial first, with one task at a time.
-func (srv *server) open(now time.Time) bool {
+// open reports whether a new task may go to the server, which may have left so many looks without an answer. One that was paused is on trial first, with one task at a time.
+func (srv *server) open(now time.Time, doubts int) bool {
 	switch {
-	case srv.state != held || srv.doubts > 0 || srv.ent.Leaving:
+	case srv.state != held || srv.doubts > doubts || srv.ent.Leaving:
 		return false
 	case now.Before(srv.pausedUntil) || now.Before(srv.spd.until):
 		return false
--- a/internal/request/shard/speed.go
+++ b/internal/request/shard/speed.go
@@ -141,7 +141,7 @@
 func (ldr *Leader) roomBeside(now time.Time, but *server, ord *order) bool {
 	for _, srv := range ldr.servers {
 		prc, mem := srv.free()
-		if srv != but && srv.open(now) && prc >= ord.Processor && mem >= ord.Memory && srv.takes(ord) {
+		if srv != but && srv.open(now, ldr.tolerance()) && prc >= ord.Processor && mem >= ord.Memory && srv.takes(ord) {
 			return true
 		}
 	}
--- a/internal/request/shard/speed_test.go
+++ b/internal/request/shard/speed_test.go
@@ -40,19 +40,19 @@
 	dsk := newDesk(t, listed("s1", 32000), listed("s2", 32000), listed("s3", 32000))
 	slow := dsk.ldr.servers["s3"]
 	for _, job := range []string{"j", "k", "l"} {
-		chk.True(slow.open(dsk.now))
+		chk.True(slow.open(dsk.now, 0))
 		dsk.runAll(job, 100*time.Millisecond, 110*time.Millisecond, 600*time.Millisecond)
 	}
-	chk.True(!slow.open(dsk.now))
+	chk.True(!slow.open(dsk.now, 0))
 	dsk.now = dsk.now.Add(firstSlowPause)
-	chk.True(slow.open(dsk.now))
+	chk.True(slow.open(dsk.now, 0))
 	chk.True(slow.onTrial())
 	dsk.runAll("m", 100*time.Millisecond, 110*time.Millisecond, 600*time.Millisecond)
-	chk.True(!slow.open(dsk.now)) // The trial failed.
+	chk.True(!slow.open(dsk.now, 0)) // The trial failed.
 	dsk.now = dsk.now.Add(firstSlowPause)
-	chk.True(!slow.open(dsk.now)) // The second pause is longer.
+	chk.True(!slow.open(dsk.now, 0)) // The second pause is longer.
 	dsk.now = dsk.now.Add(firstSlowPause)
-	chk.True(slow.open(dsk.now))
+	chk.True(slow.open(dsk.now, 0))
 	dsk.ldr.observe(dsk.now, slow, &run{ord: &order{Order: Order{Step: "alone"}}}, time.Second)
 	chk.True(!slow.onTrial())
 }
--- a/internal/request/shard/uplink.go
+++ b/internal/request/shard/uplink.go
@@ -28,8 +28,9 @@
 	queueTime = 20 * time.Millisecond
 	// unbounded is the window, in bytes, of an instance that is not told what its link carries.
 	unbounded = 4 << 20
-	// leastPatience is some 20 times what a sound server takes to answer; mostPatience is half a lease.
-	leastPatience = 100 * time.Millisecond
+	// leastPatience is some 15 times what a sound server takes to answer, and what an instance may be held up on a fifth of a
+	// core; an order that is sent again too early does no harm. mostPatience is half a lease.
+	leastPatience = 40 * time.Millisecond
 	mostPatience  = 300 * time.Millisecond
 )
 
--- /dev/null
+++ b/internal/request/submission/admit_test.go
@@ -0,0 +1,143 @@
+package submission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/request/shard"
+)
+
+// timeout is the route's in these tests; a job of 100 ms has an objective of 200 ms.
+const timeout = time.Second
+
+func (bch *bench) call(cal Call, id string, patience time.Duration) {
+	bch.did(bch.dsk.Submit(bch.now, cal, Submission{
+		ID: id, Route: "r", Service: "render", Attempts: 3, Patience: patience, Timeout: timeout,
+		Steps:     []Step{{Count: 1, Processor: 14000, Expected: 100 * time.Millisecond}},
+		Objective: func(work time.Duration) time.Duration { return 2 * work },
+	}))
+}
+
+// waits tells how long work waits in the one shard: what is in time, what is late, and what is of no use.
+func (bch *bench) waits(inTime, late, overdue time.Duration) {
+	lod := shard.Load{Number: 9, Capacity: 100000, LinkWindow: 1 << 20}
+	lod.Waits[0], lod.Waits[1], lod.Waits[shard.Ranks-1] = inTime, late, overdue
+	bch.did(bch.dsk.SetLoad("a.0", lod))
+}
+
+func TestAdmission(t *testing.T) {
+	// Four times as many jobs come as can be done. Admitted all, most would be late and a third would wait until their
+	// deadline in vain. A job is refused at once if it can't be done while it is of use, and never while there is room.
+	const long = time.Minute
+	cases := map[string]struct {
+		inTime, late, overdue time.Duration
+		room                  int
+		want                  string
+	}{
+		"in time":                          {inTime: 50 * time.Millisecond, late: long, overdue: long, want: "place j.0.0.0 at self/1"},
+		"late and of use":                  {inTime: 150 * time.Millisecond, late: 400 * time.Millisecond, overdue: long, want: "place j.0.0.0 at self/1"},
+		"too late to be of use, in a lull": {inTime: 150 * time.Millisecond, late: 600 * time.Millisecond, overdue: time.Second, want: "place j.0.0.0 at self/1"},
+		"never":                            {inTime: 150 * time.Millisecond, late: 600 * time.Millisecond, overdue: long, want: "reply 1 not-run"},
+		"never, but there is room":         {inTime: long, late: long, overdue: long, room: 1, want: "place j.0.0.0 at self/1 bounce"},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			bch := newBench()
+			bch.lead("a.0", true, self, 1, 0)
+			if cse.room == 0 {
+				bch.waits(cse.inTime, cse.late, cse.overdue)
+			} else {
+				bch.lead("a.0", true, self, 2, cse.room)
+			}
+			bch.call(1, "j", 2*time.Second)
+			chk.Equal(bch.take(), []string{cse.want})
+		})
+	}
+}
+
+func TestRefusedCallersComeBackSpread(t *testing.T) {
+	// All that were refused in a burst would come back in the same second. Each is told a time of its own, when the work
+	// that waits is done at the earliest.
+	chk := is.New(t)
+	bch := newBench()
+	bch.lead("a.0", true, self, 1, 0)
+	bch.waits(4*time.Second, time.Minute, time.Minute)
+	least, most := time.Hour, time.Duration(0)
+	for num := range 50 {
+		bch.call(Call(num), fmt.Sprint("j", num), 2*time.Second)
+		rep, ok := bch.acts[len(bch.acts)-1].(Reply)
+		chk.True(ok)
+		chk.Equal(rep.Answer.Result, NotRun)
+		least, most = min(least, rep.Answer.RetryAfter), max(most, rep.Answer.RetryAfter)
+	}
+	chk.True(least >= 4*time.Second)
+	chk.True(most <= 8100*time.Millisecond)
+	chk.True(most-least > 2*time.Second)
+}
+
+func TestJobThatComesAgain(t *testing.T) {
+	// All instances lose their power. The jobs that were cut off come again, unmarked, beside as many new ones, and take their
+	// room. Their callers have waited before, and have less time left than the route's timeout. Where all callers have,
+	// it tells nothing.
+	cases := map[string]struct {
+		patience time.Duration
+		before   int
+		want     bool
+	}{
+		"new":                        {patience: 2 * time.Second},
+		"again":                      {patience: 700 * time.Millisecond, want: true},
+		"all callers have so little": {patience: 700 * time.Millisecond, before: 60},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			bch := newBench()
+			bch.lead("a.0", true, self, 1, 100)
+			for num := range cse.before {
+				bch.call(Call(100+num), fmt.Sprint("k", num), cse.patience)
+			}
+			bch.call(1, "j", cse.patience)
+			plc, ok := bch.acts[len(bch.acts)-1].(Place)
+			chk.True(ok)
+			chk.Equal(plc.Order.Useful.Equal(bch.now), cse.want)
+		})
+	}
+}
+
+func TestDoomedJobIsCalledBack(t *testing.T) {
+	// A job waits with its leader until it could not be done before its deadline. It is called back, and its caller hears that
+	// it has not run, in place of waiting on for an answer that says nothing. One that starts meanwhile goes on.
+	const task = "j.0.0.0"
+	cases := map[string]struct {
+		outcome shard.Outcome
+		want    []string
+	}{
+		"it still waited": {outcome: shard.NotRun, want: []string{"place j.0.0.0 at self/1 recall", "reply 1 not-run"}},
+		"it has started":  {outcome: shard.Begun, want: []string{"place j.0.0.0 at self/1 recall"}},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			bch := newBench()
+			bch.lead("a.0", true, self, 1, 0)
+			bch.call(1, "j", 2*time.Second)
+			bch.take()
+			bch.now = bch.now.Add(1850 * time.Millisecond)
+			bch.did(bch.dsk.Tick(bch.now))
+			chk.Equal(len(bch.acts), 0)
+			bch.now = bch.now.Add(60 * time.Millisecond)
+			bch.did(bch.dsk.Tick(bch.now))
+			bch.did(bch.dsk.Tick(bch.now))
+			bch.report(self, 1, task, cse.outcome)
+			chk.Equal(bch.take(), cse.want)
+			if cse.outcome == shard.Begun {
+				bch.report(self, 1, task, shard.Done)
+				chk.Equal(bch.take(), []string{"reply 1 succeeded"})
+			}
+		})
+	}
+}
