Count waits by what comes free, not by the work that waits

Cause: a task waits until others end, however long those before it in the queue will run; by work, eight tasks of 60 ms behind each other counted as 15 ms and were 70. Change: leaders tell their turnover, processor that comes free a second; waits, bounces and the spread of a job's tasks go by it.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -44,7 +44,7 @@
 	for _, led := range bet.Leads {
 		msg.Leads = append(msg.Leads, &meshpb.Lead{
 			Shard: string(led.Shard), Token: led.Token,
-			Number: led.Load.Number, Free: led.Load.Free, Capacity: led.Load.Capacity, WaitsMicros: encodeWaits(led.Load.Waits),
+			Number: led.Load.Number, Free: led.Load.Free, Turnover: led.Load.Turnover, WaitsMicros: encodeWaits(led.Load.Waits),
 			LinkWindow: led.Load.LinkWindow, LinkBusy: led.Load.LinkBusy,
 		})
 	}
@@ -64,7 +64,7 @@
 	}
 	for _, led := range msg.GetLeads() {
 		lod := shard.Load{
-			Number: led.GetNumber(), Free: led.GetFree(), Capacity: led.GetCapacity(),
+			Number: led.GetNumber(), Free: led.GetFree(), Turnover: led.GetTurnover(),
 			LinkWindow: led.GetLinkWindow(), LinkBusy: led.GetLinkBusy(),
 		}
 		for rnk, num := range led.GetWaitsMicros()[:min(len(led.GetWaitsMicros()), shard.Ranks)] {
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -22,8 +22,10 @@
 	// steps has the times that tasks of each step took; old ones were dropped at stepsAt.
 	steps map[string]*siblings
 	// begun has the steps of which a task was started here, and when.
-	begun   map[string]time.Time
-	drn     drain
+	begun map[string]time.Time
+	drn   drain
+	// meanRun is the mean time of runs.
+	meanRun time.Duration
 	stepsAt time.Time
 	// loads counts the loads that were told.
 	loads int64
@@ -47,7 +49,7 @@
 	return &Leader{
 		cfg: cfg, link: link, name: name, token: token, since: now,
 		servers: map[ServerID]*server{}, orders: map[string]*order{}, ends: map[string]foundEnd{},
-		steps: map[string]*siblings{}, begun: map[string]time.Time{}, stepsAt: now,
+		steps: map[string]*siblings{}, begun: map[string]time.Time{}, meanRun: firstRun, stepsAt: now,
 	}
 }
 
@@ -317,7 +319,7 @@
 	if !ldr.listens(now) {
 		clear(ldr.ends)
 	}
-	ldr.drn.update(now, ldr.capacity(), ldr.waiting(now))
+	ldr.drn.update(now, ldr.turnover(), ldr.waiting(now))
 	ldr.advance(now, nil)
 	return ldr.take()
 }
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -34,7 +34,7 @@
 // round is what is known while waiting tasks are gone through.
 type round struct {
 	rooms rooms
-	// most is the largest free processor, ahead the work of those that were passed by.
+	// most is the largest free processor, ahead what those need that were passed by.
 	most, ahead int64
 }
 
@@ -54,12 +54,12 @@
 			rom.processor = 0 // It is on trial, with one task at a time.
 		}
 		rnd.most = rnd.rooms.most()
-		ldr.drn.started[rnk] += float64(ord.work())
+		ldr.drn.started[rnk] += float64(ord.Processor)
 		ldr.start(now, rom.srv, ord)
 		return
 	}
-	rnd.ahead += ord.work()
-	if ord.Bounce && rnd.ahead > ldr.capacity()*bounceWait.Milliseconds() {
+	rnd.ahead += ord.Processor
+	if ord.Bounce && float64(rnd.ahead) > ldr.turnover()*millis(bounceWait) {
 		ldr.bounce(ord)
 	}
 }
@@ -69,20 +69,32 @@
 // of 200 ms one ends each 10 ms.
 const bounceWait = 20 * time.Millisecond
 
-// work is what a task takes up, in thousandths of a core times milliseconds.
-func (ord *order) work() int64 { return ord.Processor * ord.Expected.Milliseconds() }
-
-// capacity is that of the servers that take tasks.
-func (ldr *Leader) capacity() int64 {
+// turnover is how much processor comes free in a millisecond while all servers are busy, in thousandths of a core. What a
+// waiting task waits for is that others end, however long itself and those before it in the queue will run.
+func (ldr *Leader) turnover() float64 {
 	var num int64
 	for _, srv := range ldr.servers {
 		if srv.usable() {
 			num += srv.ent.Processor
 		}
 	}
-	return num
+	return float64(num) / millis(ldr.meanRun)
+}
+
+func millis(dur time.Duration) float64 { return float64(dur) / float64(time.Millisecond) }
+
+// noteRun takes the time of a run that has ended into the mean.
+func (ldr *Leader) noteRun(took time.Duration) {
+	ldr.meanRun += (max(took, time.Millisecond) - ldr.meanRun) / runWeight
 }
 
+const (
+	// firstRun is taken for the mean time of runs until some have ended.
+	firstRun = 200 * time.Millisecond
+	// runWeight makes the mean follow some thirty runs, half a second of a small shard.
+	runWeight = 32
+)
+
 // bounce gives an order back that is to wait nowhere.
 func (ldr *Leader) bounce(ord *order) {
 	delete(ldr.orders, ord.Task)
@@ -199,9 +211,9 @@
 	Number int64
 	// Free has the free processor, in thousandths of a core, of each server with some.
 	Free []int64
-	// Capacity is that of all servers that take tasks, in thousandths of a core; Waits is how long one more task of each rank
-	// waits for room.
-	Capacity int64
+	// Turnover is how much processor comes free in a second while all servers are busy, in thousandths of a core; Waits is
+	// how long one more task of each rank waits for room.
+	Turnover int64
 	Waits    [Ranks]time.Duration
 	// LinkWindow are the bytes of starts that the leader's link takes at once, LinkBusy those that are under way or wait.
 	LinkWindow, LinkBusy int64
@@ -215,7 +227,8 @@
 	ldr.loads++
 	lod := Load{Number: ldr.loads}
 	lod.LinkWindow, lod.LinkBusy = ldr.link.window, ldr.link.busy()+ldr.waitingBytes()
-	lod.Capacity = ldr.capacity()
+	trn := ldr.turnover()
+	lod.Turnover = int64(trn * perSecond)
 	for _, srv := range ldr.servers {
 		if !srv.open(now, ldr.tolerance()) {
 			continue
@@ -224,15 +237,18 @@
 			lod.Free = append(lod.Free, prc)
 		}
 	}
-	lod.Waits = ldr.drn.waits(lod.Capacity, ldr.waiting(now))
+	lod.Waits = ldr.drn.waits(trn, ldr.waiting(now))
 	return lod
 }
 
-// waiting returns the work in the queue by rank.
+// perSecond is how many milliseconds a second has.
+const perSecond = 1000
+
+// waiting returns what the tasks in the queue need, in thousandths of a core, by rank.
 func (ldr *Leader) waiting(now time.Time) [Ranks]int64 {
 	var wrk [Ranks]int64
 	for _, ord := range ldr.que.orders {
-		wrk[ldr.rank(now, ord)] += ord.work()
+		wrk[ldr.rank(now, ord)] += ord.Processor
 	}
 	return wrk
 }
--- a/internal/request/shard/rank.go
+++ b/internal/request/shard/rank.go
@@ -39,11 +39,10 @@
 	return RankOf(ord.Priority, done, ord.Aim, ord.Useful)
 }
 
-// drain follows how fast the work of each rank starts while some of it waits, so that the wait of one more is known: of a rank
-// that is passed by, little starts, however large the pool is. Estimates of run times that are off by a factor are
-// off in the rate as well, which cancels out.
+// drain follows how fast the tasks of each rank start while some wait, so that the wait of one more is known: of a rank that is
+// passed by, few start, however large the pool is. It counts the processor that they need, in thousandths of a core.
 type drain struct {
-	// rate is the work started in a millisecond, in thousandths of a core times milliseconds.
+	// rate is what starts in a millisecond.
 	rate [Ranks]float64
 	// started and waited are since the last update.
 	started, waited [Ranks]float64
@@ -55,16 +54,16 @@
 	drainInterval = 50 * time.Millisecond
 	// drainWeight makes a rate follow within four intervals, the time that callers of the shortest jobs wait.
 	drainWeight = 0.3
-	// leastShare of the room is taken for a rank's in the worst case: the wait stays finite.
+	// leastShare of the turnover is taken for a rank's in the worst case: the wait stays finite.
 	leastShare = 0.01
 )
 
-// update takes in what has started and what waits; a rank of which nothing waited has all the room.
-func (drn *drain) update(now time.Time, capacity int64, waiting [Ranks]int64) {
+// update takes in what has started and what waits; a rank of which nothing waited has all the turnover.
+func (drn *drain) update(now time.Time, turnover float64, waiting [Ranks]int64) {
 	if drn.at.IsZero() {
 		drn.at = now
 		for rnk := range drn.rate {
-			drn.rate[rnk] = float64(capacity)
+			drn.rate[rnk] = turnover
 		}
 	}
 	span := now.Sub(drn.at)
@@ -72,7 +71,7 @@
 		return
 	}
 	for rnk := range drn.rate {
-		seen := float64(capacity)
+		seen := turnover
 		if drn.waited[rnk] > 0 && waiting[rnk] > 0 {
 			seen = min(seen, drn.started[rnk]/float64(span.Milliseconds()))
 		}
@@ -83,9 +82,9 @@
 }
 
 // waits returns how long one more of each rank waits.
-func (drn *drain) waits(capacity int64, waiting [Ranks]int64) [Ranks]time.Duration {
+func (drn *drain) waits(turnover float64, waiting [Ranks]int64) [Ranks]time.Duration {
 	var wts [Ranks]time.Duration
-	all := float64(max(capacity, 1))
+	all := max(turnover, 1)
 	ahead := 0.0
 	for rnk := range wts {
 		ahead += float64(waiting[rnk])
--- a/internal/request/shard/rank_test.go
+++ b/internal/request/shard/rank_test.go
@@ -52,26 +52,26 @@
 func TestWaitOfEachRank(t *testing.T) {
 	// Urgent work takes all the room, and less urgent work waits. By its share of the pool it would start within 0.1 s;
 	// told so, its callers would be admitted and wait until their deadlines.
-	const capacity = 100_000
+	const turnover = 100.0
 	chk := is.New(t)
 	now := time.Unix(1000, 0)
 	var drn drain
 	var wrk [Ranks]int64
-	wrk[0], wrk[2] = capacity*20, capacity*80
-	drn.update(now, capacity, wrk)
-	chk.Equal(drn.waits(capacity, wrk)[2], 100*time.Millisecond)
+	wrk[0], wrk[2] = turnover*20, turnover*80
+	drn.update(now, turnover, wrk)
+	chk.Equal(drn.waits(turnover, wrk)[2], 100*time.Millisecond)
 	for range 20 {
 		now = now.Add(drainInterval)
-		drn.started[0] = capacity * 50
-		drn.update(now, capacity, wrk)
+		drn.started[0] = turnover * 50
+		drn.update(now, turnover, wrk)
 	}
-	wts := drn.waits(capacity, wrk)
+	wts := drn.waits(turnover, wrk)
 	chk.True(wts[0] < 30*time.Millisecond)
 	chk.True(wts[2] > time.Second)
 	chk.True(wts[1] >= wts[0]) // Late urgent work is behind all that is in time.
 	for range 20 {
 		now = now.Add(drainInterval)
-		drn.update(now, capacity, [Ranks]int64{})
+		drn.update(now, turnover, [Ranks]int64{})
 	}
-	chk.True(drn.waits(capacity, wrk)[2] < 110*time.Millisecond) // The urgent work is done; all the room is free.
+	chk.True(drn.waits(turnover, wrk)[2] < 110*time.Millisecond) // The urgent work is done; all the room is free.
 }
--- a/internal/request/submission/admit.go
+++ b/internal/request/submission/admit.go
@@ -117,7 +117,19 @@
 			least, found = wat, true
 		}
 	}
-	return time.Duration(least * float64(time.Millisecond))
+	return time.Duration((least + dsk.ownWait(jb)) * float64(time.Millisecond))
+}
+
+// ownWait is how much longer the last task of a job waits than its first, spread over all shards, in milliseconds.
+func (dsk *Desk) ownWait(jb *job) float64 {
+	var trn int64
+	for _, viw := range dsk.shards {
+		if viw.leader != "" {
+			trn += viw.load.Turnover
+		}
+	}
+	stp := jb.sub.Steps[0]
+	return perSecond * float64(int64(stp.Count-1)*stp.Processor) / float64(max(trn, 1))
 }
 
 // comeBack returns when a refused caller finds the queue worked off, spread over as long again: all that were refused in a
--- a/internal/request/submission/admit_test.go
+++ b/internal/request/submission/admit_test.go
@@ -27,7 +27,7 @@
 
 // waits tells how long work waits in the one shard: what is in time, what is late, and what is of no use.
 func (bch *bench) waits(inTime, late, overdue time.Duration) {
-	lod := shard.Load{Number: 9, Capacity: 100000, LinkWindow: 1 << 20}
+	lod := shard.Load{Number: 9, Turnover: 1_000_000, LinkWindow: 1 << 20}
 	lod.Waits[0], lod.Waits[1], lod.Waits[shard.Ranks-1] = inTime, late, overdue
 	bch.did(bch.dsk.SetLoad("a.0", lod))
 }
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -18,7 +18,7 @@
 	// near shards lie in this instance's failure domain.
 	near bool
 	load shard.Load
-	// sent is the work that was sent since the last load, in thousandths of a core times milliseconds.
+	// sent is what the tasks need that were sent since the last load and found no room, in thousandths of a core.
 	sent int64
 	// payload is the job whose payload was last sent there.
 	payload string
@@ -35,7 +35,7 @@
 
 // wait estimates how long a task of a rank waits for room, in milliseconds.
 func (viw *view) wait(rnk shard.Rank) float64 {
-	return millis(viw.load.Waits[rnk]) + float64(viw.sent)/float64(max(viw.load.Capacity, 1))
+	return millis(viw.load.Waits[rnk]) + perSecond*float64(viw.sent)/float64(max(viw.load.Turnover, 1))
 }
 
 // linkWait estimates how long a start of so many bytes waits for the leader's link, in milliseconds.
@@ -43,13 +43,16 @@
 	return millis(shard.LinkDelay(viw.load.LinkWindow, viw.load.LinkBusy+bytes))
 }
 
+// perSecond is how many milliseconds a second has.
+const perSecond = 1000
+
 func millis(dur time.Duration) float64 { return float64(dur) / float64(time.Millisecond) }
 
 // placed counts a task that was just sent, so that the next one does not go after the same room.
 func (viw *view) placed(stp *Step, bytes int64, fits bool) {
 	viw.load.LinkBusy += bytes
 	if !fits {
-		viw.sent += stp.work()
+		viw.sent += stp.Processor
 		return
 	}
 	for idx, fre := range viw.load.Free {
--- a/internal/request/submission/desk_test.go
+++ b/internal/request/submission/desk_test.go
@@ -37,12 +37,12 @@
 func (bch *bench) lead(name shard.Name, near bool, leader shard.InstanceID, token int64, room int) {
 	tgt := Target{Shard: name, Leader: leader, Token: token}
 	bch.did(bch.dsk.SetLeader(tgt, near))
-	bch.did(bch.dsk.SetLoad(name, shard.Load{Number: token, Capacity: 100000, Free: free(room), LinkWindow: 1 << 20}))
+	bch.did(bch.dsk.SetLoad(name, shard.Load{Number: token, Turnover: 1_000_000, Free: free(room), LinkWindow: 1 << 20}))
 }
 
 // longQueue tells that tasks wait in a shard for half a second.
 func (bch *bench) longQueue(name shard.Name, number int64) {
-	lod := shard.Load{Number: number, Capacity: 100000, LinkWindow: 1 << 20}
+	lod := shard.Load{Number: number, Turnover: 1_000_000, LinkWindow: 1 << 20}
 	for rnk := range lod.Waits {
 		lod.Waits[rnk] = 500 * time.Millisecond
 	}
@@ -129,7 +129,7 @@
 				bch.lead("b.0", false, other, 2, 0)
 				bch.submit(1, "j", 2)
 				bch.longQueue("a.0", 2)
-				bch.did(bch.dsk.SetLoad("b.0", shard.Load{Number: 3, Capacity: 100000, Free: free(2), LinkWindow: 1 << 20}))
+				bch.did(bch.dsk.SetLoad("b.0", shard.Load{Number: 3, Turnover: 1_000_000, Free: free(2), LinkWindow: 1 << 20}))
 			},
 			want: []string{
 				"place j.0.0.0 at self/1 bounce", "place j.0.0.1 at self/1", "place j.0.0.1 at self/1 recall",
@@ -261,7 +261,7 @@
 				bch.lead("a.0", true, self, 1, 0)
 				bch.lead("b.0", false, other, 2, 0)
 				bch.submit(1, "j", 1)
-				bch.did(bch.dsk.SetLoad("b.0", shard.Load{Number: 9, Capacity: 100000, Free: free(1), LinkWindow: 1 << 20}))
+				bch.did(bch.dsk.SetLoad("b.0", shard.Load{Number: 9, Turnover: 1_000_000, Free: free(1), LinkWindow: 1 << 20}))
 			},
 			want: []string{"place j.0.0.0 at self/1"},
 		},
@@ -271,8 +271,8 @@
 				bch.lead("b.0", false, other, 2, 0)
 				bch.submit(1, "j", 1)
 				bch.longQueue("a.0", 8)
-				bch.did(bch.dsk.SetLoad("b.0", shard.Load{Number: 9, Capacity: 100000, Free: free(1), LinkWindow: 1 << 20}))
-				bch.did(bch.dsk.SetLoad("b.0", shard.Load{Number: 9, Capacity: 100000, Free: free(1), LinkWindow: 1 << 20}))
+				bch.did(bch.dsk.SetLoad("b.0", shard.Load{Number: 9, Turnover: 1_000_000, Free: free(1), LinkWindow: 1 << 20}))
+				bch.did(bch.dsk.SetLoad("b.0", shard.Load{Number: 9, Turnover: 1_000_000, Free: free(1), LinkWindow: 1 << 20}))
 				bch.report(self, 1, task, shard.NotRun)
 			},
 			want: []string{"place j.0.0.0 at self/1", "place j.0.0.0 at self/1 recall", "place j.0.0.0 at other/2 bounce"},
--- a/internal/request/submission/words.go
+++ b/internal/request/submission/words.go
@@ -22,9 +22,6 @@
 	Unsupported string
 }
 
-// work is what a task of the step takes up, in thousandths of a core times milliseconds.
-func (stp *Step) work() int64 { return stp.Processor * stp.Expected.Milliseconds() }
-
 // Submission is a job as its caller sent it.
 type Submission struct {
 	// ID is the caller's; Request names the call in logs.
