Let narrow links be seen before they are full: queued bytes, patience and bounces by what a payload takes

Cause: on links of 2 Mbit/s, owners saw only what was under way, not what waited for their link, and went on sending copies of payloads to others (75 KB a second an instance); starts were sent again while they waited on the link.

Change: what is queued for the link counts in the choice of a shard and in admission; orders are waited for three of the largest payloads longer; bounces as well; what an owner held goes as soon as the link has room. Decisions of admission are logged with their numbers and counted.

--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -29,6 +29,8 @@
 			dmn.withdraw(act)
 		case submission.Reply:
 			dmn.reply(act)
+		case submission.Admit:
+			dmn.logAdmission(&act)
 		}
 	}
 }
@@ -58,6 +60,21 @@
 	})
 }
 
+// logAdmission tells why a job was admitted or refused.
+func (dmn *Daemon) logAdmission(act *submission.Admit) {
+	dmn.cnt.admission(act)
+	lin := dmn.log.Info().Str("job", act.ID).Dur("work", act.Work).Dur("due", act.Due).Dur("useful", act.Useful).
+		Bool("room", act.Room)
+	if len(act.Waits) > 0 {
+		lin = lin.Durs("waits", act.Waits)
+	}
+	if act.Refused {
+		lin.Msg("not admitted")
+		return
+	}
+	lin.Msg("admitted")
+}
+
 func (dmn *Daemon) reply(act submission.Reply) {
 	if chn := dmn.callers[act.Call]; chn != nil {
 		delete(dmn.callers, act.Call)
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -37,10 +37,13 @@
 // counters are what a daemon counts; all of them rise.
 type counters struct {
 	submissions, refusals, stops, looks, storeReads, logsDropped atomic.Int64
-	starts                                                       [shard.Overfull + 1]atomic.Int64
-	answers                                                      [submission.Unfinished + 1]atomic.Int64
-	startTimes, answerTimes                                      histogram
-	traffic                                                      traffic
+	// admittedWithRoom, admittedToWait and notAdmitted are the decisions on submissions; waits are those expected of the second.
+	admittedWithRoom, admittedToWait, notAdmitted atomic.Int64
+	waits                                         histogram
+	starts                                        [shard.Overfull + 1]atomic.Int64
+	answers                                       [submission.Unfinished + 1]atomic.Int64
+	startTimes, answerTimes                       histogram
+	traffic                                       traffic
 }
 
 func (cnt *counters) start(vdt shard.Verdict, took time.Duration) {
@@ -48,6 +51,19 @@
 	cnt.startTimes.observe(took)
 }
 
+// admission counts a decision on a submission.
+func (cnt *counters) admission(act *submission.Admit) {
+	switch {
+	case act.Refused:
+		cnt.notAdmitted.Add(1)
+	case act.Room:
+		cnt.admittedWithRoom.Add(1)
+	default:
+		cnt.admittedToWait.Add(1)
+		cnt.waits.observe(act.Waits[len(act.Waits)-1])
+	}
+}
+
 // handler serves the counters as text, a line each.
 func (cnt *counters) handler() http.Handler {
 	return http.HandlerFunc(func(wrt http.ResponseWriter, _ *http.Request) {
@@ -57,6 +73,10 @@
 		}
 		line("submissions", cnt.submissions.Load())
 		line("refusals", cnt.refusals.Load())
+		line("admitted-with-room", cnt.admittedWithRoom.Load())
+		line("admitted-to-wait", cnt.admittedToWait.Load())
+		line("not-admitted", cnt.notAdmitted.Load())
+		cnt.waits.write("expected-wait", line)
 		line("stops", cnt.stops.Load())
 		line("looks", cnt.looks.Load())
 		line("store-reads", cnt.storeReads.Load())
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -37,6 +37,11 @@
 // exit carries out what the event led to and releases the lock.
 func (dmn *Daemon) exit(now time.Time) {
 	dmn.carryOut(now)
+	if dmn.desk != nil && dmn.desk.HeldBytes() > 0 {
+		dmn.uplink.SetPeers(dmn.mesh.Outstanding())
+		dmn.deskDo(dmn.desk.Resume())
+		dmn.carryOut(now)
+	}
 	dmn.shareLoads(now)
 	dmn.mu.Unlock()
 }
@@ -61,6 +66,11 @@
 		return
 	}
 	dmn.sharedAt = now
+	queued := dmn.desk.HeldBytes()
+	for _, ldr := range dmn.leaders {
+		queued += ldr.WaitingBytes()
+	}
+	dmn.uplink.SetQueued(queued)
 	for name, ldr := range dmn.leaders {
 		dmn.loads[name] = ldr.Load(now)
 		dmn.deskDo(dmn.desk.SetLoad(name, dmn.loads[name]))
--- a/internal/process/daemon/load_test.go
+++ b/internal/process/daemon/load_test.go
@@ -41,10 +41,12 @@
 	// servers, but not those of all eight instances. Starts took longer than their timeout, heartbeats waited behind
 	// them, sound leaders were missed, and their orders were sent again and again: nothing was done ever after.
 	cases := map[string]struct {
-		linkBytes, perSecond, least int
+		linkBytes, perSecond int
+		// least and leastAfter are the shares of jobs that are in time, in percent, under the load and 2 s after it.
+		least, leastAfter int
 	}{
-		"shares of all links":      {linkBytes: 250_000, perSecond: 40, least: 95},
-		"more than all links take": {linkBytes: 125_000, perSecond: 60, least: 0},
+		"shares of all links":      {linkBytes: 250_000, perSecond: 40, least: 95, leastAfter: 95},
+		"more than all links take": {linkBytes: 125_000, perSecond: 60, least: 30, leastAfter: 80},
 	}
 	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -58,7 +60,7 @@
 					time.Sleep(2 * time.Second)
 					inTime, all = playPadded(wld, 20, time.Second)
 					t.Logf("%d of %d jobs in time afterwards", inTime, all)
-					chk.True(inTime*100 >= all*80)
+					chk.True(inTime*100 >= all*cse.leastAfter)
 				})
 				time.Sleep(20 * time.Second)
 			})
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -59,7 +59,7 @@
 		return
 	}
 	rnd.ahead += ord.Processor
-	if ord.Bounce && float64(rnd.ahead) > ldr.turnover()*millis(bounceWait) {
+	if ord.Bounce && float64(rnd.ahead) > ldr.turnover()*millis(bounceWait+bounceTimes*ldr.link.largest) {
 		ldr.bounce(ord)
 	}
 }
@@ -67,7 +67,11 @@
 // bounceWait is the expected wait from which on an order that was to start at once goes back to its owner. The way back and to
 // another leader takes some 2 ms of time, but 1 ms of processor time and its payload once more; in a pool of 20 tasks
 // of 200 ms one ends each 10 ms.
-const bounceWait = 20 * time.Millisecond
+const (
+	bounceWait = 20 * time.Millisecond
+	// bounceTimes is how often the largest payload's time on the link comes on top of that.
+	bounceTimes = 3
+)
 
 // turnover is how much processor comes free in a millisecond while all servers are busy, in thousandths of a core. What a
 // waiting task waits for is that others end, however long itself and those before it in the queue will run.
@@ -101,8 +105,8 @@
 	ldr.report(ord, NotRun, 0)
 }
 
-// waitingBytes is what the queue will put on the link.
-func (ldr *Leader) waitingBytes() int64 {
+// WaitingBytes is what the queue will put on the link.
+func (ldr *Leader) WaitingBytes() int64 {
 	var num int64
 	for _, ord := range ldr.que.orders {
 		if ord.run == nil {
@@ -226,7 +230,7 @@
 func (ldr *Leader) Load(now time.Time) Load {
 	ldr.loads++
 	lod := Load{Number: ldr.loads}
-	lod.LinkWindow, lod.LinkBusy = ldr.link.window, ldr.link.busy()+ldr.waitingBytes()
+	lod.LinkWindow, lod.LinkBusy = ldr.link.window, ldr.link.busy()+ldr.WaitingBytes()
 	trn := ldr.turnover()
 	lod.Turnover = int64(trn * perSecond)
 	for _, srv := range ldr.servers {
--- a/internal/request/shard/uplink.go
+++ b/internal/request/shard/uplink.go
@@ -16,6 +16,10 @@
 type Uplink struct {
 	// window is what may be under way, inFlight what is on its way to servers, peers to other instances; all in bytes.
 	window, inFlight, peers int64
+	// queued are the bytes that wait here for the link.
+	queued int64
+	// largest is how long the largest usual payload takes on the link.
+	largest time.Duration
 	// answers are the times that starts take.
 	answers roundtrip.Estimate
 }
@@ -26,8 +30,12 @@
 	// queueTime is how long a start may wait on the link for others: a fifth of the interval of heartbeats. Shorter than the
 	// largest usual payload takes on 2 Mbit/s, 12 ms, the link would stand idle between two starts.
 	queueTime = 20 * time.Millisecond
+	// largestPayload is that of a job, in bytes (4,000, the platform's pages), with what a start has besides.
+	largestPayload = 4500
 	// unbounded is the window, in bytes, of an instance that is not told what its link carries.
 	unbounded = 4 << 20
+	// orderTimes is how many times the largest payload an order may wait for.
+	orderTimes = 3
 	// leastPatience is some 15 times what a sound server takes to answer, and what an instance may be held up on a fifth of a
 	// core; an order that is sent again too early does no harm. mostPatience is half a lease.
 	leastPatience = 40 * time.Millisecond
@@ -39,11 +47,17 @@
 	if perSecond <= 0 {
 		return &Uplink{window: unbounded}
 	}
-	return &Uplink{window: int64(float64(perSecond) * queueTime.Seconds())}
+	return &Uplink{
+		window:  int64(float64(perSecond) * queueTime.Seconds()),
+		largest: time.Duration(float64(largestPayload) / float64(perSecond) * float64(time.Second)),
+	}
 }
 
-// Patience is how long to wait for an answer to an order before it is taken for lost.
-func (upl *Uplink) Patience() time.Duration { return upl.answers.Patience(leastPatience, mostPatience) }
+// Patience is how long to wait for an answer to an order before it is taken for lost. On a narrow link an order waits behind two of
+// the largest; sent again too early, it would only fill the link more.
+func (upl *Uplink) Patience() time.Duration {
+	return upl.answers.Patience(leastPatience+orderTimes*upl.largest, mostPatience)
+}
 
 // SetPeers tells the bytes that are on their way to other instances.
 func (upl *Uplink) SetPeers(num int64) { upl.peers = num }
@@ -59,8 +73,13 @@
 
 func (upl *Uplink) busy() int64 { return upl.inFlight + upl.peers }
 
-// Delay returns how long some bytes wait for the link besides what is under way.
-func (upl *Uplink) Delay(bytes int64) time.Duration { return LinkDelay(upl.window, upl.busy()+bytes) }
+// SetQueued tells the bytes that wait here for the link.
+func (upl *Uplink) SetQueued(num int64) { upl.queued = num }
+
+// Delay returns how long some bytes wait for the link, besides what is under way and what waits already.
+func (upl *Uplink) Delay(bytes int64) time.Duration {
+	return LinkDelay(upl.window, upl.busy()+upl.queued+bytes)
+}
 
 // LinkDelay returns how long the last of some bytes wait for a link that takes a window of bytes in queueTime.
 func LinkDelay(window, bytes int64) time.Duration {
--- a/internal/request/shard/uplink_test.go
+++ b/internal/request/shard/uplink_test.go
@@ -50,9 +50,9 @@
 			}
 			for range 5 {
 				upl.sent(big)
-				upl.Answered(big, 150*time.Millisecond, Unknown)
+				upl.Answered(big, 180*time.Millisecond, Unknown)
 			}
-			chk.Equal(upl.Patience() > leastPatience, cse.longer)
+			chk.Equal(upl.Patience() > NewUplink(250_000).Patience(), cse.longer)
 		})
 	}
 }
--- a/internal/request/submission/admit.go
+++ b/internal/request/submission/admit.go
@@ -74,21 +74,29 @@
 
 // admit decides on a new job; a refused one is told when to come back.
 func (dsk *Desk) admit(now time.Time, jb *job) (Answer, bool) {
-	if !dsk.anyLeader() || dsk.anyRoom(jb) {
+	adm := Admit{ID: jb.sub.ID, Work: jb.work(), Due: jb.aim.Sub(now), Useful: jb.useful.Sub(now)}
+	adm.Room = !dsk.anyLeader() || dsk.anyRoom(jb)
+	adm.Refused = !adm.Room && !dsk.inUse(now, jb, &adm)
+	dsk.do(adm)
+	if !adm.Refused {
 		return Answer{}, false
 	}
-	work := jb.work()
-	wait := time.Duration(0)
+	wait := dsk.comeBack(jb, adm.Waits[0])
+	return Answer{Result: NotRun, RetryAfter: wait, Reason: overloaded}, true
+}
+
+// inUse reports whether a job is expected to be done in time, or while it is of use, or in a lull before its caller goes.
+func (dsk *Desk) inUse(now time.Time, jb *job, adm *Admit) bool {
 	for _, lim := range []struct{ done, until time.Time }{
 		{done: jb.aim, until: jb.aim}, {done: jb.useful, until: jb.useful}, {done: jb.useful.Add(1), until: jb.deadline},
 	} {
-		rnk := shard.RankOf(jb.sub.Priority, lim.done, jb.aim, jb.useful)
-		wait = dsk.leastWait(rnk, jb)
-		if !now.Add(wait + work).After(lim.until) {
-			return Answer{}, false
+		wait := dsk.leastWait(shard.RankOf(jb.sub.Priority, lim.done, jb.aim, jb.useful), jb)
+		adm.Waits = append(adm.Waits, wait)
+		if !now.Add(wait + adm.Work).After(lim.until) {
+			return true
 		}
 	}
-	return Answer{Result: NotRun, RetryAfter: dsk.comeBack(jb, dsk.leastWait(dsk.rank(jb), jb)), Reason: overloaded}, true
+	return false
 }
 
 // overloaded is the reason of refusals for want of room.
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -33,9 +33,21 @@
 	Answer Answer
 }
 
+// Admit tells with which numbers a submission was admitted or refused.
+type Admit struct {
+	ID string
+	// Work is the expected run time; Due and Useful are how long the answer is in time and of use, from now on.
+	Work, Due, Useful time.Duration
+	// Room says that a server was believed to have room; Waits are the expected waits in the ranks that were tried.
+	Room    bool
+	Waits   []time.Duration
+	Refused bool
+}
+
 func (Place) action()    {}
 func (Withdraw) action() {}
 func (Reply) action()    {}
+func (Admit) action()    {}
 
 // Config has the times that a Desk works with.
 type Config struct {
@@ -76,9 +88,9 @@
 	ledAt time.Time
 	// now is the time of the newest event that came with one, a tick's interval ago at most.
 	now time.Time
-	// held is set while tasks wait for the link.
-	held bool
-	acts []Action
+	// heldBytes are those of tasks that wait for the link.
+	heldBytes int64
+	acts      []Action
 }
 
 // job is a submission that is not answered yet.
@@ -241,7 +253,7 @@
 	}
 	if viw.leader != dsk.cfg.Self && !dsk.cfg.Link.Fits(tsk.job.sub.Payload) {
 		// What is not sent has not run, and does not keep heartbeats waiting.
-		dsk.held = true
+		dsk.heldBytes += shard.StartBytes(tsk.job.sub.Payload)
 		return
 	}
 	tsk.shard, tsk.leader, tsk.token = viw.name, viw.leader, viw.token
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -47,12 +47,7 @@
 	if dsk.anyLeader() {
 		dsk.ledAt = now
 	}
-	if dsk.held {
-		dsk.held = false
-		for _, jb := range dsk.inOrder() {
-			dsk.advance(jb)
-		}
-	}
+	dsk.resume()
 	for _, jb := range dsk.jobs {
 		if !now.Before(jb.deadline) {
 			dsk.abandon(jb, "deadline passed")
@@ -64,6 +59,25 @@
 	return dsk.take()
 }
 
+// Resume sends what waited for the link and fits now.
+func (dsk *Desk) Resume() []Action {
+	dsk.resume()
+	return dsk.take()
+}
+
+func (dsk *Desk) resume() {
+	if dsk.heldBytes == 0 {
+		return
+	}
+	dsk.heldBytes = 0
+	for _, jb := range dsk.inOrder() {
+		dsk.advance(jb)
+	}
+}
+
+// HeldBytes is what waits here for the link, to be sent to other instances.
+func (dsk *Desk) HeldBytes() int64 { return dsk.heldBytes }
+
 // GiveUp answers all submissions that are still open, as their instance is about to end: a caller whose connection
 // breaks without an answer can't tell whether its job has run.
 func (dsk *Desk) GiveUp() []Action {
