Find slow servers by the evidence of each run, beside siblings or estimates, and look when a run becomes suspicious

Cause: a slow server was found out after three runs beside siblings that ended in the same shard; jobs of one or two tasks have none there, and a run of 60 ms at a sixth of the speed showed at the next look, 0.2 s later.

Change: each run adds its evidence (two beside siblings, three by estimates, whose common error is followed); a look ends when a run has taken 1.6 times its usual time.

--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -24,6 +24,8 @@
 	// begun has the steps of which a task was started here, and when.
 	begun map[string]time.Time
 	drn   drain
+	// bias is the mean logarithm of how many times their estimate runs take.
+	bias float64
 	// meanRun is the mean time of runs.
 	meanRun time.Duration
 	stepsAt time.Time
@@ -407,7 +409,7 @@
 		case srv.awaitsProof():
 			srv.pause = true // A stop takes its time.
 		case srv.doubts == 0:
-			act.Wait = ldr.lookWait()
+			act.Wait = ldr.lookWait(now, srv)
 		}
 		if !srv.unanswered(now, ldr.cfg.StopPatience) {
 			act.Until = srv.until(now, ldr.cfg.Lease)
@@ -424,12 +426,16 @@
 }
 
 // lookWait returns how long a look waits for an end. That it was lost shows only after that, and what ended meanwhile waits for
-// the next one; so looks wait for less where many are lost.
-func (ldr *Leader) lookWait() time.Duration {
+// the next one; so looks wait for less where many are lost, and end when a run becomes suspicious.
+func (ldr *Leader) lookWait(now time.Time, srv *server) time.Duration {
+	wait := ldr.cfg.Wait
 	if ldr.lossy() {
-		return min(ldr.cfg.Wait, lossyWait)
+		wait = min(wait, lossyWait)
 	}
-	return ldr.cfg.Wait
+	if due, found := ldr.nextDoubt(now, srv); found {
+		wait = min(wait, max(due, leastDoubtWait))
+	}
+	return wait
 }
 
 // lossyWait is the time of a call that is taken for lost: asking more often finds nothing out sooner.
