--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -118,16 +118,6 @@
 // Whole reports whether the leader knows of every server that a former leader may hold.
 func (ldr *Leader) Whole() bool { return ldr.whole }
 
-// claimMissing takes servers over whose entries have lapsed: they may be fine, and run what the former leader started.
-func (ldr *Leader) claimMissing(now time.Time, ents []ServerEntry) {
-	for _, ent := range ents {
-		if ldr.servers[ent.ID] == nil {
-			ldr.servers[ent.ID] = newServer(ent, now)
-			ldr.servers[ent.ID].unlisted = true
-		}
-	}
-}
-
 // forget drops a server that has no entry and does not answer; what ran there goes back to the queue once its lease has
 // surely lapsed. The list forgets servers that live while the store is away, so one that answers its leader stays.
 func (ldr *Leader) forget(now time.Time, srv *server) {
@@ -189,54 +179,6 @@
 	old.Order, old.cancelled = req, false
 }
 
-// adopt connects an order with a run or an end that was found at the take-over.
-func (ldr *Leader) adopt(now time.Time, ord *order) bool {
-	if end, ok := ldr.ends[ord.Task]; ok && end.how == EndedDone {
-		delete(ldr.ends, ord.Task)
-		delete(ldr.orders, ord.Task)
-		ldr.do(Tell{Owner: ord.Owner, Report: Report{
-			Task: ord.Task, Token: ldr.token, Outcome: Done, Server: end.server,
-		}})
-		return true
-	}
-	for _, srv := range ldr.servers {
-		for _, rn := range srv.runs {
-			if rn.ord != nil || rn.id.Task != ord.Task {
-				continue
-			}
-			srv.assign(rn, ord)
-			ord.run, ord.srv = rn, srv
-			rn.timed = true // Nobody here knows when it began.
-			if rn.state == running {
-				rn.sentAt, rn.progressAt = now, now
-				ldr.report(ord, Begun, 0)
-			}
-			return true
-		}
-	}
-	return false
-}
-
-// runsNowhere reports whether a task that was not found is surely not run any more for a former leader. That is so if
-// the server where it was last heard of has obeyed this leader, or if every server has. A leader whose list may be short
-// can't tell the latter: the task may run on a server that was added a moment ago, or whose entry is gone.
-func (ldr *Leader) runsNowhere(at ServerID) bool {
-	if srv := ldr.servers[at]; srv != nil {
-		return srv.state == held
-	}
-	return at == "" && ldr.whole && ldr.allListed()
-}
-
-// allListed reports whether every server has obeyed this leader and listed what runs there.
-func (ldr *Leader) allListed() bool {
-	for _, srv := range ldr.servers {
-		if srv.state == claiming {
-			return false
-		}
-	}
-	return true
-}
-
 // Cancel ends an order of an owner; nothing is reported of it.
 func (ldr *Leader) Cancel(now time.Time, owner InstanceID, task string) []Action {
 	ord := ldr.orders[task]
@@ -337,44 +279,6 @@
 	}
 }
 
-// settle ends the take-over: what nobody has asked for is stopped before any lease is renewed, or an
-// orphan would outlive its caller's patience and meet its own copy.
-func (ldr *Leader) settle(now time.Time) {
-	if ldr.listens(now) && !ldr.nothingToAdopt() {
-		return
-	}
-	ldr.settled = true
-	for _, srv := range ldr.servers {
-		ldr.stopOrphans(now, srv)
-	}
-}
-
-// listens reports whether owners may still ask for what a former leader started.
-func (ldr *Leader) listens(now time.Time) bool { return now.Sub(ldr.since) < ldr.cfg.Settle }
-
-// nothingToAdopt reports whether every server has listed what runs there, and an owner has asked for all of it: nobody is
-// waited for then. After the loss of all instances nothing runs, and the first tasks start 0.1 s sooner; so they do
-// after a planned handover (TestAllLosePower in process/daemon).
-func (ldr *Leader) nothingToAdopt() bool {
-	if len(ldr.servers) == 0 || !ldr.allListed() {
-		return false
-	}
-	for _, srv := range ldr.servers {
-		if srv.orphans > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-func (ldr *Leader) stopOrphans(now time.Time, srv *server) {
-	for _, rn := range srv.runs {
-		if rn.ord == nil {
-			ldr.stop(now, srv, rn)
-		}
-	}
-}
-
 // tend looks after one server: repeats stops, finds runs that stand still, renews and looks.
 func (ldr *Leader) tend(now time.Time, srv *server) {
 	for _, rn := range srv.runs {
