Keep a shard whose servers' entries have all lapsed

Cause: at the end of a cut all entries of the failure domain are gone from the list for up to 0.4 s. The shard had no server left, its leader gave it up, and nobody renewed the leases of what ran there.

Change: the shards of a failure domain stay while entries are missing.

--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -222,6 +222,12 @@
 		}
 	}
 	dmn.divided = dmn.divisions.Divide(ents)
+	for _, mis := range dmn.missing {
+		// A leader that gave its shard up for want of entries left its servers' leases to lapse, and what ran there was lost.
+		if now.Sub(mis.since) <= missingFor && dmn.services[mis.ent.Service] {
+			dmn.divisions.Keep(dmn.divided, mis.ent.FailureDomain)
+		}
+	}
 	dmn.council.SetShards(succession.Sorted(dmn.divided))
 	dmn.leadersChanged = true
 	gone := maps.Clone(dmn.leaders)
--- a/internal/process/succession/shards.go
+++ b/internal/process/succession/shards.go
@@ -60,6 +60,17 @@
 	return divided
 }
 
+// Keep adds the shards of a failure domain without servers, so that their leaders stay. The entries of all servers that were
+// cut off together with their domain lapse together, while its instances lead them well.
+func (dvs Divisions) Keep(divided map[Shard][]shard.ServerEntry, domain string) {
+	for num := range dvs[domain].Count {
+		shd := shardOf(domain, num)
+		if _, there := divided[shd]; !there {
+			divided[shd] = nil
+		}
+	}
+}
+
 // ShardOf returns the shard that a backend server belongs to.
 func (dvs Divisions) ShardOf(ent shard.ServerEntry) Shard {
 	return shardOf(ent.FailureDomain, pick(ent.ID, max(1, dvs[ent.FailureDomain].Count)))
