Ask the servers before saying that a task runs nowhere

Cause: a leader that stood still for some seconds still believes that its servers obey it. Its successor has started tasks there. An owner that hears the first one again follows it with the orders of those tasks, and gets each back as not run by what the servers had listed seconds ago; the tasks start elsewhere while they run.

Change: an order that lay with another leader goes back only after the servers have answered a look that was sent since the order came, by this leader's token; one quick look serves all. A leader that resigns says of such orders that the next leader has them.

TestCallerLeaves waits for 50 ms and the stop: its bound was for a stop without any time.

--- a/internal/process/daemon/story_test.go
+++ b/internal/process/daemon/story_test.go
@@ -11,6 +11,7 @@
 
 	"chestnutstack/internal/connection/mesh"
 	"chestnutstack/internal/request/shard"
+	"chestnutstack/platform/standin"
 )
 
 func TestCalmDay(t *testing.T) {
@@ -148,7 +149,7 @@
 		chk.Equal(wld.ldg.Running(), 6)
 		leave()
 		<-snt.done
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(50*time.Millisecond + standin.StopTime)
 		chk.Equal(wld.ldg.Running(), 0)
 	})
 }
--- a/internal/process/daemon/world_test.go
+++ b/internal/process/daemon/world_test.go
@@ -56,11 +56,16 @@
 	mu   sync.Mutex
 	// slept is how long the process was frozen, by the clock that counts such time.
 	slept time.Duration
+	// stalledAt is since when the process stands still, for want of processor.
+	stalledAt time.Time
 }
 
 func (prc *process) now() time.Time {
 	prc.mu.Lock()
 	defer prc.mu.Unlock()
+	if !prc.stalledAt.IsZero() {
+		return prc.stalledAt.Add(prc.slept)
+	}
 	return time.Now().Add(prc.slept)
 }
 
@@ -302,6 +307,22 @@
 	prc.slept += dur
 }
 
+// stall makes a process get no processor for a while: it sees no time pass and hears nobody, and then everything at once.
+func (wld *world) stall(name string, dur time.Duration) {
+	prc := wld.entries[name]
+	prc.setStalled(time.Now())
+	wld.net.Stall(prc.host)
+	time.Sleep(dur)
+	prc.setStalled(time.Time{})
+	wld.net.Resume(prc.host)
+}
+
+func (prc *process) setStalled(at time.Time) {
+	prc.mu.Lock()
+	defer prc.mu.Unlock()
+	prc.stalledAt = at
+}
+
 // cut separates a failure domain from the others and the store; its clients and servers still reach it.
 func (wld *world) cut(domain string) {
 	for _, prc := range wld.entries {
--- a/internal/process/pipe/pipe.go
+++ b/internal/process/pipe/pipe.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Network connects hosts by name. Hosts can be cut off from each other, their connections silenced, and
@@ -22,11 +24,17 @@
 	conns []*conn
 	// links has the hosts whose links are narrow.
 	links map[string]*link
+	// stalled has the hosts whose processes don't run; grp delivers what was held for them.
+	stalled map[string]bool
+	grp     errgroup.Group
 }
 
 // New returns a network without hosts.
 func New() *Network {
-	return &Network{listeners: map[string]*listener{}, cut: map[[2]string]bool{}, dead: map[string]bool{}, links: map[string]*link{}}
+	return &Network{
+		listeners: map[string]*listener{}, cut: map[[2]string]bool{}, dead: map[string]bool{}, links: map[string]*link{},
+		stalled: map[string]bool{},
+	}
 }
 
 type address string
@@ -101,6 +109,8 @@
 		two := &conn{Conn: far, from: hostOf(addr), to: host}
 		ntw.mu.Lock()
 		one.out, two.out = ntw.links[one.from], ntw.links[two.from]
+		one.held = ntw.stalled[one.from] || ntw.stalled[one.to]
+		two.held = one.held
 		ntw.conns = append(ntw.conns, one, two)
 		ntw.mu.Unlock()
 		select {
@@ -200,10 +210,11 @@
 // Close ends every connection.
 func (ntw *Network) Close() {
 	ntw.mu.Lock()
-	defer ntw.mu.Unlock()
 	for _, con := range ntw.conns {
-		_ = con.Close()
+		_ = con.Conn.Close()
 	}
+	ntw.mu.Unlock()
+	_ = ntw.grp.Wait() // Deliveries return no errors.
 }
 
 // Drop closes every connection of a host, as its death does.
@@ -232,13 +243,20 @@
 	mu     sync.Mutex
 	silent bool
 	closed bool
+	// held is set while what is written waits in kernels; waiting has it.
+	held    bool
+	waiting [][]byte
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. What was written before still arrives.
 func (con *conn) Close() error {
 	con.mu.Lock()
 	con.closed = true
+	held := con.held
 	con.mu.Unlock()
+	if held {
+		return nil
+	}
 	return con.Conn.Close()
 }
 
@@ -277,6 +295,9 @@
 	if con.isSilent() {
 		return len(data), nil
 	}
+	if con.hold(data) {
+		return len(data), nil
+	}
 	if con.out != nil {
 		con.out.carry(len(data))
 	}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -118,7 +118,7 @@
 		return ldr.take()
 	}
 	ldr.noteAnswer(srv, vdt)
-	srv.looking = false
+	srv.looking, srv.quick = false, false
 	srv.lookAt = now
 	srv.pause = len(look.Ended) > 0
 	switch vdt {
@@ -171,6 +171,7 @@
 	first := srv.state == claiming
 	srv.state = held
 	srv.doubts = 0
+	srv.obeyedAt = sent
 	srv.setClock(now, look.Clock)
 	for _, end := range look.Ended {
 		if end.Seq > srv.seen {
@@ -189,7 +190,7 @@
 		}
 		ldr.gone(now, srv, rn)
 	}
-	if first {
+	if first || ldr.que.anyFollowed() {
 		ldr.claimWaiting(now)
 	}
 	if ldr.settled {
@@ -255,8 +256,10 @@
 		if ord.Followed && ldr.adopt(now, ord) {
 			continue
 		}
-		if ord.Followed && ldr.runsNowhere(ord.At) {
+		if ord.Followed && ldr.runsNowhere(ord) {
 			ord.notBefore = time.Time{}
+		} else if ord.Followed {
+			ldr.hurryProof(now, ord)
 		}
 		kept = append(kept, ord)
 	}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -141,11 +141,12 @@
 	if req.Recall {
 		return ldr.take()
 	}
-	ord := &order{Order: req, sib: ldr.siblings(now, req.Step)}
+	ord := &order{Order: req, cameAt: now, sib: ldr.siblings(now, req.Step)}
 	ldr.orders[req.Task] = ord
 	if !ldr.adopt(now, ord) {
-		if req.Followed && !ldr.runsNowhere(req.At) {
+		if req.Followed && !ldr.runsNowhere(ord) {
 			ord.notBefore = now.Add(ldr.cfg.Doubt)
+			ldr.hurryProof(now, ord)
 		}
 		ldr.que.push(ord)
 	}
@@ -234,13 +235,13 @@
 	ldr.do(Tell{Owner: ord.Owner, Report: rep})
 }
 
-// Resign gives the shard up: owners learn that waiting orders have not run and that the rest is in the
-// hands of the next leader.
+// Resign gives the shard up: owners learn that waiting orders have not run and that the rest is in the hands of the next
+// leader. So is an order that lay with an earlier leader and waits for the proof that it runs nowhere.
 func (ldr *Leader) Resign() []Action {
 	for _, ord := range ldr.orders {
 		switch {
 		case ord.cancelled:
-		case ord.run == nil && ord.notBefore.IsZero():
+		case ord.run == nil && !ord.Followed:
 			ldr.report(ord, NotRun, 0)
 		default:
 			ldr.report(ord, Lost, 0)
@@ -308,6 +309,8 @@
 	act := Hold{Server: srv.ent, Token: ldr.token, Seen: srv.seen}
 	if srv.state == held && ldr.settled {
 		switch {
+		case srv.hurry:
+			// It waits for nothing.
 		case srv.awaitsProof():
 			srv.pause = true // A stop takes its time.
 		case srv.doubts == 0:
@@ -318,9 +321,10 @@
 			srv.renewedAt = now
 		}
 	}
-	if srv.pause {
+	if srv.pause && !srv.hurry {
 		act.Pause, srv.pause = lookPause, false
 	}
+	srv.quick, srv.hurry = srv.hurry, false
 	srv.looks++
 	act.Number = srv.looks
 	srv.looking, srv.lookAt = true, now
--- a/internal/request/shard/queue.go
+++ b/internal/request/shard/queue.go
@@ -15,6 +15,8 @@
 	// sib is what is known of the other tasks of its step; every round of placing asks for it.
 	sib *siblings
 	srv *server
+	// cameAt is when the order came here.
+	cameAt time.Time
 	// notBefore is set for a task that may still run at a server that has not yet obeyed this leader.
 	notBefore time.Time
 	cancelled bool
@@ -51,3 +53,8 @@
 		que.orders = slices.Delete(que.orders, pos, pos+1)
 	}
 }
+
+// anyFollowed reports whether an order waits that lay with an earlier leader.
+func (que *queue) anyFollowed() bool {
+	return slices.ContainsFunc(que.orders, func(ord *order) bool { return ord.Followed })
+}
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -40,6 +40,11 @@
 	lookAt  time.Time
 	// pause is set after a look that listed ends.
 	pause bool
+	// obeyedAt is when the newest look was sent that the server has answered as one of its leader's.
+	obeyedAt time.Time
+	// hurry is set while an order waits for the proof that its task does not run here: the next look waits for no end. Once it
+	// is in progress, quick is set.
+	hurry, quick bool
 	// doubts counts the looks in a row that got no answer.
 	doubts int
 	// failing counts the submissions that failed here since the last success, pausedUntil is when
@@ -136,6 +141,11 @@
 	return !srv.onTrial() || len(srv.runs) == 0
 }
 
+// obeyedSince reports whether the server has shown that it obeys the leader, and what runs there, since a time.
+func (srv *server) obeyedSince(since time.Time) bool {
+	return srv.state == held && !srv.obeyedAt.Before(since)
+}
+
 // usable reports whether the server is a part of the shard's room, leaving out pauses.
 func (srv *server) usable() bool { return srv.state == held && !srv.ent.Leaving }
 
--- a/internal/request/shard/takeover_test.go
+++ b/internal/request/shard/takeover_test.go
@@ -117,3 +117,43 @@
 		})
 	}
 }
+
+func TestFormerLeaderIsAskedForAnOrder(t *testing.T) {
+	// A leader stands still for two seconds. Another instance takes its shard over and starts tasks there. The first one
+	// wakes and still says that it leads; an owner follows it with the order of a running task. It went by what its servers had
+	// listed before ("report" "not-run" 0 ms after the order that "followed"), and the task started elsewhere: ten tasks ran
+	// twice until the next leader's stop, 3 ms later.
+	cases := map[string]struct {
+		at             ServerID
+		verdict        Verdict
+		look           Look
+		returned, lost int
+	}{
+		"its servers obey another one":                 {verdict: Fenced, lost: 1},
+		"the task's server obeys another one":          {at: "s1", verdict: Fenced, lost: 1},
+		"its servers obey it, the task runs nowhere":   {returned: 1},
+		"its server obeys it, the task runs nowhere":   {at: "s1", returned: 1},
+		"the task's server has not answered":           {at: "s1", verdict: Unknown},
+		"the task runs after all, for a former leader": {look: Look{Running: []Progress{{Run: RunID{Task: "j.0", Number: 5}}}}},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			dsk := newDesk(t, listed("s1", 32000))
+			dsk.did(dsk.ldr.SetServers(dsk.now, Listing{
+				Listed: []ServerEntry{listed("s1", 32000)}, ReadAt: dsk.now.Add(time.Millisecond),
+			}))
+			dsk.pass(100 * time.Millisecond)
+			ord := dsk.order(0, "j.0")
+			ord.Followed, ord.At = true, cse.at
+			dsk.did(dsk.ldr.Place(dsk.now, ord))
+			chk.Equal(dsk.reports(NotRun), 0) // Nothing is known yet.
+			dsk.lookFrom("s1", dsk.now, cse.look, cse.verdict)
+			if dsk.ldr.Lost() > 0 {
+				dsk.did(dsk.ldr.Resign())
+			}
+			chk.Equal(dsk.reports(NotRun), cse.returned)
+			chk.Equal(dsk.reports(Lost), cse.lost)
+		})
+	}
+}
