Take no batch that its sender has given up on; follow the newest token; trust no mass silence

Cause 1: a process that gets no processor, or a way that holds bytes back, delivers a batch after its sender has missed the receiver and has sent the orders elsewhere. The receiver, late at each check, does not miss the sender and starts them (red: TestLateBatchIsNotTaken, a batch 1 s old). A batch that is sent again waits for the first try, so that the Handler hears of all in order.

Cause 2: among two claims to lead a shard that of its own failure domain went first, though servers obey the newer token.

An instance that missed most of its domain within half a second now waits as one that was held up does.

--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -22,6 +22,8 @@
 	dial DialFunc
 	hdl  Handler
 	cnt  rpc.Counters
+	// began is when the mesh was made.
+	began time.Time
 	// outstanding counts the bytes of payloads in batches without a receipt.
 	outstanding atomic.Int64
 
@@ -34,7 +36,7 @@
 
 // New returns a mesh without peers that works while Run does.
 func New(cfg Config, dial DialFunc, hdl Handler) *Mesh {
-	return &Mesh{cfg: cfg, dial: dial, hdl: hdl, peers: map[string]*peer{}}
+	return &Mesh{cfg: cfg, dial: dial, hdl: hdl, began: cfg.Now(), peers: map[string]*peer{}}
 }
 
 // Stats returns the bytes and calls since the start.
@@ -204,6 +206,8 @@
 
 // lose gives up the session with a peer.
 func (msh *Mesh) lose(per *peer, cau Cause) {
+	per.turn.Lock()
+	defer per.turn.Unlock()
 	msh.mu.Lock()
 	was, had := per.reset()
 	msh.forget(per)
--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -25,10 +25,13 @@
 	mu    sync.Mutex
 	got   []string
 	lost  int
+	late  int
 	heard map[shard.InstanceID]int
 	// skipped is what the clock is ahead by, and starved makes it jump each time it is read.
 	skipped time.Duration
 	starved bool
+	// standsAt is since when the process gets no processor, if it gets none.
+	standsAt time.Time
 	// bound makes all dials of the node hang.
 	bound bool
 }
@@ -54,6 +57,9 @@
 	if nod.starved {
 		nod.skipped += 120 * time.Millisecond
 	}
+	if !nod.standsAt.IsZero() {
+		return nod.standsAt.Add(nod.skipped)
+	}
 	return time.Now().Add(nod.skipped)
 }
 
@@ -63,6 +69,21 @@
 	nod.starved = true
 }
 
+// stand makes the process see no time pass, until it goes on.
+func (nod *node) stand(ntw *pipe.Network) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	nod.standsAt = time.Now()
+	ntw.Stall(nod.name)
+}
+
+func (nod *node) goOn(ntw *pipe.Network) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	nod.standsAt = time.Time{}
+	ntw.Resume(nod.name)
+}
+
 func (nod *node) Beat() mesh.Beat {
 	return mesh.Beat{Domain: "a", Processor: 0.4, Ready: true, Round: 7, Divisions: map[string]shard.Division{
 		"a": {Count: 2, Stamp: 1},
@@ -83,6 +104,12 @@
 	}
 }
 
+func (nod *node) Late(shard.InstanceID, time.Duration, int) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	nod.late++
+}
+
 func (nod *node) Lost(id shard.InstanceID, _ mesh.Cause) {
 	nod.mu.Lock()
 	defer nod.mu.Unlock()
@@ -247,3 +274,43 @@
 		}
 	})
 }
+
+func TestLateBatchIsNotTaken(t *testing.T) {
+	// An order is sent to an instance whose process gets no processor. Its sender gives the session up and sends the task
+	// elsewhere. The process goes on, is late at each check and so misses nobody, reads the order from its socket, and would
+	// start what runs elsewhere by then. It sees that the sender has heard nothing of it for too long.
+	inPair(t, func(ntw *pipe.Network, one, two *node) {
+		chk := is.New(t)
+		two.stand(ntw)
+		one.send("two", 1)
+		time.Sleep(time.Second)
+		_, lost, _ := one.seen()
+		chk.Equal(lost, 1) // The sender has given up.
+		two.goOn(ntw)
+		time.Sleep(time.Second)
+		one.send("two", 2)
+		time.Sleep(100 * time.Millisecond)
+		got, _, hears := two.seen()
+		chk.Equal(got, []string{"2"})
+		chk.True(hears)
+		chk.True(two.late > 0)
+	})
+}
+
+func TestBatchAfterALongPause(t *testing.T) {
+	// Two ends beat once a second, and one of them has an order for the other long after it last heard of it. The first try
+	// only brings it up to date; the order still arrives within a few milliseconds.
+	inPair(t, func(_ *pipe.Network, one, two *node) {
+		chk := is.New(t)
+		one.msh.SetPaces(map[shard.InstanceID]mesh.Pace{mesh.ID("two", 1): {Intervals: 10}})
+		two.msh.SetPaces(map[shard.InstanceID]mesh.Pace{mesh.ID("one", 1): {Intervals: 10}})
+		for num := range 20 {
+			time.Sleep(time.Duration(num) * 90 * time.Millisecond)
+			one.send("two", num)
+			time.Sleep(10 * time.Millisecond)
+			got, lost, _ := two.seen()
+			chk.Equal(len(got), num+1)
+			chk.Equal(lost, 0)
+		}
+	})
+}
--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -121,7 +121,7 @@
 	if err := proto.Unmarshal(ans, rcp); err != nil {
 		return errors.Wrap(err, "receipt")
 	}
-	msh.receipt(per, dlv, rcp)
+	msh.receipt(per, began, dlv, rcp)
 	return nil
 }
 
@@ -146,7 +146,7 @@
 	now := msh.cfg.Now()
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
-	if per.up && !per.counted {
+	if per.up && !per.counted && len(per.outbox) > 0 {
 		per.sending, per.outbox, per.counted = per.outbox, nil, true
 		per.sendingBytes, per.waitingBytes = per.waitingBytes, 0
 		per.sequence++
@@ -155,9 +155,14 @@
 		per.waitsSince(now)
 	}
 	dlv := &meshpb.Delivery{
-		From: msh.cfg.Name, Address: msh.cfg.Address, Own: per.own.encode(), Other: per.other.encode(), Sequence: per.sequence,
-		Beat: encodeBeat(per.news(bet)),
+		From: msh.cfg.Name, Address: msh.cfg.Address, Own: per.own.encode(), Other: per.other.encode(),
+		Beat:      encodeBeat(per.news(bet)),
+		AgeMicros: msh.age(now).Microseconds(), HeardAgeMicros: per.heardAge.Microseconds(),
 	}
+	if !per.counted || msh.outdated(per, now) {
+		return dlv, per.address // It has a beat only, and no number.
+	}
+	dlv.Sequence = per.sequence
 	for _, msg := range per.sending {
 		add(dlv, now, msg)
 	}
@@ -184,21 +189,32 @@
 	return nil
 }
 
-// receipt takes in the answer to a batch.
-func (msh *Mesh) receipt(per *peer, dlv *meshpb.Delivery, rcp *meshpb.Receipt) {
+// receipt takes in the answer to a batch that began to be sent at a time.
+func (msh *Mesh) receipt(per *peer, began time.Time, dlv *meshpb.Delivery, rcp *meshpb.Receipt) {
+	per.turn.Lock()
+	defer per.turn.Unlock()
 	msh.mu.Lock()
+	now := msh.cfg.Now()
+	before := per.up
 	current, was, ended := per.greet(greetingOf(rcp))
-	if current && per.sequence == dlv.GetSequence() && greetingOf(dlv).from == per.own {
+	if per.up && !before {
+		per.heardAt = now
+	}
+	if current && !rcp.GetStale() && per.counted && per.sequence == dlv.GetSequence() && greetingOf(dlv).from == per.own {
 		per.sending, per.counted, per.stuckSince = nil, false, time.Time{}
 		if len(per.outbox) > 0 {
-			per.waitsSince(msh.cfg.Now())
+			per.waitsSince(now)
 		}
 		msh.outstanding.Add(-per.sendingBytes)
 		per.sendingBytes = 0
 	}
 	if current {
-		// The receipt is from the life of the session: it proves that the peer is there.
-		per.heardAt = msh.cfg.Now()
+		// The receipt is from the life of the session: it proves that the peer was there when the batch came.
+		per.noteAge(now, ageOf(rcp))
+		msh.noteHeard(per, now, began)
+	}
+	if current && len(per.sending) > 0 {
+		signal(per.wake) // The peer has not taken them, as the time that the batch told was too old.
 	}
 	msh.forget(per)
 	id := per.id()
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -90,18 +90,30 @@
 
 // take hands a batch to the Handler, once.
 func (msh *Mesh) take(dlv *meshpb.Delivery) *meshpb.Receipt {
-	now := msh.cfg.Now()
 	msh.mu.Lock()
 	per := msh.peer(dlv.GetFrom())
+	msh.mu.Unlock()
+	// A batch that its sender has sent again comes here while the first try is still at work.
+	per.turn.Lock()
+	defer per.turn.Unlock()
+	msh.mu.Lock()
+	now := msh.cfg.Now()
 	before := per.up
 	if adr := dlv.GetAddress(); adr != "" && !decodeEpoch(dlv.GetOwn()).before(per.other) {
 		// The list may be out of reach, and the peer's machine may have been replaced by one at another address.
 		per.address = adr
 	}
 	current, was, ended := per.greet(greetingOf(dlv))
-	next := current && dlv.GetSequence() > 0 && per.isNext(dlv.GetSequence())
+	said := msh.sentAfter(now, ageOf(dlv))
+	fresh := msh.isFresh(now, said)
+	next := current && fresh && dlv.GetSequence() > 0 && per.isNext(dlv.GetSequence())
 	if current {
-		per.heardAt, per.answeredAt = now, now
+		per.noteAge(now, ageOf(dlv))
+		msh.noteHeard(per, now, said)
+		per.answeredAt = now
+	}
+	if per.up && !before {
+		per.heardAt = now
 	}
 	if per.up != before || !current {
 		// The other side is to hear at once that the session is up, or what it lacks for that.
@@ -113,7 +125,10 @@
 	if current {
 		per.complete(&bet)
 	}
-	rcp := &meshpb.Receipt{Own: per.own.encode(), Other: per.other.encode()}
+	rcp := &meshpb.Receipt{
+		Own: per.own.encode(), Other: per.other.encode(), Stale: !fresh,
+		AgeMicros: msh.age(now).Microseconds(), HeardAgeMicros: per.heardAge.Microseconds(),
+	}
 	msh.mu.Unlock()
 	if ended {
 		msh.hdl.Lost(was, Reset)
@@ -125,6 +140,9 @@
 	if next {
 		msgs = decodeMessages(dlv, now, id)
 	}
+	if num := len(dlv.GetMessages()); num > 0 && !fresh {
+		msh.hdl.Late(id, now.Sub(said), num)
+	}
 	msh.hdl.Heard(id, bet, msgs)
 	own := msh.hdl.Beat()
 	msh.mu.Lock()
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"chestnutstack/internal/request/roundtrip"
@@ -43,6 +44,12 @@
 	// divisions are those that the peer has last told in this session, toldDivisions those that it surely has from here.
 	divisions, toldDivisions map[string]shard.Division
 	heardAt                  time.Time
+	// heardAge is the newest age of the peer's process that was heard, at heardAgeAt.
+	heardAge   time.Duration
+	heardAgeAt time.Time
+	// turn is held from a change of the session until the Handler has heard of it, so that it hears of all in order. It is taken
+	// before the mesh's lock.
+	turn sync.Mutex
 	// stuckSince is since when something waits for its receipt.
 	stuckSince time.Time
 	// answeredAt is when a batch of the peer's was last answered, with a beat.
@@ -137,6 +144,9 @@
 	}
 	if per.other.before(grt.from) {
 		was, ended = per.reset()
+		if per.other.life != grt.from.life {
+			per.heardAge = 0
+		}
 		per.other = grt.from
 		per.clear()
 	}
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -64,6 +64,9 @@
 	Beat() Beat
 	// Heard takes a batch; the beat is the sender's newest.
 	Heard(from shard.InstanceID, beat Beat, msgs []Message)
+	// Late says that a batch with messages was not taken, as it was sent too long ago; its sender sends it again if it has not
+	// given up on it.
+	Late(from shard.InstanceID, age time.Duration, messages int)
 	// Lost says that an instance is not heard any more; nothing of its old session follows.
 	Lost(id shard.InstanceID, cause Cause)
 }
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -134,12 +134,18 @@
 	dmn.deskDo(dmn.desk.Report(now, dmn.self, rep))
 }
 
+// Late implements mesh.Handler.
+func (dmn *Daemon) Late(from shard.InstanceID, age time.Duration, messages int) {
+	dmn.cnt.lateBatches.Add(1)
+	dmn.log.Warn().Str("peer", string(from)).Dur("age", age).Int("messages", messages).Msg("batch comes too late")
+}
+
 // Lost implements mesh.Handler.
 func (dmn *Daemon) Lost(id shard.InstanceID, cau mesh.Cause) {
 	now := dmn.enter()
 	defer dmn.exit(now)
 	dmn.log.Warn().Str("peer", string(id)).Str("cause", string(cau)).Msg("instance lost")
-	dmn.council.Lost(now, id)
+	dmn.council.Lost(now, id, cau == mesh.Silent)
 	for name, ldr := range dmn.leaders {
 		dmn.shardDo(name, ldr.OwnerLost(now, id))
 	}
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -87,7 +87,10 @@
 	led      map[shard.Name]bool
 	// vacant is since when a shard looks as if it had no leader.
 	vacant map[shard.Name]time.Time
-	losses map[shard.Name]loss
+	// silent is how many instances of the own failure domain fell silent without a longer pause, silentAt when the last one did.
+	silent   int
+	silentAt time.Time
+	losses   map[shard.Name]loss
 }
 
 type loss struct {
@@ -137,14 +140,45 @@
 	return false, old.Ready != ins.Ready || old.Leaving != ins.Leaving || !maps.Equal(old.Leads, ins.Leads)
 }
 
-// Lost removes an instance that is not heard any more.
-func (cnc *Council) Lost(now time.Time, id shard.InstanceID) {
+// Lost removes an instance that is not heard any more; a silent one was not seen to end.
+func (cnc *Council) Lost(now time.Time, id shard.InstanceID, silent bool) {
+	if ins := cnc.others[id]; silent && ins != nil && ins.Domain == cnc.self.Domain {
+		cnc.noteSilent(now)
+	}
 	delete(cnc.others, id)
 	if len(cnc.others) == 0 {
 		cnc.aloneAt = now
 	}
 }
 
+// noteSilent notes that an instance of the own failure domain has fallen silent.
+func (cnc *Council) noteSilent(now time.Time) {
+	if now.Sub(cnc.silentAt) > cnc.cfg.HeldUp {
+		cnc.silent = 0
+	}
+	cnc.silent++
+	cnc.silentAt = now
+}
+
+// mayBeDeaf reports whether most of the own failure domain has just fallen silent. It is more likely that this instance reads too
+// slowly: one that had started with a fifth of a core, and the traffic of its callers, missed 13 others within half a second,
+// took seven shards over from leaders that were fine, and lost them again one after the other.
+func (cnc *Council) mayBeDeaf(now time.Time) bool {
+	if cnc.silent < fewSilent || now.Sub(cnc.silentAt) > cnc.cfg.HeldUp {
+		return false
+	}
+	left := 0
+	for _, ins := range cnc.others {
+		if ins.Domain == cnc.self.Domain {
+			left++
+		}
+	}
+	return cnc.silent > left
+}
+
+// fewSilent instances may lose their power together, in a rack; a failure domain of two or three is always followed at once.
+const fewSilent = 3
+
 // Took notes that the own instance leads a shard.
 func (cnc *Council) Took(now time.Time, name shard.Name, token int64) {
 	cnc.self.Leads[name] = token
@@ -204,7 +238,7 @@
 		bst = &cnc.self
 	}
 	for _, ins := range cnc.others {
-		if cnc.claims(ins, shd) && (bst == nil || cnc.stronger(ins, bst, shd)) {
+		if cnc.claims(ins, shd) && (bst == nil || stronger(ins, bst, shd)) {
 			bst = ins
 		}
 	}
@@ -219,13 +253,9 @@
 	return leads
 }
 
-// stronger reports whether one claim goes before another: an instance of the shard's own failure domain
-// keeps reaching its servers when the domain is cut off; else the newer token goes first.
-func (cnc *Council) stronger(one, two *Instance, shd Shard) bool {
-	oneNear, twoNear := one.Domain == shd.Domain, two.Domain == shd.Domain
-	if oneNear != twoNear {
-		return oneNear
-	}
+// stronger reports whether one claim goes before another. Servers obey the newest token that has reached them, so that a leader
+// with an older one holds them no more: an owner that followed it would be told that its tasks run nowhere.
+func stronger(one, two *Instance, shd Shard) bool {
 	return one.Leads[shd.Name] > two.Leads[shd.Name]
 }
 
@@ -261,7 +291,7 @@
 			delete(cnc.vacant, shd.Name)
 			return false
 		}
-	} else if cnc.led[shd.Name] && now.Sub(cnc.heldUpAt) < cnc.cfg.HeldUp {
+	} else if cnc.led[shd.Name] && (now.Sub(cnc.heldUpAt) < cnc.cfg.HeldUp || cnc.mayBeDeaf(now)) {
 		return false
 	}
 	since, waiting := cnc.vacant[shd.Name]
--- a/internal/process/succession/succession_test.go
+++ b/internal/process/succession/succession_test.go
@@ -158,7 +158,7 @@
 		"all others are lost, so this one is more likely cut off": {
 			story: func(brd *board) {
 				brd.hear("x/1", "a", 0.4, false, "a.0")
-				brd.cnc.Lost(brd.now, "x/1")
+				brd.cnc.Lost(brd.now, "x/1", true)
 			},
 		},
 	}
@@ -269,7 +269,7 @@
 			if cse.led {
 				brd.hear("one/2", "a", 0.8, false, "a.0")
 				brd.taken(time.Second)
-				brd.cnc.Lost(brd.now, "one/2")
+				brd.cnc.Lost(brd.now, "one/2", true)
 			}
 			brd.hear("two/3", "b", 0.8, false, "b.0")
 			if cse.heldUp {
@@ -289,3 +289,36 @@
 	chk.True(!brd.taken(200 * time.Millisecond)["a.0"])
 	chk.True(brd.taken(400 * time.Millisecond)["a.0"])
 }
+
+func TestDeafInstanceTrustsNothingItMissed(t *testing.T) {
+	// A weak instance starts, and its callers' requests leave it too little processor to read what the others send. It misses
+	// most of its failure domain within half a second ("instance lost" "not heard" 13 times), and took all shards over, one
+	// each 30 ms. It waits until it has read on; a rack's loss of power, and that of one leader, are followed at once.
+	cases := map[string]struct {
+		others, silent int
+		took           bool
+	}{
+		"most of the domain":              {others: 14, silent: 13},
+		"a rack":                          {others: 14, silent: 6, took: true},
+		"the leader alone":                {others: 14, silent: 1, took: true},
+		"the one other of a small domain": {others: 1, silent: 1, took: true},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			brd := newBoard(0.2)
+			brd.hear("far/1", "b", 0.8, false, "b.0")
+			for num := range cse.others {
+				// Each has a shard, the first one that which is missed.
+				brd.hear(fmt.Sprint("near-", num, "/1"), "a", 0.2, false, shard.Name(fmt.Sprint("a.", num)))
+			}
+			brd.taken(time.Second)
+			for num := range cse.silent {
+				brd.now = brd.now.Add(30 * time.Millisecond)
+				brd.cnc.Lost(brd.now, shard.InstanceID(fmt.Sprint("near-", num, "/1")), true)
+			}
+			chk.Equal(len(brd.taken(450*time.Millisecond)) > 0, cse.took)
+			chk.True(len(brd.taken(time.Second)) > 0 || cse.took) // In the end it takes what nobody leads.
+		})
+	}
+}
