--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -162,9 +162,10 @@
 
 // mayBeDeaf reports whether most of the own failure domain has just fallen silent. It is more likely that this instance reads too
 // slowly: one that had started with a fifth of a core, and the traffic of its callers, missed 13 others within half a second,
-// took seven shards over from leaders that were fine, and lost them again one after the other.
+// took seven shards over from leaders that were fine, and lost them again one after the other. It heard them again after 1.0 to
+// 1.5 s, so that it waits as one does that hears nobody.
 func (cnc *Council) mayBeDeaf(now time.Time) bool {
-	if cnc.silent < fewSilent || now.Sub(cnc.silentAt) > cnc.cfg.HeldUp {
+	if cnc.silent < fewSilent || now.Sub(cnc.silentAt) > cnc.cfg.Alone {
 		return false
 	}
 	left := 0
@@ -173,11 +174,15 @@
 			left++
 		}
 	}
-	return cnc.silent > left
+	return cnc.silent > silentRatio*left
 }
 
-// fewSilent instances may lose their power together, in a rack; a failure domain of two or three is always followed at once.
-const fewSilent = 3
+const (
+	// fewSilent instances may lose their power together, in a rack; a failure domain of two or three is always followed at once.
+	fewSilent = 3
+	// silentRatio is how many times as many have to fall silent as are left: more than any loss of power that leaves some.
+	silentRatio = 3
+)
 
 // Took notes that the own instance leads a shard.
 func (cnc *Council) Took(now time.Time, name shard.Name, token int64) {
