Tell when a process is held up, in the daemon's logs and in the soak's results

Change: a line "held up" and a counter in the daemon; the soak prints the longest time for which its own process got no processor.

--- a/internal/connection/mesh/age.go
+++ b/internal/connection/mesh/age.go
@@ -45,7 +45,7 @@
 
 // noteAge notes the age of a peer's process for the next batch to it.
 func (per *peer) noteAge(now time.Time, stm stamp) {
-	if stm.own > per.heardAge {
+	if stm.own > 0 && stm.own >= per.heardAge {
 		per.heardAge, per.heardAgeAt = stm.own, now
 	}
 }
--- a/internal/process/cli/soak.go
+++ b/internal/process/cli/soak.go
@@ -87,8 +87,9 @@
 func (cmd *soakCommand) report(str *streams, results []soak.Result) error {
 	red := 0
 	for _, res := range results {
-		fmt.Fprintf(str.out, "seed %d: %d served, %d refused, %d unanswered; %d promises broken\n",
-			res.Seed, res.Served, res.Refused, res.Unanswered, len(res.Broken))
+		fmt.Fprintf(str.out, "seed %d: %d served, %d refused, %d unanswered; %d promises broken; held up for %v at %s\n",
+			res.Seed, res.Served, res.Refused, res.Unanswered, len(res.Broken), res.HeldUp.Round(time.Millisecond),
+			res.HeldUpAt.Format("15:04:05.000"))
 		if len(res.Broken) == 0 {
 			_ = os.RemoveAll(res.Dir) // What is left does no harm.
 			continue
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -94,8 +94,9 @@
 }
 
 func (dmn *Daemon) tick(now time.Time) {
-	if now.Sub(dmn.tickedAt) > heldUpFor {
-		dmn.council.HeldUp(now)
+	if pause := now.Sub(dmn.tickedAt); pause > heldUpFor {
+		dmn.council.HeldUp(now) // So is a process that has just started.
+		dmn.logHeldUp(pause)
 	}
 	dmn.tickedAt = now
 	if dmn.listed && dmn.cfg.Load() != nil && len(dmn.entries) > 0 {
@@ -126,6 +127,16 @@
 	dmn.deskDo(dmn.desk.Tick(now))
 }
 
+// logHeldUp tells how long the process came to nothing: whether it, or another one, was short of processor is what
+// explains most of what it missed.
+func (dmn *Daemon) logHeldUp(pause time.Duration) {
+	if dmn.tickedAt.IsZero() {
+		return
+	}
+	dmn.cnt.heldUps.Add(1)
+	dmn.log.Info().Dur("pause", pause).Msg("held up")
+}
+
 // takeOver makes this instance the leader of a shard.
 func (dmn *Daemon) takeOver(now time.Time, name shard.Name) {
 	tok := dmn.token()
--- a/internal/process/soak/play.go
+++ b/internal/process/soak/play.go
@@ -32,6 +32,10 @@
 	// Served, Refused and Unanswered count the jobs; Starts are those that backend servers have seen.
 	Served, Refused, Unanswered int
 	Troubles                    []string
+	// HeldUp is the longest time for which the soak's own process got no processor, HeldUpAt when that ended. It is no broken
+	// promise; it tells whether the machine stood still while others seemed to.
+	HeldUp   time.Duration
+	HeldUpAt time.Time
 	// Dir has the logs of the processes.
 	Dir string
 }
@@ -42,6 +46,7 @@
 	shp  Shape
 	sys  *system
 	chk  *checker
+	hld  holdUp
 
 	mu       sync.Mutex
 	outcomes []*outcome
@@ -77,6 +82,7 @@
 	if err == nil {
 		err = ply.run(ctx, &res)
 	}
+	res.HeldUp, res.HeldUpAt = ply.hld.longest()
 	for _, ins := range sys.ins {
 		ins.signal(syscall.SIGCONT)
 		ins.signal(syscall.SIGKILL)
@@ -110,6 +116,7 @@
 	}
 	probing, stopProbing := context.WithCancel(ctx)
 	defer stopProbing()
+	ply.sys.grp.Go(func() error { return ply.hld.run(probing) })
 	for _, ins := range ply.sys.ins {
 		ply.sys.grp.Go(func() error { return ply.probe(probing, ins) })
 	}
