Start nothing for an owner that was not heard lately; leave a shard as soon as a newer token is heard

It goes on, finds room before it finds out that their owners are gone, and starts them; the owners have started them elsewhere by then; it misses the owners 50 ms later and stops the runs. Change: an order starts only while its owner was heard within 450 ms by the clock, whichever event comes first; a process that came to nothing for 0.5 s reads its sockets for 50 ms before it starts anything.

Change: it leaves at once; a task is given back as not run only when all servers obey the new leader, or after the chain of leases. The case "its last server is listed, another one silent" of TestOrderAtANewLeader asked for an answer at once; the trace shows that this is the fault, so it asks for none now, and for one after the lease.

--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -90,7 +90,7 @@
 	}}
 }
 
-func (nod *node) Heard(from shard.InstanceID, bet mesh.Beat, msgs []mesh.Message) {
+func (nod *node) Heard(from shard.InstanceID, _ time.Time, bet mesh.Beat, msgs []mesh.Message) {
 	nod.mu.Lock()
 	defer nod.mu.Unlock()
 	nod.heard[from]++
--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -217,7 +217,7 @@
 		signal(per.wake) // The peer has not taken them, as the time that the batch told was too old.
 	}
 	msh.forget(per)
-	id := per.id()
+	id, heardAt := per.id(), per.heardAt
 	bet := decodeBeat(rcp.GetBeat())
 	if current {
 		per.complete(&bet)
@@ -231,6 +231,6 @@
 		msh.hdl.Lost(was, Reset)
 	}
 	if current && rcp.GetBeat() != nil {
-		msh.hdl.Heard(id, bet, nil)
+		msh.hdl.Heard(id, heardAt, bet, nil)
 	}
 }
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -120,7 +120,7 @@
 		signal(per.wake)
 	}
 	msh.forget(per)
-	id := per.id()
+	id, heardAt := per.id(), per.heardAt
 	bet := decodeBeat(dlv.GetBeat())
 	if current {
 		per.complete(&bet)
@@ -143,7 +143,7 @@
 	if num := len(dlv.GetMessages()); num > 0 && !fresh {
 		msh.hdl.Late(id, now.Sub(said), num)
 	}
-	msh.hdl.Heard(id, bet, msgs)
+	msh.hdl.Heard(id, heardAt, bet, msgs)
 	own := msh.hdl.Beat()
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -62,8 +62,8 @@
 type Handler interface {
 	// Beat returns what to tell the others.
 	Beat() Beat
-	// Heard takes a batch; the beat is the sender's newest.
-	Heard(from shard.InstanceID, beat Beat, msgs []Message)
+	// Heard takes a batch; the beat is the sender's newest. The sender was there at a time, by the own clock.
+	Heard(from shard.InstanceID, at time.Time, beat Beat, msgs []Message)
 	// Late says that a batch with messages was not taken, as it was sent too long ago; its sender sends it again if it has not
 	// given up on it.
 	Late(from shard.InstanceID, age time.Duration, messages int)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -172,6 +172,11 @@
 	startPatience = time.Second
 	// heldUpFor is how late a tick comes in a process that is short of processor: a dozen batches on a fifth of a core.
 	heldUpFor = 60 * time.Millisecond
+	// starvedFor is how long a process may come to nothing before it reads its sockets ahead of starting anything, for readTime:
+	// callers send jobs again 1.3 s after they have lost their connection, and owners start tasks elsewhere 1.7 s after they
+	// last heard a leader. On a fifth of a core some hundred batches are read within 50 ms.
+	starvedFor = 500 * time.Millisecond
+	readTime   = 50 * time.Millisecond
 	// frozenFor is how long a machine may stand still before its beliefs are stale: others are about to
 	// take its shards over.
 	frozenFor = 250 * time.Millisecond
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -20,6 +20,11 @@
 	if dmn.mesh != nil {
 		dmn.uplink.SetPeers(dmn.mesh.Outstanding())
 	}
+	if !dmn.tickedAt.IsZero() && now.Sub(dmn.tickedAt) > starvedFor {
+		for _, ldr := range dmn.leaders {
+			ldr.HeldUp(now.Add(readTime))
+		}
+	}
 	if slp := dmn.prm.Suspended(); slp-dmn.suspended > frozenFor {
 		dmn.thaw(now, slp-dmn.suspended)
 		dmn.suspended = slp
@@ -106,11 +111,8 @@
 			dmn.mesh.Nudge()
 		}
 	}
-	take, leave := dmn.council.Decide(now)
-	for _, name := range leave {
-		dmn.abandon(now, name, false)
-	}
-	for _, shd := range take {
+	dmn.leaveWeaker(now)
+	for _, shd := range dmn.council.Decide(now) {
 		if shd.Domain == dmn.prm.Settings.FailureDomain || dmn.reachable(now, shd) {
 			dmn.takeOver(now, shd.Name)
 		}
@@ -127,6 +129,14 @@
 	dmn.deskDo(dmn.desk.Tick(now))
 }
 
+// leaveWeaker leaves the shards that another instance leads with a newer token.
+func (dmn *Daemon) leaveWeaker(now time.Time) {
+	for _, name := range dmn.council.Weaker() {
+		dmn.abandon(now, name, false)
+	}
+	dmn.carryOut(now)
+}
+
 // logHeldUp tells how long the process came to nothing: whether it, or another one, was short of processor is what
 // explains most of what it missed.
 func (dmn *Daemon) logHeldUp(pause time.Duration) {
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -30,9 +30,12 @@
 }
 
 // Heard implements mesh.Handler.
-func (dmn *Daemon) Heard(from shard.InstanceID, bet mesh.Beat, msgs []mesh.Message) {
+func (dmn *Daemon) Heard(from shard.InstanceID, at time.Time, bet mesh.Beat, msgs []mesh.Message) {
 	now := dmn.enter()
 	defer dmn.exit(now)
+	for _, ldr := range dmn.leaders {
+		ldr.OwnerHeard(from, at)
+	}
 	dmn.hear(now, from, bet)
 	for _, msg := range msgs {
 		dmn.takeMessage(now, from, msg)
@@ -57,6 +60,9 @@
 		dmn.log.Info().Str("peer", string(from)).Msg("instance heard")
 	}
 	if changed {
+		// First of all: a shard that another one leads by now is not led here until the next tick, or its orders would be both here
+		// and there.
+		dmn.leaveWeaker(now)
 		dmn.updateLeaders()
 		dmn.updatePaces()
 	}
--- a/internal/process/daemon/random_test.go
+++ b/internal/process/daemon/random_test.go
@@ -123,7 +123,10 @@
 		wld.sto.SetDown(rnd.IntN(2) == 0)
 	case 6:
 		id := fmt.Sprintf("server-%d-%d", 1+rnd.IntN(3), 1+rnd.IntN(3))
-		wld.servers[id].LoseAnswers(1+rnd.IntN(4), time.Duration(rnd.IntN(4000))*time.Millisecond)
+		num, late := 1+rnd.IntN(4), time.Duration(rnd.IntN(4000))*time.Millisecond
+		if srv := wld.servers[id]; srv != nil {
+			srv.LoseAnswers(num, late)
+		}
 	case 7:
 		wld.entries[name].freeze(time.Duration(rnd.IntN(4000)) * time.Millisecond)
 	}
--- a/internal/process/daemon/world_test.go
+++ b/internal/process/daemon/world_test.go
@@ -307,20 +307,30 @@
 	prc.slept += dur
 }
 
-// stall makes a process get no processor for a while: it sees no time pass and hears nobody, and then everything at once.
-func (wld *world) stall(name string, dur time.Duration) {
-	prc := wld.entries[name]
-	prc.setStalled(time.Now())
+// stall makes a process that has come to stand get no processor for a while: it sees no time pass and hears nobody, and then
+// everything at once.
+func (wld *world) stall(prc *process, dur time.Duration) {
 	wld.net.Stall(prc.host)
 	time.Sleep(dur)
-	prc.setStalled(time.Time{})
+	prc.goOn()
 	wld.net.Resume(prc.host)
 }
 
-func (prc *process) setStalled(at time.Time) {
+// stand stops the process's clock and reports whether it went until now.
+func (prc *process) stand() bool {
+	prc.mu.Lock()
+	defer prc.mu.Unlock()
+	went := prc.stalledAt.IsZero()
+	if went {
+		prc.stalledAt = time.Now()
+	}
+	return went
+}
+
+func (prc *process) goOn() {
 	prc.mu.Lock()
 	defer prc.mu.Unlock()
-	prc.stalledAt = at
+	prc.stalledAt = time.Time{}
 }
 
 // cut separates a failure domain from the others and the store; its clients and servers still reach it.
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -264,17 +264,24 @@
 	return one.Leads[shd.Name] > two.Leads[shd.Name]
 }
 
-// Decide returns the shards to take over, one at most, and those to leave to a stronger leader. The next one waits
-// until the others have heard of the first: an instance that took all at once led all of its failure domain and
-// ran out of processor, while one as strong led none.
-func (cnc *Council) Decide(now time.Time) (take []Shard, leave []shard.Name) {
+// Weaker returns the shards that the own instance leads and that another one leads with a newer token.
+func (cnc *Council) Weaker() []shard.Name {
+	var names []shard.Name
 	for _, shd := range cnc.shards {
 		led, _ := cnc.Leader(shd)
-		_, mine := cnc.self.Leads[shd.Name]
-		if mine && led != cnc.self.ID {
-			leave = append(leave, shd.Name)
-			continue
+		if _, mine := cnc.self.Leads[shd.Name]; mine && led != cnc.self.ID {
+			names = append(names, shd.Name)
 		}
+	}
+	return names
+}
+
+// Decide returns the shards to take over, one at most. The next one waits until the others have heard of the first: an instance
+// that took all at once led all of its failure domain and ran out of processor, while one as strong led none.
+func (cnc *Council) Decide(now time.Time) (take []Shard) {
+	for _, shd := range cnc.shards {
+		led, _ := cnc.Leader(shd)
+		_, mine := cnc.self.Leads[shd.Name]
 		if !mine && len(take) == 0 && cnc.shouldTake(now, shd, led) {
 			take = append(take, shd)
 		}
@@ -282,7 +289,7 @@
 	if len(take) > 0 && now.Sub(cnc.tookAt) < cnc.cfg.Patience {
 		take = nil
 	}
-	return take, leave
+	return take
 }
 
 // shouldTake reports whether the own instance is the one to take a shard over now.
--- a/internal/process/succession/succession_test.go
+++ b/internal/process/succession/succession_test.go
@@ -104,7 +104,7 @@
 func (brd *board) taken(within time.Duration) map[shard.Name]bool {
 	tkn := map[shard.Name]bool{}
 	for end := brd.now.Add(within); brd.now.Before(end); brd.now = brd.now.Add(10 * time.Millisecond) {
-		take, _ := brd.cnc.Decide(brd.now)
+		take := brd.cnc.Decide(brd.now)
 		for _, shd := range take {
 			tkn[shd.Name] = true
 			brd.cnc.Took(brd.now, shd.Name, 9)
@@ -183,7 +183,7 @@
 	brd := newBoard(0.4)
 	tries := 0
 	for end := brd.now.Add(10 * time.Second); brd.now.Before(end); brd.now = brd.now.Add(10 * time.Millisecond) {
-		take, _ := brd.cnc.Decide(brd.now)
+		take := brd.cnc.Decide(brd.now)
 		for _, shd := range take {
 			if shd.Name == "a.0" {
 				tries++
@@ -231,7 +231,7 @@
 	brd.now = brd.now.Add(time.Second)
 	brd.cnc.Decide(brd.now)
 	brd.now = brd.now.Add(50 * time.Millisecond)
-	take, _ := brd.cnc.Decide(brd.now)
+	take := brd.cnc.Decide(brd.now)
 	chk.True(len(take) <= 1)
 	for _, shd := range take {
 		brd.cnc.Took(brd.now, shd.Name, 9)
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -74,6 +74,9 @@
 	// Doubt is how long a task of a former leader may still run that was not found: its owner missed that leader after
 	// four beats, and the rest of the chain of leases follows.
 	Doubt time.Duration
+	// OwnerSilence is how long after its owner was last heard an order may start: no longer than until the owner is missed, as
+	// it starts the task elsewhere some time after that.
+	OwnerSilence time.Duration
 	// Stall is how long the progress of a run may stand still.
 	Stall time.Duration
 	// Quarantine is the first pause of a server that fails what it runs; it doubles up to MaxQuarantine.
@@ -93,6 +96,7 @@
 		StopRetry:     20 * time.Millisecond,
 		StopPatience:  100 * time.Millisecond,
 		Doubt:         850 * time.Millisecond,
+		OwnerSilence:  450 * time.Millisecond,
 		Stall:         350 * time.Millisecond,
 		Quarantine:    time.Second,
 		MaxQuarantine: 8 * time.Second,
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -16,6 +16,10 @@
 	servers map[ServerID]*server
 	orders  map[string]*order
 	que     queue
+	// heard is when each owner was last heard; the own instance is not in it.
+	heard map[InstanceID]time.Time
+	// quietUntil is until when nothing starts.
+	quietUntil time.Time
 	// ends are ends found at the take-over whose owners have not yet asked.
 	ends map[string]foundEnd
 	acts []Action
@@ -49,6 +53,7 @@
 	return &Leader{
 		cfg: cfg, link: link, name: name, token: token, since: now,
 		servers: map[ServerID]*server{}, orders: map[string]*order{}, ends: map[string]foundEnd{},
+		heard: map[InstanceID]time.Time{},
 		steps: map[string]*siblings{}, meanRun: firstRun, stepsAt: now,
 	}
 }
@@ -198,6 +203,7 @@
 			ldr.cancel(now, ord)
 		}
 	}
+	ldr.forgetOwner(owner)
 	ldr.advance(now, nil)
 	return ldr.take()
 }
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -324,3 +324,49 @@
 		})
 	}
 }
+
+func TestQueuedOrderOfASilentOwner(t *testing.T) {
+	// A leader gets no processor for two seconds, with orders in its queue. Their owners miss it and start the tasks elsewhere.
+	// It goes on, sees room before it sees that the owners are gone, and started the orders: "start", 4 ms before the task's
+	// other start and 50 ms before "instance lost" and the "stop".
+	cases := map[string]struct {
+		owner   InstanceID
+		heardAt time.Duration
+		heldUp  bool
+		starts  int
+	}{
+		"heard just now":                       {owner: owner, heardAt: 2 * time.Second, starts: 1},
+		"heard before the hold-up":             {owner: owner},
+		"missed any moment":                    {owner: owner, heardAt: 2*time.Second - DefaultConfig().OwnerSilence - 1},
+		"the own instance":                     {owner: "self/1", starts: 1},
+		"the own instance, sockets to be read": {owner: "self/1", heldUp: true},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			dsk := newDesk(t, listed("s1", 20000))
+			dsk.ldr.OwnerHeard(owner, dsk.now)
+			dsk.place(0, "j1.0")
+			run := dsk.started("j1.0", Accepted)
+			ord := dsk.order(0, "j2.0")
+			ord.Owner = cse.owner
+			dsk.did(dsk.ldr.Place(dsk.now, ord)) // It waits for room.
+			dsk.acts = nil
+			began := dsk.now
+			dsk.now = dsk.now.Add(2 * time.Second)
+			if cse.heardAt > 0 {
+				dsk.ldr.OwnerHeard(cse.owner, began.Add(cse.heardAt))
+			}
+			if cse.heldUp {
+				dsk.ldr.HeldUp(dsk.now.Add(50 * time.Millisecond))
+			}
+			dsk.look("s1", Look{Ended: []End{{Seq: 1, Run: run}}})
+			chk.Equal(len(dsk.starts()), cse.starts)
+			if cse.heldUp {
+				dsk.now = dsk.now.Add(50 * time.Millisecond)
+				dsk.did(dsk.ldr.Tick(dsk.now))
+				chk.Equal(len(dsk.starts()), 1)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/request/shard/owner.go
@@ -0,0 +1,27 @@
+package shard
+
+import "time"
+
+// A process that got no processor for a second goes on as if nothing had happened: it finds room for what waits in its queue before
+// it finds out that the owners have given it up, and have the tasks run elsewhere. So an order starts only while its owner
+// was heard a short while ago by the clock, whichever event comes first.
+
+// OwnerHeard tells the leader when another instance was last heard.
+func (ldr *Leader) OwnerHeard(owner InstanceID, at time.Time) {
+	if at.After(ldr.heard[owner]) {
+		ldr.heard[owner] = at
+	}
+}
+
+// HeldUp tells the leader that its process came to nothing for a while. Nothing starts until a time, so that the sockets are read
+// first: callers may have left, and owners may have said that they start tasks elsewhere.
+func (ldr *Leader) HeldUp(until time.Time) { ldr.quietUntil = until }
+
+// ownerThere reports whether an order's owner still waits for it, as far as can be known.
+func (ldr *Leader) ownerThere(now time.Time, ord *order) bool {
+	at, other := ldr.heard[ord.Owner]
+	return !other || now.Sub(at) <= ldr.cfg.OwnerSilence
+}
+
+// forgetOwner drops what is known of an instance that is gone.
+func (ldr *Leader) forgetOwner(owner InstanceID) { delete(ldr.heard, owner) }
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -8,6 +8,9 @@
 // place starts waiting tasks in the order of their ranks, each at the server with the least room that still takes it: what is
 // left over elsewhere then takes larger tasks (two tasks of half a server don't fit beside one of a third).
 func (ldr *Leader) place(now time.Time) {
+	if now.Before(ldr.quietUntil) {
+		return
+	}
 	rms := ldr.rooms(now)
 	if !ldr.anyToPlace(rms) {
 		return
@@ -54,6 +57,9 @@
 		ldr.bounce(ord) // It runs nowhere, and has no payload here.
 		return
 	}
+	if !ldr.ownerThere(now, ord) {
+		return // It is missed any moment, or heard again.
+	}
 	if !ldr.link.Fits(ord.Payload) {
 		return // A short wait costs less than the way to another leader, with the payload.
 	}
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -40,16 +40,13 @@
 	return false
 }
 
-// runsNowhere reports whether a task that was not found is surely not run any more for another leader. That is so if the server
-// where it was last heard of has obeyed this leader since the order came, or if every server has. What a server said before is no
-// proof: this leader may have been held up for a while, and its successor, whose token is higher, may run the task. A leader
-// whose list may be short can't tell of all servers: the task may run on one that was added a moment ago, or whose entry is
-// gone.
+// runsNowhere reports whether a task that was not found is surely not run any more for another leader. That is so if every server
+// has obeyed this leader since the order came. What a server said before is no proof: this leader may have been held up for a
+// while, and its successor, whose token is higher, may run the task. Nor does the server where the task last ran tell enough: a former
+// leader that still reaches some others may have started it there since. A leader whose list may be short can't tell of all
+// servers: the task may run on one that was added a moment ago, or whose entry is gone.
 func (ldr *Leader) runsNowhere(ord *order) bool {
-	if srv := ldr.servers[ord.At]; srv != nil {
-		return srv.obeyedSince(ord.cameAt)
-	}
-	if ord.At != "" || !ldr.whole {
+	if !ldr.knowsAll(ord) {
 		return false
 	}
 	for _, srv := range ldr.servers {
@@ -60,12 +57,19 @@
 	return true
 }
 
+// knowsAll reports whether the leader knows of every server where an order's task may run.
+func (ldr *Leader) knowsAll(ord *order) bool {
+	return ldr.whole && (ord.At == "" || ldr.servers[ord.At] != nil)
+}
+
 // hurryProof has the servers looked at where a task may run for another leader. A look that waits for an end was sent before
 // the order came, and proves nothing. One quick look at a time serves all orders that come meanwhile.
 func (ldr *Leader) hurryProof(now time.Time, ord *order) {
-	for id, srv := range ldr.servers {
-		asked := id == ord.At || ord.At == "" && ldr.whole
-		if !asked || srv.state != held || srv.quick || srv.obeyedSince(ord.cameAt) {
+	if !ldr.knowsAll(ord) {
+		return
+	}
+	for _, srv := range ldr.servers {
+		if srv.state != held || srv.quick || srv.obeyedSince(ord.cameAt) {
 			continue
 		}
 		srv.hurry, srv.lookAt, srv.looking = true, now, false
--- a/internal/request/shard/takeover_test.go
+++ b/internal/request/shard/takeover_test.go
@@ -59,7 +59,11 @@
 			returned: 1,
 		},
 		"its last server is listed, another one silent": {
-			story:    func(dsk *desk) { dsk.look("s1", Look{}); followedFrom(dsk, "s1") },
+			// A former leader that reaches the silent one may have started the task there since.
+			story: func(dsk *desk) { dsk.look("s1", Look{}); followedFrom(dsk, "s1") },
+		},
+		"its last server is listed, another one silent, after the lease": {
+			story:    func(dsk *desk) { dsk.look("s1", Look{}); followedFrom(dsk, "s1"); dsk.pass(DefaultConfig().Doubt) },
 			returned: 1,
 		},
 		"its last server is not known here": {
