Take beats in the order in which they were told; withdraw an order from a leader that is heard when it goes to the next one

Change: beats carry the age of the process, and the newest one counts; an order that follows is withdrawn from its former leader while that one is heard.

--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -141,9 +141,9 @@
 
 // batch returns what is to be delivered next.
 func (msh *Mesh) batch(per *peer) (*meshpb.Delivery, string) {
-	// The beat is taken first: the Handler may call Send under its own lock.
-	bet := msh.hdl.Beat()
+	// The age is taken first: what the beat says is no older. The Handler may call Send under its own lock.
 	now := msh.cfg.Now()
+	bet := msh.hdl.Beat()
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
 	if per.up && !per.counted && len(per.outbox) > 0 {
@@ -219,10 +219,10 @@
 	msh.forget(per)
 	id, heardAt := per.id(), per.heardAt
 	bet := decodeBeat(rcp.GetBeat())
-	if current {
-		per.complete(&bet)
+	if current && rcp.GetBeat() != nil {
+		bet = per.newest(bet, ageOf(rcp).own)
 		// Without a beat of its own the peer has taken none: it did not know the session yet.
-		if dvs := decodeBeat(dlv.GetBeat()).Divisions; len(dvs) > 0 && rcp.GetBeat() != nil {
+		if dvs := decodeBeat(dlv.GetBeat()).Divisions; len(dvs) > 0 {
 			per.toldDivisions = dvs
 		}
 	}
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -123,7 +123,7 @@
 	id, heardAt := per.id(), per.heardAt
 	bet := decodeBeat(dlv.GetBeat())
 	if current {
-		per.complete(&bet)
+		bet = per.newest(bet, ageOf(dlv).own)
 	}
 	rcp := &meshpb.Receipt{
 		Own: per.own.encode(), Other: per.other.encode(), Stale: !fresh,
@@ -144,6 +144,8 @@
 		msh.hdl.Late(id, now.Sub(said), num)
 	}
 	msh.hdl.Heard(id, heardAt, bet, msgs)
+	// The age is taken first: what the beat says is no older.
+	rcp.AgeMicros = msh.age(msh.cfg.Now()).Microseconds()
 	own := msh.hdl.Beat()
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -47,6 +47,9 @@
 	// heardAge is the newest age of the peer's process that was heard, at heardAgeAt.
 	heardAge   time.Duration
 	heardAgeAt time.Time
+	// beat is the peer's newest, told at beatAge.
+	beat    Beat
+	beatAge time.Duration
 	// turn is held from a change of the session until the Handler has heard of it, so that it hears of all in order. It is taken
 	// before the mesh's lock.
 	turn sync.Mutex
@@ -145,7 +148,7 @@
 	if per.other.before(grt.from) {
 		was, ended = per.reset()
 		if per.other.life != grt.from.life {
-			per.heardAge = 0
+			per.heardAge, per.beatAge = 0, 0
 		}
 		per.other = grt.from
 		per.clear()
@@ -167,12 +170,19 @@
 	return true
 }
 
-// complete fills a beat in with what the peer has said before in this session.
-func (per *peer) complete(bet *Beat) {
+// newest takes in a beat, and returns the newest one with what the peer has said before in this session. A batch and the receipt
+// of another one pass each other: an instance that had just taken a shard over seemed to lead it no more, and its orders
+// followed to the leader before it.
+func (per *peer) newest(bet Beat, age time.Duration) Beat {
+	if age > 0 && age < per.beatAge {
+		return per.beat
+	}
 	if len(bet.Divisions) > 0 {
 		per.divisions = bet.Divisions
 	}
 	bet.Divisions = per.divisions
+	per.beat, per.beatAge = bet, age
+	return bet
 }
 
 // news leaves out of a beat what the peer has had before in this session: without them, idle instances
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -202,7 +202,7 @@
 // over: it was accepted before, or a stop was, after which it can't start any more.
 func (rn *run) provenGone(sent time.Time) bool {
 	if !rn.stopped.IsZero() {
-		return !sent.Before(rn.stopped)
+		return sent.After(rn.stopped)
 	}
 	return !rn.acceptedAt.IsZero() && sent.After(rn.acceptedAt)
 }
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -297,6 +297,7 @@
 		dsk.did(dsk.ldr.Stopped(dsk.now, "s", run, Accepted))
 		dsk.acts = nil
 		dsk.did(dsk.ldr.Looked(dsk.now, dsk.now, was, Look{}, Accepted))
+		dsk.now = dsk.now.Add(time.Millisecond) // The next look is sent after the stop.
 		dsk.look("s", Look{})
 		looks := dsk.count(func(act Action) bool { _, ok := act.(Hold); return ok })
 		chk.Equal(looks, 1)
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -161,6 +161,11 @@
 	}
 	// The former leader may have started it without a word of that here.
 	tsk.job.begun = true
+	if tsk.leader != "" && tsk.leader != viw.leader {
+		// It is heard, and may not know yet that it was followed: what waits in its queue started there seconds later, while
+		// the task ran elsewhere. Where its servers obey the new leader, the withdrawal ends nothing.
+		dsk.do(Withdraw{Target: tsk.target(), Task: tsk.name})
+	}
 	tsk.leader, tsk.token, tsk.limbo, tsk.begun, tsk.queued = viw.leader, viw.token, time.Time{}, false, false
 	tsk.followed = true
 	dsk.send(tsk, shard.Order{Followed: true, At: tsk.server})
