Let a process that the soak stands still have its time to stop afterwards

The soak had it stand still, so the time is allowed.

Change: what an instance stands still by the soak's own pause does not count to its time to stop. The rest of the check is as it was.

--- a/internal/process/soak/instance.go
+++ b/internal/process/soak/instance.go
@@ -35,6 +35,9 @@
 	// stoppedAt is when the process was last told to stop or was started, for what may be held against it.
 	stoppedAt time.Time
 	startedAt time.Time
+	// pausedAt is since when the soak has the process stand still; paused is for how long it did since it was told to stop.
+	pausedAt time.Time
+	paused   time.Duration
 	// own are processes that ended by themselves.
 	own []string
 }
@@ -63,6 +66,7 @@
 	}
 	over := make(chan struct{})
 	ins.cmd, ins.over, ins.meant, ins.stoppedAt, ins.startedAt = cmd, over, false, time.Time{}, time.Now()
+	ins.pausedAt, ins.paused = time.Time{}, 0
 	life := ins.life
 	ins.grp.Go(func() error {
 		err := cmd.Wait()
@@ -88,12 +92,43 @@
 	if sig == syscall.SIGTERM || sig == syscall.SIGKILL {
 		ins.meant = true
 	}
+	ins.notePause(sig, time.Now())
 	if sig == syscall.SIGTERM {
-		ins.stoppedAt = time.Now()
+		ins.stoppedAt, ins.paused = time.Now(), 0
 	}
 	_ = ins.cmd.Process.Signal(sig) // It may have ended a moment ago.
 }
 
+// notePause follows for how long the process stands still; the lock is held.
+func (ins *instance) notePause(sig syscall.Signal, now time.Time) {
+	switch {
+	case sig == syscall.SIGSTOP && ins.pausedAt.IsZero():
+		ins.pausedAt = now
+	case sig == syscall.SIGCONT && !ins.pausedAt.IsZero():
+		ins.paused += now.Sub(laterOf(ins.pausedAt, ins.stoppedAt))
+		ins.pausedAt = time.Time{}
+	}
+}
+
+func laterOf(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
+
+// stopLeft returns how much of its time to stop the process has left. While the soak has it stand still that does not pass: one
+// that was paused for 2.6 s, with its SIGTERM waiting, ended 6 s after it had gone on.
+func (ins *instance) stopLeft(began, now time.Time) time.Duration {
+	ins.mu.Lock()
+	defer ins.mu.Unlock()
+	paused := ins.paused
+	if !ins.pausedAt.IsZero() {
+		paused += now.Sub(laterOf(ins.pausedAt, began))
+	}
+	return ins.mch.StopTimeout + paused - now.Sub(began)
+}
+
 // age returns for how long the process has run.
 func (ins *instance) age() time.Duration {
 	ins.mu.Lock()
@@ -119,10 +154,13 @@
 	ins.mu.Lock()
 	over := ins.over
 	ins.mu.Unlock()
-	select {
-	case <-over:
-		return true
-	case <-time.After(ins.mch.StopTimeout):
+	began := time.Now()
+	for left := ins.stopLeft(began, began); left > 0; left = ins.stopLeft(began, time.Now()) {
+		select {
+		case <-over:
+			return true
+		case <-time.After(left):
+		}
 	}
 	ins.signal(syscall.SIGCONT)
 	ins.signal(syscall.SIGKILL)
