--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -195,18 +195,9 @@
 	defer per.turn.Unlock()
 	msh.mu.Lock()
 	now := msh.cfg.Now()
-	before := per.up
-	current, was, ended := per.greet(greetingOf(rcp))
-	if per.up && !before {
-		per.heardAt = now
-	}
+	current, was, ended := per.greet(now, greetingOf(rcp))
 	if current && !rcp.GetStale() && per.counted && per.sequence == dlv.GetSequence() && greetingOf(dlv).from == per.own {
-		per.sending, per.counted, per.stuckSince = nil, false, time.Time{}
-		if len(per.outbox) > 0 {
-			per.waitsSince(now)
-		}
-		msh.outstanding.Add(-per.sendingBytes)
-		per.sendingBytes = 0
+		msh.outstanding.Add(-per.delivered(now))
 	}
 	if current {
 		// The receipt is from the life of the session: it proves that the peer was there when the batch came.
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -103,7 +103,7 @@
 		// The list may be out of reach, and the peer's machine may have been replaced by one at another address.
 		per.address = adr
 	}
-	current, was, ended := per.greet(greetingOf(dlv))
+	current, was, ended := per.greet(now, greetingOf(dlv))
 	said := msh.sentAfter(now, ageOf(dlv))
 	fresh := msh.isFresh(now, said)
 	next := current && fresh && dlv.GetSequence() > 0 && per.isNext(dlv.GetSequence())
@@ -112,9 +112,6 @@
 		msh.noteHeard(per, now, said)
 		per.answeredAt = now
 	}
-	if per.up && !before {
-		per.heardAt = now
-	}
 	if per.up != before || !current {
 		// The other side is to hear at once that the session is up, or what it lacks for that.
 		signal(per.wake)
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -136,12 +136,22 @@
 	per.stuckSince = time.Time{}
 }
 
+// delivered notes that the peer has taken what was sent.
+func (per *peer) delivered(now time.Time) (bytes int64) {
+	per.sending, per.counted, per.stuckSince = nil, false, time.Time{}
+	if len(per.outbox) > 0 {
+		per.waitsSince(now)
+	}
+	bytes, per.sendingBytes = per.sendingBytes, 0
+	return bytes
+}
+
 // greeting is what one side says of a session: its own epoch, and the other's as it knows it.
 type greeting struct{ from, to epoch }
 
-// greet takes a greeting in. It reports whether the greeting belongs to the session that is up now, and
+// greet takes a greeting in that came at a time. It reports whether the greeting belongs to the session that is up now, and
 // whose session ended by it, if any.
-func (per *peer) greet(grt greeting) (current bool, was shard.InstanceID, ended bool) {
+func (per *peer) greet(now time.Time, grt greeting) (current bool, was shard.InstanceID, ended bool) {
 	if grt.from.before(per.other) {
 		return false, "", false
 	}
@@ -156,7 +166,9 @@
 	if grt.to != per.own {
 		return false, was, ended
 	}
-	per.up = true
+	if !per.up {
+		per.up, per.heardAt = true, now
+	}
 	return true, was, ended
 }
 
--- a/internal/process/pipe/stall.go
+++ b/internal/process/pipe/stall.go
@@ -66,7 +66,7 @@
 		con.waiting = con.waiting[1:]
 		con.mu.Unlock()
 		// The sender's deadline was for its own kernel, which has taken the data.
-		_ = con.Conn.SetWriteDeadline(time.Time{})
+		_ = con.SetWriteDeadline(time.Time{})
 		if con.isSilent() {
 			continue
 		}
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -109,9 +109,6 @@
 	}
 }
 
-// HeldUp tells the council that its own process was short of processor a moment ago.
-func (cnc *Council) HeldUp(now time.Time) { cnc.heldUpAt = now }
-
 // SetShards tells the council which shards there are.
 func (cnc *Council) SetShards(shs []Shard) { cnc.shards = shs }
 
@@ -151,39 +148,6 @@
 	}
 }
 
-// noteSilent notes that an instance of the own failure domain has fallen silent.
-func (cnc *Council) noteSilent(now time.Time) {
-	if now.Sub(cnc.silentAt) > cnc.cfg.HeldUp {
-		cnc.silent = 0
-	}
-	cnc.silent++
-	cnc.silentAt = now
-}
-
-// mayBeDeaf reports whether most of the own failure domain has just fallen silent. It is more likely that this instance reads too
-// slowly: one that had started with a fifth of a core, and the traffic of its callers, missed 13 others within half a second,
-// took seven shards over from leaders that were fine, and lost them again one after the other. It heard them again after 1.0 to
-// 1.5 s, so that it waits as one does that hears nobody.
-func (cnc *Council) mayBeDeaf(now time.Time) bool {
-	if cnc.silent < fewSilent || now.Sub(cnc.silentAt) > cnc.cfg.Alone {
-		return false
-	}
-	left := 0
-	for _, ins := range cnc.others {
-		if ins.Domain == cnc.self.Domain {
-			left++
-		}
-	}
-	return cnc.silent > silentRatio*left
-}
-
-const (
-	// fewSilent instances may lose their power together, in a rack; a failure domain of two or three is always followed at once.
-	fewSilent = 3
-	// silentRatio is how many times as many have to fall silent as are left: more than any loss of power that leaves some.
-	silentRatio = 3
-)
-
 // Took notes that the own instance leads a shard.
 func (cnc *Council) Took(now time.Time, name shard.Name, token int64) {
 	cnc.self.Leads[name] = token
@@ -324,11 +288,6 @@
 	return now.Sub(since) >= patience && now.Sub(cnc.readyAt) >= cnc.cfg.Newcomer && !cnc.mayBeCutOff(now)
 }
 
-// mayBeCutOff reports whether the instance hears nobody although there were others a moment ago.
-func (cnc *Council) mayBeCutOff(now time.Time) bool {
-	return len(cnc.others) == 0 && cnc.everHeard && now.Sub(cnc.aloneAt) < cnc.cfg.Alone
-}
-
 // replaceable reports whether a shard's leader should make way: it is leaving, or it stands in another
 // failure domain while an instance of the shard's own has been ready for long enough.
 func (cnc *Council) replaceable(now time.Time, shd Shard, led shard.InstanceID) bool {
