--- a/internal/process/pipe/pipe.go
+++ b/internal/process/pipe/pipe.go
@@ -26,14 +26,16 @@
 	links map[string]*link
 	// stalled has the hosts whose processes don't run; grp delivers what was held for them.
 	stalled map[string]bool
-	grp     errgroup.Group
+	// ways has those, from a host to another, on which everything is held up.
+	ways map[[2]string]bool
+	grp  errgroup.Group
 }
 
 // New returns a network without hosts.
 func New() *Network {
 	return &Network{
 		listeners: map[string]*listener{}, cut: map[[2]string]bool{}, dead: map[string]bool{}, links: map[string]*link{},
-		stalled: map[string]bool{},
+		stalled: map[string]bool{}, ways: map[[2]string]bool{},
 	}
 }
 
@@ -96,7 +98,7 @@
 		ntw.mu.Lock()
 		lis := ntw.listenerAt(addr)
 		// A machine without power takes no connection either; that of a killed process refuses it, as nobody listens there.
-		silent := ntw.cut[pair(host, hostOf(addr))] || ntw.dead[host] || lis != nil && ntw.dead[hostOf(addr)]
+		silent := ntw.cut[pair(host, hostOf(addr))] || ntw.heldWay(host, hostOf(addr)) || ntw.dead[host] || lis != nil && ntw.dead[hostOf(addr)]
 		ntw.mu.Unlock()
 		if silent {
 			return nil, timeOut(ctx)
@@ -109,8 +111,7 @@
 		two := &conn{Conn: far, from: hostOf(addr), to: host}
 		ntw.mu.Lock()
 		one.out, two.out = ntw.links[one.from], ntw.links[two.from]
-		one.held = ntw.stalled[one.from] || ntw.stalled[one.to]
-		two.held = one.held
+		one.held, two.held = ntw.holds(one), ntw.holds(two)
 		ntw.conns = append(ntw.conns, one, two)
 		ntw.mu.Unlock()
 		select {
@@ -243,9 +244,9 @@
 	mu     sync.Mutex
 	silent bool
 	closed bool
-	// held is set while what is written waits in kernels; waiting has it.
-	held    bool
-	waiting [][]byte
+	// held is set while what is written waits in kernels; waiting has it, and releasing is set while it is being delivered.
+	held, releasing bool
+	waiting         [][]byte
 }
 
 // Close implements net.Conn. What was written before still arrives.
--- a/internal/process/pipe/stall.go
+++ b/internal/process/pipe/stall.go
@@ -23,17 +23,64 @@
 	ntw.mu.Lock()
 	defer ntw.mu.Unlock()
 	delete(ntw.stalled, host)
+	ntw.release()
+}
+
+// CutWay holds up all that one host sends to another, and no connection comes about between them: what the other sends arrives. It
+// lasts until MendWay, which delivers what was held up.
+func (ntw *Network) CutWay(from, to string) {
+	ntw.mu.Lock()
+	defer ntw.mu.Unlock()
+	ntw.ways[[2]string{from, to}] = true
+	for _, con := range ntw.conns {
+		if con.from == from && con.to == to {
+			con.setHeld()
+		}
+	}
+}
+
+// MendWay ends what CutWay began.
+func (ntw *Network) MendWay(from, to string) {
+	ntw.mu.Lock()
+	defer ntw.mu.Unlock()
+	delete(ntw.ways, [2]string{from, to})
+	ntw.release()
+}
+
+// holds reports whether what a connection's end sends is held up; the lock is held.
+func (ntw *Network) holds(con *conn) bool {
+	return ntw.stalled[con.from] || ntw.stalled[con.to] || ntw.ways[[2]string{con.from, con.to}]
+}
+
+// heldWay reports whether a way between two hosts is held up in one direction; the lock is held.
+func (ntw *Network) heldWay(one, two string) bool {
+	return ntw.ways[[2]string{one, two}] || ntw.ways[[2]string{two, one}]
+}
+
+// release delivers over all connections that are held up no more; the lock is held.
+func (ntw *Network) release() {
 	for _, con := range ntw.conns {
-		if (con.from == host || con.to == host) && !ntw.stalled[con.from] && !ntw.stalled[con.to] {
+		if !ntw.holds(con) && con.beginRelease() {
 			ntw.grp.Go(con.release)
 		}
 	}
 }
 
+// beginRelease reports whether something is held up that nobody delivers yet.
+func (con *conn) beginRelease() bool {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	if !con.held || con.releasing {
+		return false
+	}
+	con.releasing = true
+	return true
+}
+
 func (con *conn) setHeld() {
 	con.mu.Lock()
 	defer con.mu.Unlock()
-	con.held = true
+	con.held, con.releasing = true, false
 }
 
 // hold keeps data back if the connection is held.
@@ -53,8 +100,12 @@
 func (con *conn) release() error {
 	for {
 		con.mu.Lock()
+		if !con.releasing {
+			con.mu.Unlock()
+			return nil // It is held up again.
+		}
 		if len(con.waiting) == 0 {
-			con.held = false
+			con.held, con.releasing = false, false
 			closed := con.closed
 			con.mu.Unlock()
 			if closed {
