Let a machine that stands still say nothing of a soak's promises with a time bound

The soak's own process was held up for 5.711 s until 05:16:53.131, and instances of both soaks for 5.5 to 6.3 s until 05:16:53.1 to 53.4 ("held up").

The trace shows that the case is allowed: such a machine is not in touch. The promises without a time bound are checked as before.

--- a/internal/process/soak/checker.go
+++ b/internal/process/soak/checker.go
@@ -12,10 +12,14 @@
 	broken []string
 	// spans are the unplanned troubles so far; the end of one that goes on is zero.
 	spans []span
+	// hld knows when the machine stood still.
+	hld *holdUp
 }
 
 type span struct{ from, to time.Time }
 
+func (spn span) length() time.Duration { return spn.to.Sub(spn.from) }
+
 // contact is how long after a trouble the promises with a time bound hold again (3 s, the platform's pages).
 const contact = 3 * time.Second
 
@@ -39,8 +43,11 @@
 	}
 }
 
-// calm reports whether no unplanned trouble went on between two times, nor shortly before.
+// calm reports whether no unplanned trouble went on between two times, nor shortly before; nor did the machine stand still.
 func (chk *checker) calm(from, to time.Time) bool {
+	if chk.hld != nil && chk.hld.within(from.Add(-contact), to) > 0 {
+		return false
+	}
 	chk.mu.Lock()
 	defer chk.mu.Unlock()
 	for _, spn := range chk.spans {
--- a/internal/process/soak/instance.go
+++ b/internal/process/soak/instance.go
@@ -20,6 +20,8 @@
 	mch          standin.Machine
 	dir, program string
 	grp          *errgroup.Group
+	// hld knows when the machine stood still.
+	hld *holdUp
 	// linkHost is where the links from here listen.
 	linkHost string
 
@@ -117,8 +119,8 @@
 	return two
 }
 
-// stopLeft returns how much of its time to stop the process has left. While the soak has it stand still that does not pass: one
-// that was paused for 2.6 s, with its SIGTERM waiting, ended 6 s after it had gone on.
+// stopLeft returns how much of its time to stop the process has left. While the soak has it stand still, or the machine does, that
+// does not pass: one that was paused for 2.6 s, with its SIGTERM waiting, ended 6 s after it had gone on.
 func (ins *instance) stopLeft(began, now time.Time) time.Duration {
 	ins.mu.Lock()
 	defer ins.mu.Unlock()
@@ -126,6 +128,9 @@
 	if !ins.pausedAt.IsZero() {
 		paused += now.Sub(laterOf(ins.pausedAt, began))
 	}
+	if ins.hld != nil {
+		paused += ins.hld.within(began, now)
+	}
 	return ins.mch.StopTimeout + paused - now.Sub(began)
 }
 
