Say that an order may have run when a start of it got no answer

The caller was told that nothing had run, which was not true. So it would be wherever servers leave starts unanswered.

Change: a report that an order does not run says whether a start of it may have been carried out; such a job ends as unfinished (504). TestStartWithoutAnswerMayHaveRun, TestOrderThatMayHaveRun.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -95,7 +95,7 @@
 	case Report:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Report{Report: &meshpb.Report{
 			Task: msg.Report.Task, Token: msg.Report.Token, Outcome: int64(msg.Report.Outcome),
-			TookMicros: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server),
+			TookMicros: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server), MayHaveRun: msg.Report.MayHaveRun,
 		}}})
 	case Configuration:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Configuration{Configuration: msg.Data}})
@@ -145,7 +145,7 @@
 			rep := bdy.Report
 			msgs = append(msgs, Report{Report: shard.Report{
 				Task: rep.GetTask(), Token: rep.GetToken(), Outcome: shard.Outcome(rep.GetOutcome()),
-				Took: micros(rep.GetTookMicros()), Server: shard.ServerID(rep.GetServer()),
+				Took: micros(rep.GetTookMicros()), Server: shard.ServerID(rep.GetServer()), MayHaveRun: rep.GetMayHaveRun(),
 			}})
 		case *meshpb.Message_Configuration:
 			msgs = append(msgs, Configuration{Data: bdy.Configuration})
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -56,6 +56,7 @@
 // another leader, whose clock is ahead; and a server that refuses must not be asked in a tight loop.
 func (ldr *Leader) refused(now time.Time, srv *server, rn *run) {
 	if ord := rn.ord; ord != nil {
+		ord.mayHaveRun = !rn.first || rn.repeats > 0
 		ord.notBefore = now.Add(refusalPause)
 		ord.runNumber += runNumberJump
 		ord.Avoid = append(ord.Avoid, srv.ent.ID)
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -234,7 +234,7 @@
 }
 
 func (ldr *Leader) report(ord *order, out Outcome, took time.Duration) {
-	rep := Report{Task: ord.Task, Token: ldr.token, Outcome: out, Took: took}
+	rep := Report{Task: ord.Task, Token: ldr.token, Outcome: out, Took: took, MayHaveRun: ord.mayHaveRun}
 	if ord.srv != nil {
 		rep.Server = ord.srv.ent.ID
 	}
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -137,7 +137,8 @@
 	// task twice within a millisecond counts on.
 	ord.runNumber = max(ord.runNumber+1, now.UnixMilli())
 	ldr.siblings(now, ord.Step).begun = true
-	rn := &run{id: RunID{Task: ord.Task, Number: ord.runNumber}, ord: ord, sentAt: now}
+	rn := &run{id: RunID{Task: ord.Task, Number: ord.runNumber}, ord: ord, sentAt: now, first: !ord.mayHaveRun}
+	ord.mayHaveRun = true
 	srv.add(rn)
 	ord.run, ord.srv = rn, srv
 	ldr.sendStart(now, srv, rn)
--- a/internal/request/shard/queue.go
+++ b/internal/request/shard/queue.go
@@ -19,7 +19,9 @@
 	cameAt time.Time
 	// notBefore is set for a task that may still run at a server that has not yet obeyed this leader.
 	notBefore time.Time
-	cancelled bool
+	// mayHaveRun is set once a start was sent that a server may have carried out.
+	mayHaveRun bool
+	cancelled  bool
 	runNumber int64
 }
 
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -62,6 +62,8 @@
 	// ord is nil for an orphan: a run that nobody has asked this leader for, of unknown size.
 	ord    *order
 	sentAt time.Time
+	// first is set if no start of the order was sent before that may have been carried out.
+	first bool
 	// repeats counts the starts that were sent again for want of an answer.
 	repeats int
 	// acceptedAt is when the server accepted the start, or was seen to run it.
--- a/internal/request/shard/takeover_test.go
+++ b/internal/request/shard/takeover_test.go
@@ -161,3 +161,49 @@
 		})
 	}
 }
+
+func TestStartWithoutAnswerMayHaveRun(t *testing.T) {
+	// A server carries starts out and its answers are lost. The runs are stopped, and the order waits again. Its owner calls it back,
+	// as the job can't be done in time any more, and told the caller 503, "not run", though two tasks had begun
+	// ("start" "unknown", "stop" "accepted", "report" "not-run", "refused"). The report says now that it may have run.
+	cases := map[string]struct {
+		story func(dsk *desk)
+		want  bool
+	}{
+		"never started": {story: func(*desk) {}},
+		"start refused": {story: func(dsk *desk) { dsk.started("j.0", Refused) }},
+		"start without an answer, stopped": {
+			story: func(dsk *desk) {
+				var run RunID
+				for range 1 + startRepeats {
+					run = dsk.started("j.0", Unknown)
+				}
+				dsk.did(dsk.ldr.Stopped(dsk.now, "s1", run, Accepted))
+				dsk.pass(10 * time.Millisecond)
+				dsk.ldr.HeldUp(dsk.now.Add(time.Second)) // It waits, and does not start again.
+				dsk.look("s1", Look{})
+			},
+			want: true,
+		},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			dsk := newDesk(t, listed("s1", 32000))
+			ord := dsk.order(0, "j.0")
+			if name == "never started" {
+				ord.Processor = 64000
+			}
+			dsk.did(dsk.ldr.Place(dsk.now, ord))
+			cse.story(dsk)
+			dsk.acts = nil
+			dsk.did(dsk.ldr.Resign())
+			chk.Equal(dsk.reports(NotRun), 1)
+			said := dsk.count(func(act Action) bool {
+				tel, ok := act.(Tell)
+				return ok && tel.Report.MayHaveRun
+			})
+			chk.Equal(said > 0, cse.want)
+		})
+	}
+}
--- a/internal/request/shard/words.go
+++ b/internal/request/shard/words.go
@@ -169,6 +169,8 @@
 	// Took is how long the run took, Server where it was.
 	Took   time.Duration
 	Server ServerID
+	// MayHaveRun says of an order that does not run that a server may have begun it: a start got no answer, and was stopped.
+	MayHaveRun bool
 }
 
 // Division is into how many shards the backend servers of a failure domain are cut. Instances that see it
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -322,6 +322,7 @@
 		dsk.taskFailed(tsk, rep)
 	case shard.NotRun:
 		tsk.leader = ""
+		tsk.job.begun = tsk.job.begun || rep.MayHaveRun
 		if !tsk.followed {
 			tsk.bounces++
 			dsk.full(tsk.shard)
--- a/internal/request/submission/desk_test.go
+++ b/internal/request/submission/desk_test.go
@@ -305,3 +305,29 @@
 	bch.report(self, 1, "j.0.1.0", shard.Done)
 	chk.Equal(bch.take(), []string{"reply 1 succeeded"})
 }
+
+func TestOrderThatMayHaveRun(t *testing.T) {
+	// A leader gives an order back that does not run; whether a server has begun it for a moment is not known, as its start got no
+	// answer. The job is not said to have run nothing, whatever becomes of it.
+	for mayHaveRun, want := range map[bool]Result{true: Unfinished, false: NotRun} {
+		t.Run(fmt.Sprint("may have run: ", mayHaveRun), func(t *testing.T) {
+			chk := is.New(t)
+			bch := newBench()
+			bch.lead("a.0", true, other, 1, 4)
+			bch.submit(1, "j", 1)
+			bch.did(bch.dsk.SetLeader(Target{Shard: "a.0"}, true)) // Nobody leads, so that it goes nowhere else.
+			bch.did(bch.dsk.Report(bch.now, other, shard.Report{
+				Task: "j.0.0.0", Token: 1, Outcome: shard.NotRun, MayHaveRun: mayHaveRun,
+			}))
+			bch.acts = nil
+			bch.did(bch.dsk.GiveUp())
+			var got []Result
+			for _, act := range bch.acts {
+				if rep, ok := act.(Reply); ok {
+					got = append(got, rep.Answer.Result)
+				}
+			}
+			chk.Equal(got, []Result{want})
+		})
+	}
+}
