Take no refusal of a repeated start for proof while an earlier try is being stopped

Change: a refusal after an earlier try proves nothing; the look after the stop does. TestRepeatedStartIsRefusedAfterItsStop, red before.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -23,8 +23,8 @@
 	case Replaced:
 		ldr.replaced(now, srv)
 	case Refused, Overfull:
-		if rn.repeats > 0 && rn.state == starting {
-			// An earlier try may have run and ended meanwhile: the next look lists its end, or does not list the run.
+		if rn.repeats > 0 {
+			// An earlier try may have run, and may have ended meanwhile or be on its way to: the next look tells.
 			ldr.accepted(now, srv, rn)
 			break
 		}
@@ -71,6 +71,7 @@
 	runNumberJump = 1 << 16
 )
 
+// accepted notes that a server has a run, or has had it; one that is to end stays so.
 func (ldr *Leader) accepted(now time.Time, srv *server, rn *run) {
 	rn.acceptedAt, rn.progressAt = now, now
 	if rn.state != starting {
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -371,3 +371,24 @@
 		})
 	}
 }
+
+func TestRepeatedStartIsRefusedAfterItsStop(t *testing.T) {
+	// A start gets no answer and is carried out. It is sent again, and its caller leaves meanwhile: the stop is accepted, and the second
+	// start is refused for that. The refusal was taken for a start that was never carried out; the next task started 2 ms
+	// later beside the run that was still being stopped, and the server was over its capacity.
+	chk := is.New(t)
+	dsk := newDesk(t, listed("s", 20000))
+	dsk.place(0, "j1.0")
+	run := dsk.started("j1.0", Unknown)
+	dsk.did(dsk.ldr.Cancel(dsk.now, owner, "j1.0"))
+	dsk.did(dsk.ldr.Stopped(dsk.now, "s", run, Accepted))
+	dsk.did(dsk.ldr.Started(dsk.now, "s", run, Refused, time.Minute))
+	dsk.acts = nil
+	chk.Equal(len(dsk.place(0, "j2.0")), 0)
+	dsk.now = dsk.now.Add(10 * time.Millisecond)
+	dsk.look("s", Look{Running: []Progress{{Run: run}}}) // It takes up to 50 ms.
+	chk.Equal(len(dsk.starts()), 0)
+	dsk.now = dsk.now.Add(40 * time.Millisecond)
+	dsk.look("s", Look{Ended: []End{{Seq: 1, Run: run, How: EndedStopped}}})
+	chk.Equal(len(dsk.starts()), 1)
+}
