--- a/internal/request/shard/queue.go
+++ b/internal/request/shard/queue.go
@@ -22,7 +22,7 @@
 	// mayHaveRun is set once a start was sent that a server may have carried out.
 	mayHaveRun bool
 	cancelled  bool
-	runNumber int64
+	runNumber  int64
 }
 
 // submission returns the part of a task's name that names its submission.
