Look at idle servers once a second; keep the desk's shards in order

Cause: a leader asked each of its servers five times a second what happens there, also where nothing ran: 40 looks a second for eight servers at rest, most of what an instance spends on servers. A desk sorted all shards for each task that it placed.

Change: a server on which nothing runs is looked at after a pause of 1 s, without waiting for an end; a start ends the pause. The desk keeps its shards sorted.

The pause of 1 s is a fifth of the shortest time in which a change of a server has to be known (ContactMs).

--- a/internal/request/shard/desk_test.go
+++ b/internal/request/shard/desk_test.go
@@ -131,3 +131,10 @@
 		return ok
 	})
 }
+
+func (dsk *desk) looks() int {
+	return dsk.count(func(act Action) bool {
+		_, ok := act.(Hold)
+		return ok
+	})
+}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -126,6 +126,9 @@
 	switch vdt {
 	case Accepted:
 		ldr.seen(now, srv, sent, look)
+		if ldr.settled && srv.idle() {
+			srv.lookAt = now.Add(idlePause)
+		}
 	case Fenced:
 		ldr.fenced(srv)
 	case Replaced:
@@ -137,6 +140,10 @@
 	return ldr.take()
 }
 
+// idlePause is the pause between looks at a server on which nothing runs: no lease needs renewal there, and a look only shows
+// that the server is there, and its clock.
+const idlePause = time.Second
+
 // unheard notes that a look got no answer. One in twenty is lost on some days, so a held server is asked again
 // at once, without waiting for an end; taken for silent it would stand idle for half a second and its leases
 // would lapse, which took two fifths of the pool's room on such days.
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -317,6 +317,8 @@
 		switch {
 		case srv.quick:
 			// It waits for nothing.
+		case srv.idle():
+			// There is no end to wait for.
 		case srv.awaitsProof():
 			srv.pause = true // A stop takes its time.
 		case srv.doubts == 0:
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -140,6 +140,7 @@
 	rn := &run{id: RunID{Task: ord.Task, Number: ord.runNumber}, ord: ord, sentAt: now, first: !ord.mayHaveRun}
 	ord.mayHaveRun = true
 	srv.add(rn)
+	srv.lookAt = now // It may have been idle, and its next look far away.
 	ord.run, ord.srv = rn, srv
 	ldr.sendStart(now, srv, rn)
 }
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -175,11 +175,18 @@
 	return num
 }
 
-// until returns the end of a lease that begins now, on the server's clock.
+// until returns the end of a lease that begins now, on the server's clock, which may be slow: the longer it was not read the
+// earlier it is taken to be, or leases would outlast their time.
 func (srv *server) until(now time.Time, lease time.Duration) time.Duration {
-	return srv.clock + now.Sub(srv.clockAt) + lease
+	if srv.clockAt.IsZero() {
+		return lease // The server has just started: its clock told nothing yet.
+	}
+	return srv.clock + time.Duration(float64(now.Sub(srv.clockAt))/clockSkew) + lease
 }
 
+// idle reports whether nothing runs or may start on the server.
+func (srv *server) idle() bool { return srv.state == held && len(srv.runs) == 0 }
+
 // setClock notes the server's clock as it was no later than now.
 func (srv *server) setClock(now time.Time, clock time.Duration) {
 	if clock > 0 {
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -57,7 +56,7 @@
 	var bst *view
 	var least time.Duration
 	var most int64
-	for _, viw := range dsk.sorted() {
+	for _, viw := range dsk.ordered {
 		if viw.leader == "" {
 			continue
 		}
@@ -101,13 +100,15 @@
 	noRoom = 20 * time.Millisecond
 )
 
-func (dsk *Desk) sorted() []*view {
-	vws := make([]*view, 0, len(dsk.shards))
-	for _, viw := range dsk.shards {
-		vws = append(vws, viw)
-	}
-	sort.Slice(vws, func(one, two int) bool { return vws[one].name < vws[two].name })
-	return vws
+// addShard makes the view of a shard that was not known; the views stay in the order of their names.
+func (dsk *Desk) addShard(name shard.Name) *view {
+	viw := &view{name: name}
+	dsk.shards[name] = viw
+	idx, _ := slices.BinarySearchFunc(dsk.ordered, name, func(oth *view, nam shard.Name) int {
+		return strings.Compare(string(oth.name), string(nam))
+	})
+	dsk.ordered = slices.Insert(dsk.ordered, idx, viw)
+	return viw
 }
 
 func (dsk *Desk) anyLeader() bool {
@@ -131,8 +132,7 @@
 func (dsk *Desk) SetLeader(tgt Target, near bool) []Action {
 	viw := dsk.shards[tgt.Shard]
 	if viw == nil {
-		viw = &view{name: tgt.Shard}
-		dsk.shards[tgt.Shard] = viw
+		viw = dsk.addShard(tgt.Shard)
 	}
 	viw.near = near
 	if viw.leader == tgt.Leader && viw.token == tgt.Token {
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -80,6 +80,8 @@
 	calls  map[Call]*job
 	tasks  map[string]*task
 	shards map[shard.Name]*view
+	// ordered has the shards by name.
+	ordered []*view
 	// closing is set once the instance is about to end.
 	closing bool
 	// usual is, by route, the share of calls that wait for the route's timeout or longer.
