Find a shard's leader without going through all instances; a ring of watchers

Cause: who leads a shard was asked of all instances for each shard on each tick: at 147 instances and 122 shards 18,000 looks into maps 50 times a second, and again at each change.

Change: claims by shard, kept up with each word of an instance.

--- a/internal/process/succession/doubt.go
+++ b/internal/process/succession/doubt.go
@@ -29,13 +29,7 @@
 	if cnc.silent < fewSilent || now.Sub(cnc.silentAt) > cnc.cfg.Alone {
 		return false
 	}
-	left := 0
-	for _, ins := range cnc.others {
-		if ins.Domain == cnc.self.Domain {
-			left++
-		}
-	}
-	return cnc.silent > silentRatio*left
+	return cnc.silent > silentRatio*cnc.Near()
 }
 
 const (
--- /dev/null
+++ b/internal/process/succession/ring_test.go
@@ -0,0 +1,71 @@
+package succession
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/request/shard"
+)
+
+// ringOf returns the councils of all instances of a failure domain that hear each other and one of another domain.
+func ringOf(num int) map[shard.InstanceID]*Council {
+	cncs := map[shard.InstanceID]*Council{}
+	for idx := range num {
+		id := shard.InstanceID(fmt.Sprint("near-", idx, "/1"))
+		cncs[id] = New(DefaultConfig(), Instance{ID: id, Domain: "a"}, time.Unix(1000, 0))
+		for oth := range num {
+			if oth != idx {
+				cncs[id].Heard(Instance{ID: shard.InstanceID(fmt.Sprint("near-", oth, "/1")), Domain: "a"})
+			}
+		}
+		cncs[id].Heard(Instance{ID: "far/1", Domain: "b"})
+	}
+	return cncs
+}
+
+// An instance that nobody watches is missed late, and one that watches all has no time for its callers.
+func TestEachInstanceIsWatchedByFour(t *testing.T) {
+	for _, num := range []int{1, 2, 3, 4, 5, 6, 30} {
+		t.Run(fmt.Sprint(num), func(t *testing.T) {
+			chk := is.New(t)
+			cncs := ringOf(num)
+			for id, cnc := range cncs {
+				near := cnc.Neighbours()
+				chk.Equal(len(near), min(2*ringReach, num-1))
+				for oth := range near {
+					chk.True(cncs[oth].Neighbours()[id])
+				}
+			}
+		})
+	}
+}
+
+// Leaders change while claims come and go; the index of claims says what a look at all instances would.
+func TestLeaderIsTheNewestClaim(t *testing.T) {
+	chk := is.New(t)
+	brd := newBoard(0.4)
+	shd := Shard{Name: "a.0", Domain: "a"}
+	leader := func() shard.InstanceID { led, _ := brd.cnc.Leader(shd); return led }
+	claim := func(id shard.InstanceID, leads map[shard.Name]int64) {
+		brd.cnc.Heard(Instance{ID: id, Domain: "a", Ready: true, Leads: leads})
+	}
+	claim("x/1", map[shard.Name]int64{"a.0": 5, "a.1": 6})
+	chk.Equal(leader(), shard.InstanceID("x/1"))
+	brd.cnc.Took(brd.now, "a.0", 9)
+	chk.Equal(leader(), shard.InstanceID("self/1"))
+	claim("y/1", map[shard.Name]int64{"a.0": 12})
+	chk.Equal(brd.cnc.Weaker(), []shard.Name{"a.0"})
+	brd.cnc.Left(brd.now, "a.0", false)
+	claim("y/1", nil)
+	chk.Equal(leader(), shard.InstanceID("x/1"))
+	claim("x/1", map[shard.Name]int64{"a.1": 6})
+	chk.Equal(leader(), shard.InstanceID(""))
+	claim("x/1", map[shard.Name]int64{"a.0": 20})
+	brd.cnc.Lost(brd.now, "x/1", true)
+	brd.cnc.Lost(brd.now, "x/1", true)
+	chk.Equal(leader(), shard.InstanceID(""))
+	chk.Equal(len(brd.cnc.claims), 0)
+}
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,6 +92,7 @@
 	silent   int
 	silentAt time.Time
 	losses   map[shard.Name]loss
+	claims   claims
 }
 
 type loss struct {
@@ -105,7 +107,7 @@
 		cfg: cfg, self: self,
 		started: now, aloneAt: now,
 		others: map[shard.InstanceID]*Instance{}, vacant: map[shard.Name]time.Time{}, losses: map[shard.Name]loss{},
-		led: map[shard.Name]bool{},
+		led: map[shard.Name]bool{}, claims: claims{},
 	}
 }
 
@@ -132,16 +134,26 @@
 	cnc.others[ins.ID] = &ins
 	cnc.everHeard = true
 	if old == nil {
+		cnc.claims.set(ins.ID, nil, ins.Leads)
 		return true, true
 	}
-	return false, old.Ready != ins.Ready || old.Leaving != ins.Leaving || !maps.Equal(old.Leads, ins.Leads)
+	if !maps.Equal(old.Leads, ins.Leads) {
+		cnc.claims.set(ins.ID, old.Leads, ins.Leads)
+		return false, true
+	}
+	return false, old.Ready != ins.Ready || old.Leaving != ins.Leaving
 }
 
 // Lost removes an instance that is not heard any more; a silent one was not seen to end.
 func (cnc *Council) Lost(now time.Time, id shard.InstanceID, silent bool) {
-	if ins := cnc.others[id]; silent && ins != nil && ins.Domain == cnc.self.Domain {
+	ins := cnc.others[id]
+	if ins == nil {
+		return
+	}
+	if silent && ins.Domain == cnc.self.Domain {
 		cnc.noteSilent(now)
 	}
+	cnc.claims.set(id, ins.Leads, nil)
 	delete(cnc.others, id)
 	if len(cnc.others) == 0 {
 		cnc.aloneAt = now
@@ -151,6 +163,7 @@
 // Took notes that the own instance leads a shard.
 func (cnc *Council) Took(now time.Time, name shard.Name, token int64) {
 	cnc.self.Leads[name] = token
+	cnc.claims.add(cnc.self.ID, name, token)
 	cnc.tookAt = now
 }
 
@@ -158,6 +171,7 @@
 // was met, though nobody else was heard to lead it.
 func (cnc *Council) Left(now time.Time, name shard.Name, fenced bool) {
 	delete(cnc.self.Leads, name)
+	cnc.claims.remove(cnc.self.ID, name)
 	if !fenced {
 		return
 	}
@@ -202,41 +216,18 @@
 
 // Leader returns who leads a shard as far as is known, and with which fencing token; nobody is "".
 func (cnc *Council) Leader(shd Shard) (shard.InstanceID, int64) {
-	var bst *Instance
-	if cnc.claims(&cnc.self, shd) {
-		bst = &cnc.self
-	}
-	for _, ins := range cnc.others {
-		if cnc.claims(ins, shd) && (bst == nil || stronger(ins, bst, shd)) {
-			bst = ins
-		}
-	}
-	if bst == nil {
-		return "", 0
-	}
-	return bst.ID, bst.Leads[shd.Name]
-}
-
-func (cnc *Council) claims(ins *Instance, shd Shard) bool {
-	_, leads := ins.Leads[shd.Name]
-	return leads
-}
-
-// stronger reports whether one claim goes before another. Servers obey the newest token that has reached them, so that a leader
-// with an older one holds them no more: an owner that followed it would be told that its tasks run nowhere.
-func stronger(one, two *Instance, shd Shard) bool {
-	return one.Leads[shd.Name] > two.Leads[shd.Name]
+	return cnc.claims.strongest(shd.Name)
 }
 
 // Weaker returns the shards that the own instance leads and that another one leads with a newer token.
 func (cnc *Council) Weaker() []shard.Name {
 	var names []shard.Name
-	for _, shd := range cnc.shards {
-		led, _ := cnc.Leader(shd)
-		if _, mine := cnc.self.Leads[shd.Name]; mine && led != cnc.self.ID {
-			names = append(names, shd.Name)
+	for name := range cnc.self.Leads {
+		if led, _ := cnc.claims.strongest(name); led != cnc.self.ID {
+			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
