Have one instance read the list of servers for all; talk to each instance as often as depends on it

Cause: at 147 instances and 1,100 servers the system at rest is what falls over. Each instance read every heartbeat of every server (157 to 254 KB a second), and talked to each of its failure domain ten times a second and to each other leader three times, as with shards of nine servers all lead: 190 to 213 calls, 120 KB a second.

Change: - The first instance by rank reads the list and writes digests of it to a topic of the system's own; the others wait for those. A digest says which offsets it covers, so that a missing one shows and the list is read instead. Nothing for 1.2 s: everyone reads, and the next by rank write in turns of 0.4 s. A take-over reads the list itself, as its proof needs a read that began after it. - Beats at each interval only with those on which a lease depends (open orders) or a take-over (four neighbours on a ring, and all of a failure domain while one of its shards has no leader); others at a pace that grows with their number. - A peer that is called seldom is missed when calls fail for as long as fast beats would; one that misses an instance of its failure domain tells the others there, which ask it at once and wait for one timeout.

Bad input: digests that go back, jump ahead or name changes outside their offsets are refused with a line and a counter.

Times: 1.2 s of patience and 0.4 s of a read keep the 2 s in which a server that is leaving is to be known; 0.7 s between digests is two reads.

--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -132,6 +132,22 @@
 	}
 }
 
+// Doubt tells the mesh that another instance has missed a peer: it is asked at once, and given up sooner than its own silence
+// would tell. One that was heard a moment ago is fine.
+func (msh *Mesh) Doubt(id shard.InstanceID) {
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	name, _ := splitID(id)
+	per := msh.peers[name]
+	now := msh.cfg.Now()
+	if per == nil || !per.up || per.id() != id || per.unheardSince(per.doubtedAt) ||
+		now.Sub(per.heardAt) < msh.cfg.Interval {
+		return
+	}
+	per.doubtedAt = now
+	signal(per.wake)
+}
+
 // lazy reports whether a message may wait for the next batch: that a task has begun changes nothing for its
 // owner but whom it calls back, and would be a third of all batches.
 func lazy(msg Message) bool {
@@ -174,15 +190,11 @@
 		msh.mu.Lock()
 		quiet := map[*peer]Cause{}
 		for _, per := range msh.peers {
-			patience := time.Duration(msh.cfg.SilentBeats) * msh.cfg.Interval
 			if late && !per.openOrders {
 				continue
 			}
-			switch {
-			case per.silent(now, msh.cfg.SilentBeats):
-				quiet[per] = Silent
-			case per.stuck(now, patience):
-				quiet[per] = Stuck
+			if cau := per.missing(now, msh.cfg); cau != "" {
+				quiet[per] = cau
 			}
 		}
 		msh.mu.Unlock()
--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 	"google.golang.org/protobuf/proto"
@@ -43,12 +44,21 @@
 	}
 }
 
+// interval returns the pause until a peer is called again. The pauses with those that are called seldom differ, so that they are not
+// called all at once.
 func (msh *Mesh) interval(per *peer) time.Duration {
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
-	return per.interval
+	if per.interval <= msh.cfg.Interval {
+		return per.interval
+	}
+	part := xxhash.Sum64String(msh.cfg.Name+" "+per.name) % spreadParts
+	return per.interval/2 + per.interval*time.Duration(part)/spreadParts
 }
 
+// spreadParts is into how many parts the pauses are spread.
+const spreadParts = 64
+
 // informed reports whether the peer has called within the interval, and so was told the beat.
 func (msh *Mesh) informed(per *peer) bool {
 	msh.mu.Lock()
@@ -64,6 +74,9 @@
 	}
 	msh.mu.Lock()
 	heard := per.up
+	if heard && !per.unheardSince(per.failingSince) {
+		per.failingSince = msh.cfg.Now()
+	}
 	msh.mu.Unlock()
 	pause := msh.cfg.Interval
 	if heard {
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,16 @@
 	return shard.InstanceID(name + "/" + strconv.FormatInt(life, 10))
 }
 
+// splitID returns the name and the life that an ID was made of.
+func splitID(id shard.InstanceID) (name string, life int64) {
+	idx := strings.LastIndexByte(string(id), '/')
+	if idx < 0 {
+		return string(id), 0
+	}
+	life, _ = strconv.ParseInt(string(id[idx+1:]), 10, 64) // It was made by ID; another one names no life.
+	return string(id[:idx]), life
+}
+
 // epoch is one side's part of a session: the life of its process and how often it has given up sessions
 // with the other in that life.
 type epoch struct{ life, generation int64 }
@@ -61,6 +72,9 @@
 	interval   time.Duration
 	pacedAt    time.Time
 	openOrders bool
+	// failingSince is since when calls of the peer fail, doubtedAt when another instance has told that it missed the peer. Neither
+	// counts once the peer was heard after it.
+	failingSince, doubtedAt time.Time
 	// receipts are the times until receipts came.
 	receipts roundtrip.Estimate
 	wake     chan struct{}
@@ -82,6 +96,19 @@
 	return per.up && now.Sub(since) > time.Duration(beats)*per.interval
 }
 
+// unreachable reports whether calls of the peer have failed for longer than a patience, and it was not heard meanwhile: one that
+// is called seldom is missed long before its beats are.
+func (per *peer) unreachable(now time.Time, patience time.Duration) bool {
+	return per.up && per.unheardSince(per.failingSince) && now.Sub(per.failingSince) > patience
+}
+
+// doubted reports whether another instance has missed the peer, and it was not heard here for a while after that.
+func (per *peer) doubted(now time.Time, patience time.Duration) bool {
+	return per.up && per.unheardSince(per.doubtedAt) && now.Sub(per.doubtedAt) > patience
+}
+
+func (per *peer) unheardSince(since time.Time) bool { return per.heardAt.Before(since) }
+
 // stuck reports whether messages have been without a receipt for too long. The peer may be heard all the while, as it
 // reaches this instance, and wait for what can't reach it: reports of tasks that were done stayed away until their
 // callers' deadlines.
@@ -89,6 +116,22 @@
 	return per.up && !per.stuckSince.IsZero() && now.Sub(per.stuckSince) > patience
 }
 
+// missing says why the peer is to be given up, if it is.
+func (per *peer) missing(now time.Time, cfg Config) Cause {
+	patience := time.Duration(cfg.SilentBeats) * cfg.Interval
+	switch {
+	case per.silent(now, cfg.SilentBeats):
+		return Silent
+	case per.doubted(now, cfg.CallTimeout):
+		return Doubted
+	case per.unreachable(now, patience):
+		return Unreachable
+	case per.stuck(now, patience):
+		return Stuck
+	}
+	return ""
+}
+
 // waitsSince notes that something waits for its receipt; an earlier wait goes first.
 func (per *peer) waitsSince(now time.Time) {
 	if per.stuckSince.IsZero() {
@@ -133,7 +176,7 @@
 	per.dropped += per.waitingBytes + per.sendingBytes
 	per.waitingBytes, per.sendingBytes = 0, 0
 	per.divisions, per.toldDivisions = nil, nil
-	per.stuckSince = time.Time{}
+	per.stuckSince, per.failingSince, per.doubtedAt = time.Time{}, time.Time{}, time.Time{}
 }
 
 // delivered notes that the peer has taken what was sent.
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -97,6 +97,11 @@
 			Task: msg.Report.Task, Token: msg.Report.Token, Outcome: int64(msg.Report.Outcome),
 			TookMicros: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server), MayHaveRun: msg.Report.MayHaveRun,
 		}}})
+	case Missed:
+		name, life := splitID(msg.Instance)
+		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Missed{Missed: &meshpb.Missed{
+			Name: name, Life: life,
+		}}})
 	case Configuration:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Configuration{Configuration: msg.Data}})
 	}
@@ -147,6 +152,8 @@
 				Task: rep.GetTask(), Token: rep.GetToken(), Outcome: shard.Outcome(rep.GetOutcome()),
 				Took: micros(rep.GetTookMicros()), Server: shard.ServerID(rep.GetServer()), MayHaveRun: rep.GetMayHaveRun(),
 			}})
+		case *meshpb.Message_Missed:
+			msgs = append(msgs, Missed{Instance: ID(bdy.Missed.GetName(), bdy.Missed.GetLife())})
 		case *meshpb.Message_Configuration:
 			msgs = append(msgs, Configuration{Data: bdy.Configuration})
 		}
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -29,7 +29,7 @@
 	Divisions map[string]shard.Division
 }
 
-// Message is something that one instance has for another: Order, Withdrawal, Report or Configuration.
+// Message is something that one instance has for another: Order, Withdrawal, Report, Configuration or Missed.
 type Message interface{ message() }
 
 // Order is an order for the leader of a shard.
@@ -53,6 +53,10 @@
 // Configuration passes a record of a configuration on, as the platform publishes it.
 type Configuration struct{ Data []byte }
 
+// Missed passes on that the sender has missed an instance.
+type Missed struct{ Instance shard.InstanceID }
+
+func (Missed) message()        {}
 func (Order) message()         {}
 func (Withdrawal) message()    {}
 func (Report) message()        {}
@@ -78,6 +82,10 @@
 const (
 	// Silent peers were not heard for several beats.
 	Silent Cause = "not heard"
+	// Doubted peers were missed by another instance and did not answer when asked.
+	Doubted Cause = "missed by another and no answer"
+	// Unreachable peers are called seldom and have answered none of several calls in a row.
+	Unreachable Cause = "no answer"
 	// Stuck peers are heard and have given no receipt.
 	Stuck Cause = "no receipt"
 	// Refused peers have no process at their address.
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -35,7 +35,7 @@
 
 // counters are what a daemon counts; all of them rise.
 type counters struct {
-	submissions, refusals, stops, looks, storeReads, logsDropped, lateBatches, heldUps atomic.Int64
+	submissions, refusals, stops, looks, storeReads, listReads, digests, badDigests, logsDropped, lateBatches, heldUps atomic.Int64
 	// admittedWithRoom, admittedToWait and notAdmitted are the decisions on submissions; waits are those expected of the second.
 	admittedWithRoom, admittedToWait, notAdmitted atomic.Int64
 	waits                                         histogram
@@ -81,6 +81,9 @@
 		line("stops", cnt.stops.Load())
 		line("looks", cnt.looks.Load())
 		line("store-reads", cnt.storeReads.Load())
+		line("list-reads", cnt.listReads.Load())
+		line("list-digests-written", cnt.digests.Load())
+		line("list-digests-refused", cnt.badDigests.Load())
 		line("late-batches", cnt.lateBatches.Load())
 		line("held-up", cnt.heldUps.Load())
 		line("log-lines-dropped", cnt.logsDropped.Load())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
 	"chestnutstack/internal/version/config"
+	"chestnutstack/internal/version/serverlist"
 	"chestnutstack/platform"
 )
 
@@ -87,12 +88,15 @@
 	divisions succession.Divisions
 	entries   map[shard.ServerID]shard.ServerEntry
 	// missing are servers whose entries went away while they were not leaving. The last read of the list began at
-	// listReadAt; from wholeAt on it has every server that lives. readServers asks for a read at once.
+	// listReadAt; from wholeAt on it has every server that lives. follower is the place in the list, changed what was last read
+	// of it and is not logged yet; serversWanted asks for a read at once.
 	missing map[shard.ServerID]missingServer
 	// services are those that a configuration has ever named here: servers of others are not spoken to.
 	services            map[string]bool
 	listReadAt, wholeAt time.Time
-	readServers         chan struct{}
+	follower            *serverlist.Follower
+	changed             listed
+	serversWanted       chan struct{}
 	callers             map[submission.Call]chan submission.Answer
 	lastCal             submission.Call
 	// suspended is how long the machine had stood still when it was last looked at.
@@ -137,8 +141,9 @@
 		callers:  map[submission.Call]chan submission.Answer{},
 		passed:   map[shard.InstanceID]time.Time{},
 		reaches:  map[shard.Name]*reach{}, openWith: map[shard.InstanceID]bool{},
-		readServers: make(chan struct{}, 1),
-		joined:      make(chan struct{}), configured: make(chan struct{}),
+		follower:      serverlist.NewFollower(serverlist.DefaultConfig(prm.Settings.Instance), prm.Now()),
+		serversWanted: make(chan struct{}, 1),
+		joined:        make(chan struct{}), configured: make(chan struct{}),
 	}
 }
 
@@ -148,12 +153,6 @@
 	// stops and the lease of 600 ms, the chain stays under the 1.3 s after which a caller sends its job again.
 	beatInterval = 100 * time.Millisecond
 	silentBeats  = 4
-	// Between a leader and an instance of another failure domain that has no order there, news of room and of leaders may
-	// be that much older. Others without open orders wait longer still; all instances of a failure domain are candidates
-	// for its shards and talk fast while one has no leader. BenchmarkGrownSystem sends 2.6 batches a task with these paces
-	// and 3.6 with those that went by who leads alone.
-	leaderPace   = 3
-	strangerPace = 10
 	// meshTimeout bounds a batch: 30 times the way to another failure domain and back.
 	meshTimeout = 150 * time.Millisecond
 	// tickInterval is how late a decision by time alone may be.
@@ -199,7 +198,8 @@
 	dmn.serveHTTP(work, lis.Ready, platform.Ready(dmn))
 	dmn.serveHTTP(work, lis.Metrics, dmn.cnt.handler())
 	grp.Go(func() error { return dmn.follow(work, dmn.configurations()) })
-	grp.Go(func() error { return dmn.follow(work, dmn.backendServers()) })
+	grp.Go(func() error { return dmn.followServers(work) })
+	grp.Go(func() error { return dmn.follow(work, dmn.serverDigests()) })
 	grp.Go(func() error { return dmn.join(work, lis.Peers) })
 	if dmn.prm.SettingsPath != "" {
 		grp.Go(func() error { return dmn.watchSettings(work, dmn.prm.SettingsPath) })
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -5,7 +5,6 @@
 	"maps"
 	"time"
 
-	"chestnutstack/internal/connection/mesh"
 	"chestnutstack/internal/process/succession"
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
@@ -163,10 +162,7 @@
 	}
 	dmn.mesh.Nudge()
 	// The former leader may have taken in servers that were added since the last read.
-	select {
-	case dmn.readServers <- struct{}{}:
-	default:
-	}
+	dmn.wantServers()
 }
 
 // abandon gives a shard up.
@@ -179,25 +175,6 @@
 	dmn.log.Info().Str("shard", string(name)).Bool("fenced", fenced).Msg("leaving the shard")
 }
 
-// updatePaces tells the mesh how often to talk to each instance.
-func (dmn *Daemon) updatePaces() {
-	vacant := dmn.council.Vacant(dmn.prm.Settings.FailureDomain)
-	paces := make(map[shard.InstanceID]mesh.Pace, len(dmn.council.Others()))
-	for id, ins := range dmn.council.Others() {
-		near := ins.Domain == dmn.prm.Settings.FailureDomain
-		leads := dmn.council.Leads() || len(ins.Leads) > 0
-		pace := strangerPace
-		switch {
-		case dmn.openWith[id], near && (leads || vacant):
-			pace = 1
-		case leads:
-			pace = leaderPace
-		}
-		paces[id] = mesh.Pace{Intervals: pace, OpenOrders: dmn.openWith[id]}
-	}
-	dmn.mesh.SetPaces(paces)
-}
-
 // updateOpen notes the instances with which orders lie open, on either side.
 func (dmn *Daemon) updateOpen(now time.Time) {
 	if now.Sub(dmn.openAt) < beatInterval {
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -22,12 +22,10 @@
 // topicReader says how a topic is followed.
 type topicReader struct {
 	topic platform.Topic
-	// wait is how long a read waits for news, pause the time between two reads.
-	wait, pause time.Duration
-	// take gets records; full ones are all that there are.
-	take func(began time.Time, recs []platform.Record, full bool)
-	// wake, if set, ends the pause.
-	wake <-chan struct{}
+	// wait is how long a read waits for news.
+	wait time.Duration
+	// take gets records.
+	take func(recs []platform.Record)
 }
 
 // configurations waits for news: an operator's change is to be in force within two seconds. A channel
@@ -35,7 +33,7 @@
 func (dmn *Daemon) configurations() topicReader {
 	return topicReader{
 		topic: platform.ConfigurationTopic, wait: time.Second,
-		take: func(_ time.Time, recs []platform.Record, _ bool) {
+		take: func(recs []platform.Record) {
 			for _, rec := range recs {
 				if rec.Key == platform.ConfigurationKey && rec.Value != nil {
 					dmn.takeConfiguration(rec.Value, "store")
@@ -52,42 +50,41 @@
 // follow reads a topic until ctx ends: all newest records first, then what comes after them.
 func (dmn *Daemon) follow(ctx context.Context, rdr topicReader) error {
 	next := int64(-1)
-	lost := false
+	sto := storeState{topic: rdr.topic}
 	for ctx.Err() == nil {
 		var err error
 		next, err = dmn.readOnce(ctx, rdr, next)
+		if ctx.Err() != nil {
+			return nil
+		}
+		dmn.noteStore(&sto, err)
 		switch {
-		case ctx.Err() != nil:
 		case errors.Is(err, platform.ErrCompacted):
-			dmn.log.Info().Str("topic", string(rdr.topic)).Msg("records are gone; reading the newest")
 			next = -1
 		case err != nil:
-			if !lost {
-				dmn.log.Warn().Err(err).Str("topic", string(rdr.topic)).Msg("store lost")
-			}
-			lost = true
 			pause(ctx, storePause)
-		default:
-			if lost {
-				dmn.log.Info().Str("topic", string(rdr.topic)).Msg("store regained")
-			}
-			lost = false
-			rdr.rest(ctx)
 		}
 	}
 	return nil
 }
 
-// rest waits until the next read is due.
-func (rdr *topicReader) rest(ctx context.Context) {
-	if rdr.wake == nil {
-		pause(ctx, rdr.pause)
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-rdr.wake:
-	case <-time.After(rdr.pause):
+// storeState is whether the store answers reads of a topic.
+type storeState struct {
+	topic platform.Topic
+	lost  bool
+}
+
+// noteStore tells when the store stops answering and when it answers again.
+func (dmn *Daemon) noteStore(sto *storeState, err error) {
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		dmn.log.Info().Str("topic", string(sto.topic)).Msg("records are gone; reading the newest")
+	case err != nil && !sto.lost:
+		sto.lost = true
+		dmn.log.Warn().Err(err).Str("topic", string(sto.topic)).Msg("store lost")
+	case err == nil && sto.lost:
+		sto.lost = false
+		dmn.log.Info().Str("topic", string(sto.topic)).Msg("store regained")
 	}
 }
 
@@ -96,20 +93,19 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+rdr.wait)
 	defer cancel()
 	dmn.cnt.storeReads.Add(1)
-	began := dmn.now()
 	if from < 0 {
 		recs, next, err := dmn.prm.Store.Newest(ctx, rdr.topic)
 		if err != nil {
 			return from, err
 		}
-		rdr.take(began, recs, true)
+		rdr.take(recs)
 		return next, nil
 	}
 	recs, next, err := dmn.prm.Store.Read(ctx, rdr.topic, from, rdr.wait)
 	if err != nil {
 		return from, err
 	}
-	rdr.take(began, recs, false)
+	rdr.take(recs)
 	return next, nil
 }
 
@@ -155,7 +151,7 @@
 }
 
 // takeInstances takes in records of the list of entry instances.
-func (dmn *Daemon) takeInstances(_ time.Time, recs []platform.Record, _ bool) {
+func (dmn *Daemon) takeInstances(recs []platform.Record) {
 	var prs []mesh.Peer
 	for _, rec := range recs {
 		if rec.Value == nil {
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -109,6 +109,8 @@
 	case mesh.Report:
 		dmn.logReport(from, msg.Report)
 		dmn.deskDo(dmn.desk.Report(now, from, msg.Report))
+	case mesh.Missed:
+		dmn.doubt(from, msg.Instance)
 	case mesh.Configuration:
 		// It takes the lock itself.
 		dmn.group.Go(func() error {
@@ -151,7 +153,8 @@
 	now := dmn.enter()
 	defer dmn.exit(now)
 	dmn.log.Warn().Str("peer", string(id)).Str("cause", string(cau)).Msg("instance lost")
-	dmn.council.Lost(now, id, cau == mesh.Silent)
+	dmn.passOn(id, cau)
+	dmn.council.Lost(now, id, cau == mesh.Silent || cau == mesh.Unreachable || cau == mesh.Doubted)
 	for name, ldr := range dmn.leaders {
 		dmn.shardDo(name, ldr.OwnerLost(now, id))
 	}
--- /dev/null
+++ b/internal/process/daemon/pace.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"chestnutstack/internal/connection/mesh"
+	"chestnutstack/internal/request/shard"
+)
+
+const (
+	// leaderPace is the pause in beats between two instances that don't depend on each other, in a small system. In a larger
+	// one it grows with their number, so that an instance makes no more calls: nearShare and farShare are how many instances
+	// of its own failure domain and of others it talks to in the time of a beat.
+	leaderPace = 3
+	nearShare  = 4
+	farShare   = 4
+	// strangerPace is the pause where neither leads anything.
+	strangerPace = 10
+)
+
+// updatePaces tells the mesh how often to talk to each instance: at each beat with those on which a lease depends, or a take-over.
+func (dmn *Daemon) updatePaces() {
+	others := dmn.council.Others()
+	own := dmn.prm.Settings.FailureDomain
+	vacant := dmn.council.Vacant(own)
+	watched := dmn.council.Neighbours()
+	near := dmn.council.Near()
+	nearPace := max(leaderPace, near/nearShare)
+	farPace := max(leaderPace, (len(others)-near)/farShare)
+	paces := make(map[shard.InstanceID]mesh.Pace, len(others))
+	for id, ins := range others {
+		pace := farPace
+		if ins.Domain == own {
+			pace = nearPace
+		}
+		switch {
+		case dmn.openWith[id], watched[id], vacant && ins.Domain == own:
+			pace = 1
+		case !dmn.council.Leads() && len(ins.Leads) == 0:
+			pace = max(pace, strangerPace)
+		}
+		paces[id] = mesh.Pace{Intervals: pace, OpenOrders: dmn.openWith[id]}
+	}
+	dmn.mesh.SetPaces(paces)
+}
+
+// passOn tells the own failure domain that one of its instances has fallen silent: not all of them watch it, and whoever is to take
+// its shards over may not.
+func (dmn *Daemon) passOn(lost shard.InstanceID, cau mesh.Cause) {
+	ins := dmn.council.Others()[lost]
+	if ins == nil || ins.Domain != dmn.prm.Settings.FailureDomain || cau != mesh.Silent && cau != mesh.Unreachable {
+		return
+	}
+	for id, oth := range dmn.council.Others() {
+		if id != lost && oth.Domain == ins.Domain {
+			dmn.mesh.Send(id, mesh.Missed{Instance: lost})
+		}
+	}
+}
+
+// doubt asks an instance at once that another one has missed.
+func (dmn *Daemon) doubt(from shard.InstanceID, missed shard.InstanceID) {
+	if missed == dmn.self || dmn.council.Others()[missed] == nil {
+		return
+	}
+	dmn.log.Info().Str("peer", string(missed)).Str("from", string(from)).Msg("instance missed by another")
+	dmn.mesh.Doubt(missed)
+}
--- /dev/null
+++ b/internal/version/serverlist/follower_test.go
@@ -0,0 +1,280 @@
+package serverlist
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var began = time.Unix(1000, 0)
+
+func newTestFollower() *Follower { return NewFollower(DefaultConfig("self"), began) }
+
+func TestTake(t *testing.T) {
+	cases := map[string]struct {
+		dig     Digest
+		changes int
+		ok      bool
+		next    int64
+	}{
+		"goes on where the knowledge ends":      {Digest{By: "one", From: 10, To: 14, Changes: []Change{{12, "s", nil}}}, 1, true, 14},
+		"is known already":                      {Digest{By: "one", From: 4, To: 8, Changes: []Change{{5, "s", nil}}}, 0, true, 10},
+		"is known in part":                      {Digest{By: "one", From: 4, To: 12, Changes: []Change{{5, "s", nil}, {11, "s", nil}}}, 1, true, 12},
+		"one before it is missing":              {Digest{By: "one", From: 11, To: 12}, 0, false, 10},
+		"an older one comes late, with changes": {Digest{By: "one", From: 0, To: 10, Changes: []Change{{9, "s", nil}}}, 0, true, 10},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			fol := newTestFollower()
+			fol.ReadAll(10)
+			chgs, ok := fol.Take(began, &cse.dig)
+			chk.Equal(ok, cse.ok)
+			chk.Equal(len(chgs), cse.changes)
+			chk.Equal(fol.Next(), cse.next)
+		})
+	}
+}
+
+func TestWhoReads(t *testing.T) {
+	cases := map[string]struct {
+		before  int
+		quiet   time.Duration
+		reads   bool
+		digests int
+	}{
+		"the first reads and writes":                           {before: 0, reads: true, digests: 1},
+		"another one leaves it to the first":                   {before: 3},
+		"nothing has come for a while, the second in its turn": {before: 1, quiet: 1700 * time.Millisecond, reads: true, digests: 1},
+		"the fourth waits for those before it to write":        {before: 3, quiet: 1700 * time.Millisecond, reads: true},
+		"the last ones read for themselves only":               {before: 90, quiet: time.Hour, reads: true},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			fol := newTestFollower()
+			fol.ReadAll(10)
+			fol.Read(10, 12)
+			fol.Read(12, 14)
+			fol.Changed(Change{Offset: 13, Key: "s"})
+			now := began.Add(cse.quiet)
+			chk.Equal(fol.ReadDue(now, cse.before), cse.reads)
+			chk.Equal(len(fol.Publish(now, cse.before)), cse.digests)
+		})
+	}
+}
+
+// Two instances that read the list at the same moments, as the clocks of all go alike, each took the other's digests for no news.
+func TestReaderThatKeepsUpIsRelieved(t *testing.T) {
+	chk := is.New(t)
+	fol := newTestFollower()
+	fol.ReadAll(10)
+	now := began.Add(time.Minute)
+	for from := int64(10); from < 20; from += 2 {
+		chk.True(fol.ReadDue(now, 1) == (from == 10))
+		fol.Read(from, from+2)
+		fol.Take(now, &Digest{By: "first", From: from, To: from + 2})
+		now = now.Add(400 * time.Millisecond)
+	}
+	// One that falls behind relieves nobody.
+	fol.Read(20, 40)
+	fol.Read(40, 60)
+	now = now.Add(time.Minute)
+	fol.Take(now, &Digest{By: "first", From: 20, To: 30})
+	chk.True(fol.ReadDue(now, 1))
+}
+
+// The pages of a full read are of different times: a change between two of them is no change to who has read it, and was missing for
+// all others.
+func TestFirstReadAfterAFullOneIsNotPassedOn(t *testing.T) {
+	chk := is.New(t)
+	fol := newTestFollower()
+	fol.ReadAll(10)
+	fol.Read(10, 20)
+	chk.Equal(len(fol.Publish(began, 0)), 0)
+	fol.Read(20, 21)
+	digs := fol.Publish(began, 0)
+	chk.Equal(len(digs), 1)
+	chk.Equal(digs[0].From, int64(20))
+}
+
+// A digest that is not written is tried again with the next read, and nothing of it is lost.
+func TestDigestThatIsNotWritten(t *testing.T) {
+	chk := is.New(t)
+	fol := newTestFollower()
+	fol.ReadAll(10)
+	fol.Read(10, 11)
+	fol.Read(11, 13)
+	fol.Changed(Change{Offset: 12, Key: "one"})
+	chk.Equal(len(fol.Publish(began, 0)), 1)
+	fol.Read(13, 15)
+	fol.Changed(Change{Offset: 14, Key: "two"})
+	digs := fol.Publish(began, 0)
+	chk.Equal(digs[0].From, int64(11))
+	chk.Equal(len(digs[0].Changes), 2)
+	fol.Published(began, &digs[0])
+	chk.Equal(len(fol.Publish(began, 0)), 0)
+}
+
+// A thousand servers change at once. The digests that are still to be written lost their changes when the first one was.
+func TestManyChangesGoIntoSeveralDigests(t *testing.T) {
+	chk := is.New(t)
+	fol := newTestFollower()
+	fol.ReadAll(0)
+	fol.Read(0, 0)
+	fol.Read(0, 1000)
+	for num := range int64(1000) {
+		fol.Changed(Change{Offset: num, Key: fmt.Sprint("server-", num)})
+	}
+	all := 0
+	for _, dig := range fol.Publish(began, 0) {
+		chk.Equal(dig.Problem(), "")
+		chk.Equal(dig.From, int64(all))
+		all += len(dig.Changes)
+		fol.Published(began, &dig)
+	}
+	chk.Equal(all, 1000)
+}
+
+func TestProblem(t *testing.T) {
+	cases := map[string]struct {
+		dig  Digest
+		fine bool
+	}{
+		"nothing has changed":      {Digest{By: "one", From: 3, To: 9}, true},
+		"changes in order":         {Digest{By: "one", From: 3, To: 9, Changes: []Change{{3, "a", nil}, {8, "b", nil}}}, true},
+		"by nobody":                {Digest{From: 3, To: 9}, false},
+		"goes back":                {Digest{By: "one", From: 9, To: 3}, false},
+		"negative":                 {Digest{By: "one", From: -1, To: 3}, false},
+		"jumps far ahead":          {Digest{By: "one", From: 3, To: 1 << 60}, false},
+		"a change from before it":  {Digest{By: "one", From: 3, To: 9, Changes: []Change{{2, "a", nil}}}, false},
+		"a change from after it":   {Digest{By: "one", From: 3, To: 9, Changes: []Change{{9, "a", nil}}}, false},
+		"changes out of order":     {Digest{By: "one", From: 3, To: 9, Changes: []Change{{5, "a", nil}, {4, "b", nil}}}, false},
+		"a change without a name":  {Digest{By: "one", From: 3, To: 9, Changes: []Change{{5, "", nil}}}, false},
+		"two changes at one place": {Digest{By: "one", From: 3, To: 9, Changes: []Change{{5, "a", nil}, {5, "b", nil}}}, false},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(cse.dig.Problem() == "", cse.fine) })
+	}
+}
+
+// pool is a list of servers with some instances that follow it, and lose digests.
+type pool struct {
+	log     []Change
+	fols    []*Follower
+	known   []map[string]string
+	digests []Digest
+	taken   []int
+}
+
+func (pol *pool) apply(num int, chg *Change) bool {
+	was, had := pol.known[num][chg.Key]
+	if chg.Value == nil {
+		delete(pol.known[num], chg.Key)
+		return had
+	}
+	pol.known[num][chg.Key] = string(chg.Value)
+	return !had || was != string(chg.Value)
+}
+
+func (pol *pool) read(num int) {
+	fol := pol.fols[num]
+	from, end := fol.Next(), int64(len(pol.log))
+	if from < 0 {
+		// The pages are of different times: what is read is newer than the place that is told.
+		pol.known[num] = state(pol.log)
+		fol.ReadAll(max(0, end-2))
+		return
+	}
+	known := fol.Read(from, end)
+	for idx := from + int64(known); idx < end; idx++ {
+		if pol.apply(num, &pol.log[idx]) {
+			fol.Changed(pol.log[idx])
+		}
+	}
+}
+
+func state(log []Change) map[string]string {
+	stt := map[string]string{}
+	for _, chg := range log {
+		if chg.Value == nil {
+			delete(stt, chg.Key)
+		} else {
+			stt[chg.Key] = string(chg.Value)
+		}
+	}
+	return stt
+}
+
+// Whoever reads and writes, and whichever digests are lost or come late, an instance that has followed the list to its end knows what
+// the list says.
+func TestFollowersAgreeWithTheList(t *testing.T) {
+	rapid.Check(t, func(rpd *rapid.T) {
+		const instances = 3
+		pol := &pool{taken: make([]int, instances)}
+		for num := range instances {
+			pol.fols = append(pol.fols, NewFollower(DefaultConfig(fmt.Sprint("instance-", num)), began))
+			pol.known = append(pol.known, map[string]string{})
+		}
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(rpd, "seed"), 1))
+		now := began
+		for range 200 {
+			now = now.Add(time.Duration(rnd.IntN(400)) * time.Millisecond)
+			pol.step(rnd, now)
+		}
+		end := int64(len(pol.log))
+		for num, fol := range pol.fols {
+			for fol.Next() < end {
+				pol.read(num)
+			}
+			if !maps.Equal(pol.known[num], state(pol.log)) {
+				rpd.Fatalf("instance %d knows %v, the list says %v", num, pol.known[num], state(pol.log))
+			}
+		}
+	})
+}
+
+func (pol *pool) step(rnd *rand.Rand, now time.Time) {
+	num := rnd.IntN(len(pol.fols))
+	fol := pol.fols[num]
+	switch rnd.IntN(5) {
+	case 0, 1:
+		chg := Change{Offset: int64(len(pol.log)), Key: fmt.Sprint("server-", rnd.IntN(4))}
+		if rnd.IntN(4) > 0 {
+			chg.Value = fmt.Append(nil, rnd.IntN(2))
+		}
+		pol.log = append(pol.log, chg)
+	case 2:
+		pol.read(num)
+	case 3:
+		for _, dig := range fol.Publish(now, rnd.IntN(3)) {
+			pol.digests = append(pol.digests, dig)
+			if rnd.IntN(4) > 0 { // Else the answer is lost.
+				fol.Published(now, &dig)
+			}
+		}
+	case 4:
+		pol.take(num, now, rnd)
+	}
+}
+
+func (pol *pool) take(num int, now time.Time, rnd *rand.Rand) {
+	if rnd.IntN(20) == 0 {
+		pol.fols[num].Forget()
+		return
+	}
+	if pol.taken[num] >= len(pol.digests) {
+		return
+	}
+	dig := pol.digests[pol.taken[num]]
+	pol.taken[num]++
+	chgs, _ := pol.fols[num].Take(now, &dig)
+	for idx := range chgs {
+		pol.apply(num, &chgs[idx])
+	}
+}
