Send a SIGHUP in the soak only to a process that has written a line

The soak waited for 100 ms by the clock, too little where the machine holds processes up for seconds.

Change: it waits for the first line of the process's log. Nothing is let off: a process that has said a word and ends by SIGHUP is still a broken promise.

--- a/internal/process/soak/faults.go
+++ b/internal/process/soak/faults.go
@@ -13,9 +13,6 @@
 	lateness = 2500 * time.Millisecond
 	// lapseOfEntry is when the store drops the entry of a server that it does not hear.
 	lapseOfEntry = 3 * time.Second
-	// runtimeStart is what the language's runtime needs before it can take a signal, on a machine shared with other
-	// plays: a SIGHUP within 3 ms of the start ended 4 of 20 processes, one after 5 ms none of 20.
-	runtimeStart = 100 * time.Millisecond
 	// stopGap is the pause between two instances of a rolling stop.
 	stopGap = 700 * time.Millisecond
 	// slowWay is added to each piece on a slow way: less than what the system takes for silence.
@@ -85,7 +82,7 @@
 func (ply *play) reload(ins *instance) error {
 	ins.restarts.Lock()
 	defer ins.restarts.Unlock()
-	time.Sleep(runtimeStart - ins.age())
+	ins.awaitFirstLine()
 	ins.mch.StopTimeout -= time.Millisecond
 	if err := ins.writeSettings(); err != nil {
 		return err
--- a/internal/process/soak/instance.go
+++ b/internal/process/soak/instance.go
@@ -56,7 +56,7 @@
 	ins.mu.Lock()
 	defer ins.mu.Unlock()
 	ins.life++
-	out, err := os.Create(filepath.Join(ins.dir, fmt.Sprintf("%s.%d.log", ins.mch.Name, ins.life)))
+	out, err := os.Create(ins.logPath())
 	if err != nil {
 		return errors.Wrap(err, "log file")
 	}
@@ -134,11 +134,30 @@
 	return ins.mch.StopTimeout + paused - now.Sub(began)
 }
 
-// age returns for how long the process has run.
-func (ins *instance) age() time.Duration {
+// awaitFirstLine waits until the process has written something, or has ended. The kernel ends a process by a SIGHUP that comes
+// before its first instructions, and no program can help that; one that has written a line takes the signal.
+func (ins *instance) awaitFirstLine() {
 	ins.mu.Lock()
-	defer ins.mu.Unlock()
-	return time.Since(ins.startedAt)
+	log, over := ins.logPath(), ins.over
+	ins.mu.Unlock()
+	for {
+		if inf, err := os.Stat(log); err == nil && inf.Size() > 0 {
+			return
+		}
+		select {
+		case <-over:
+			return
+		case <-time.After(lineChecks):
+		}
+	}
+}
+
+// lineChecks is the pause between two looks at a log that is empty.
+const lineChecks = 10 * time.Millisecond
+
+// logPath is where the process of this life writes its log; the lock is held.
+func (ins *instance) logPath() string {
+	return filepath.Join(ins.dir, fmt.Sprintf("%s.%d.log", ins.mch.Name, ins.life))
 }
 
 // ended reports whether no process runs; the lock is held.
--- a/internal/process/soak/instance_test.go
+++ b/internal/process/soak/instance_test.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"chestnutstack/platform/standin"
 )
@@ -51,3 +54,16 @@
 		})
 	}
 }
+
+// A process that gets no processor for its first moments was ended by the soak's own SIGHUP, before it could take one.
+func TestHangUpWaitsForTheFirstLine(t *testing.T) {
+	chk := is.New(t)
+	dir := t.TempDir()
+	program := filepath.Join(dir, "slow-start")
+	chk.NoErr(os.WriteFile(program, []byte("#!/bin/sh\nsleep 0.3\ntrap '' HUP\necho started\nsleep 0.2\n"), 0o700))
+	ins := &instance{mch: standin.Machine{Name: "one"}, dir: dir, program: program, grp: &errgroup.Group{}}
+	chk.NoErr(ins.start())
+	chk.NoErr((&play{}).reload(ins))
+	chk.NoErr(ins.grp.Wait())
+	chk.Equal(ins.own, []string{"one, life 1, ended by itself: <nil>"})
+}
