Tell the failure domain, not all, who is ready; let neighbours pass a configuration on

And a configuration went to an instance that lacked it in an order of all instances, of which the first few may hear it every three seconds only.

Change: readiness and leaving go to the failure domain, whose instances lead; take-overs go to all, as owners follow them. Versions go with the beats between neighbours. Who lacks one gets it from its four neighbours first, in turn, then from the others.

TestConfigurationReachesManyThatAreTurnedAway: a third of 36 instances, or a whole failure domain, turned away by the store, in force within 2 s.

--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -158,11 +158,16 @@
 // Nudge has a beat sent to all at once, also where a session is just coming about: its first beats may have been written down
 // before the news. Two instances that did not know of each other that they were ready both took a shard over, and its
 // jobs waited for a second.
-func (msh *Mesh) Nudge() {
+func (msh *Mesh) Nudge() { msh.NudgeIf(func(shard.InstanceID) bool { return true }) }
+
+// NudgeIf is Nudge for the instances of which a condition holds, and for those that were not heard yet.
+func (msh *Mesh) NudgeIf(concerns func(id shard.InstanceID) bool) {
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
 	for _, per := range msh.peers {
-		signal(per.wake)
+		if !per.up || concerns(per.id()) {
+			signal(per.wake)
+		}
 	}
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -321,7 +321,7 @@
 	dmn.mu.Lock()
 	if dmn.council != nil {
 		dmn.council.SetLeaving()
-		dmn.mesh.Nudge()
+		dmn.nudgeNear()
 	}
 	dmn.mu.Unlock()
 	began := time.Now()
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -107,7 +107,7 @@
 		if !dmn.council.Ready() {
 			dmn.council.SetReady(now)
 			// Two instances that don't know of each other that they are ready would both take a shard over.
-			dmn.mesh.Nudge()
+			dmn.nudgeNear()
 		}
 	}
 	dmn.leaveWeaker(now)
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -130,7 +130,6 @@
 	if dmn.nameServices(cfg) {
 		dmn.redivide(now)
 	}
-	dmn.announce()
 }
 
 // nameServices notes the services of a configuration and reports whether any is new.
@@ -143,13 +142,6 @@
 	return fresh
 }
 
-// announce tells the others at once what is new here; an instance that has not joined has nobody to tell.
-func (dmn *Daemon) announce() {
-	if dmn.mesh != nil {
-		dmn.mesh.Nudge()
-	}
-}
-
 // takeInstances takes in records of the list of entry instances.
 func (dmn *Daemon) takeInstances(recs []platform.Record) {
 	var prs []mesh.Peer
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -79,9 +79,10 @@
 // passConfiguration gives a peer a newer configuration than it has, as the store may be out of its reach.
 //
 // A large one has a megabyte, and 40 instances that all pass it to all would stop the system; so a peer gets the time to
-// read it by itself, and then the others send it in turn, in an order that differs from peer to peer.
+// read it by itself, and then the others send it in turn: its neighbours first, who hear it most often, and the others in an
+// order that differs from peer to peer.
 func (dmn *Daemon) passConfiguration(now time.Time, to shard.InstanceID, data []byte) {
-	turn := time.Duration(dmn.council.Rank(string(to)))
+	turn := time.Duration(dmn.council.Turn(to))
 	if now.Sub(dmn.cfgAt) < passAfter+turn*passTurn || now.Sub(dmn.passed[to]) < passPause {
 		return
 	}
--- a/internal/process/daemon/list_story_test.go
+++ b/internal/process/daemon/list_story_test.go
@@ -133,3 +133,30 @@
 		chk.True(time.Since(began) < 12*200*time.Millisecond)
 	})
 }
+
+// The store turns many instances of a large system away, a whole failure domain even. A new configuration is in force there within two
+// seconds all the same, though most instances hear each other seldom.
+func TestConfigurationReachesManyThatAreTurnedAway(t *testing.T) {
+	cases := map[string]func(num int, prc *process) bool{
+		"a third of all":         func(num int, _ *process) bool { return num%3 == 0 },
+		"a whole failure domain": func(_ int, prc *process) bool { return prc.domain == "domain-2" },
+	}
+	for name, away := range cases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 3, 12, 2, func(wld *world) {
+				chk := is.NewRelaxed(t)
+				time.Sleep(2 * time.Second)
+				for num, prc := range wld.live() {
+					if away(num, prc) {
+						wld.net.Separate(prc.host, storeHost)
+					}
+				}
+				wld.route("/thumb/", "/new/")
+				time.Sleep(2 * time.Second)
+				for at := range wld.entries {
+					chk.Equal(wld.queue(at, "/new/"), http.StatusOK)
+				}
+			})
+		})
+	}
+}
--- a/internal/process/daemon/pace.go
+++ b/internal/process/daemon/pace.go
@@ -64,3 +64,11 @@
 	dmn.log.Info().Str("peer", string(missed)).Str("from", string(from)).Msg("instance missed by another")
 	dmn.mesh.Doubt(missed)
 }
+
+// nudgeNear tells the own failure domain at once what is new here and concerns who is to lead its shards.
+func (dmn *Daemon) nudgeNear() {
+	dmn.mesh.NudgeIf(func(id shard.InstanceID) bool {
+		ins := dmn.council.Others()[id]
+		return ins != nil && ins.Domain == dmn.prm.Settings.FailureDomain
+	})
+}
--- a/internal/process/soak/instance.go
+++ b/internal/process/soak/instance.go
@@ -34,9 +34,8 @@
 	// over is closed once the process of this life has ended; meant is set before the soak ends it.
 	over  chan struct{}
 	meant bool
-	// stoppedAt is when the process was last told to stop or was started, for what may be held against it.
+	// stoppedAt is when the process was last told to stop, for what may be held against it.
 	stoppedAt time.Time
-	startedAt time.Time
 	// pausedAt is since when the soak has the process stand still; paused is for how long it did since it was told to stop.
 	pausedAt time.Time
 	paused   time.Duration
@@ -67,7 +66,7 @@
 		return errors.Wrap(err, "start instance")
 	}
 	over := make(chan struct{})
-	ins.cmd, ins.over, ins.meant, ins.stoppedAt, ins.startedAt = cmd, over, false, time.Time{}, time.Now()
+	ins.cmd, ins.over, ins.meant, ins.stoppedAt = cmd, over, false, time.Time{}
 	ins.pausedAt, ins.paused = time.Time{}, 0
 	life := ins.life
 	ins.grp.Go(func() error {
--- a/internal/process/succession/ring_test.go
+++ b/internal/process/succession/ring_test.go
@@ -43,6 +43,25 @@
 	}
 }
 
+// A new configuration of a megabyte is sent to an instance that the store turns away by one after the other; those that hear it every few
+// seconds only went first.
+func TestNeighboursTellFirst(t *testing.T) {
+	chk := is.New(t)
+	cncs := ringOf(30)
+	const to = shard.InstanceID("near-7/1")
+	turns := map[int]int{}
+	for id, cnc := range cncs {
+		if id == to {
+			continue
+		}
+		turns[cnc.Turn(to)]++
+		if cnc.Neighbours()[to] {
+			chk.True(cnc.Turn(to) < 2*ringReach)
+		}
+	}
+	chk.True(turns[0] > 0 && turns[0] <= 2) // A neighbour, and the first of the others' turns is 1.
+}
+
 // Leaders change while claims come and go; the index of claims says what a look at all instances would.
 func TestLeaderIsTheNewestClaim(t *testing.T) {
 	chk := is.New(t)
