Watch one neighbour on either side of the ring; find a peer by its name

Each message to a peer compared the ids of all, made anew.

Change: two watchers in place of four. A leader that is lost with both of them is found by the others' calls. Ids are made once a life.

--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -100,16 +100,15 @@
 func (msh *Mesh) Send(to shard.InstanceID, msg Message) {
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
-	for _, per := range msh.peers {
-		if per.up && per.id() == to {
-			byt := per.push(msg)
-			msh.outstanding.Add(byt)
-			if !lazy(msg) {
-				per.waitsSince(msh.cfg.Now())
-				signal(per.wake)
-			}
-			return
-		}
+	name, _ := splitID(to)
+	per := msh.peers[name]
+	if per == nil || !per.up || per.id() != to {
+		return
+	}
+	msh.outstanding.Add(per.push(msg))
+	if !lazy(msg) {
+		per.waitsSince(msh.cfg.Now())
+		signal(per.wake)
 	}
 }
 
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -43,6 +43,9 @@
 type peer struct {
 	name, address string
 	own, other    epoch
+	// made is the id of the life madeFor.
+	made    shard.InstanceID
+	madeFor int64
 	up            bool
 	// sequence counts the batches of the session that were sent, inSequence those that were taken.
 	sequence, inSequence int64
@@ -84,7 +87,13 @@
 	return &peer{name: name, own: epoch{life: life}, interval: interval, wake: make(chan struct{}, 1)}
 }
 
-func (per *peer) id() shard.InstanceID { return ID(per.name, per.other.life) }
+// id returns the peer's life; it is made once for each, as it is asked for with all peers at a time.
+func (per *peer) id() shard.InstanceID {
+	if per.madeFor != per.other.life || per.made == "" {
+		per.made, per.madeFor = ID(per.name, per.other.life), per.other.life
+	}
+	return per.made
+}
 
 // silent reports whether the peer has not been heard for too long. A pace that was just raised counts from
 // then on: the peer may not know of it yet.
--- a/internal/process/daemon/list_story_test.go
+++ b/internal/process/daemon/list_story_test.go
@@ -103,7 +103,7 @@
 	return num
 }
 
-// Of twelve instances of a failure domain only four watch each leader. One loses power: its shard has a new leader as soon as in a
+// Of twelve instances of a failure domain only two watch each leader. One loses power: its shard has a new leader as soon as in a
 // small domain, and a job sent at once is done in time.
 func TestLeaderOfALargeDomainLosesPower(t *testing.T) {
 	inWorld(t, 2, 12, 24, func(wld *world) {
--- a/internal/process/succession/ring.go
+++ b/internal/process/succession/ring.go
@@ -9,9 +9,9 @@
 	"chestnutstack/internal/request/shard"
 )
 
-// ringReach is how many instances on either side of a ring an instance watches. With four that watch each instance, the loss of
-// power of a quarter of a failure domain leaves one without a watcher in 250 cases.
-const ringReach = 2
+// ringReach is how many instances on either side of a ring an instance watches. One that loses power together with those that watch it
+// is missed by the calls of the others of its failure domain, of which one comes each few dozen milliseconds.
+const ringReach = 1
 
 // Neighbours returns the instances of the own failure domain that this one watches, and that watch it: those next to it on a
 // ring by hash. All instances that hear the same others see the same ring.
