Call a peer that was given up once a second

Cause: the pause of a peer that is called seldom stayed as it was when the peer was lost: six seconds at 147 instances, and as long until its leaders are known after a cut has healed. TestSeldomCalledPeerIsBackSoon, red before.

--- a/internal/connection/mesh/seldom_test.go
+++ b/internal/connection/mesh/seldom_test.go
@@ -33,6 +33,22 @@
 	})
 }
 
+// A cut ends. Peers that call each other seldom did not know of each other's leaders for as long again.
+func TestSeldomCalledPeerIsBackSoon(t *testing.T) {
+	inPair(t, func(ntw *pipe.Network, one, two *node) {
+		chk := is.New(t)
+		talkSeldom(one, two)
+		ntw.Separate("one", "two")
+		time.Sleep(20 * time.Second)
+		ntw.Heal()
+		time.Sleep(2 * time.Second)
+		for _, nod := range []*node{one, two} {
+			_, _, hears := nod.seen()
+			chk.True(hears)
+		}
+	})
+}
+
 // One call in ten fails, and is not taken for the peer's end.
 func TestCallThatFailsOnceIsNoSilence(t *testing.T) {
 	inPair(t, func(ntw *pipe.Network, one, two *node) {
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -148,6 +148,9 @@
 	}
 }
 
+// lostInterval is the pause between calls of a peer that was given up: one that is back leads again, and is to be known.
+const lostInterval = time.Second
+
 // reset gives the session up if one is up, and reports whose it was.
 func (per *peer) reset() (was shard.InstanceID, had bool) {
 	if !per.up {
@@ -156,6 +159,7 @@
 	was = per.id()
 	per.up = false
 	per.own.generation++
+	per.interval = min(per.interval, lostInterval)
 	per.clear()
 	return was, true
 }
