--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -46,7 +46,7 @@
 	// made is the id of the life madeFor.
 	made    shard.InstanceID
 	madeFor int64
-	up            bool
+	up      bool
 	// sequence counts the batches of the session that were sent, inSequence those that were taken.
 	sequence, inSequence int64
 	outbox               []Message
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -14,7 +14,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"chestnutstack/internal/connection/rpc"
 	"chestnutstack/platform"
@@ -123,34 +122,6 @@
 	return lis, nil
 }
 
-// clock never steps and counts the time during which the machine was suspended, which the runtime's clock does
-// not: the leases of a suspended process run out elsewhere.
-type clock struct {
-	start           time.Time
-	boot, monotonic time.Duration
-}
-
-func newClock() *clock {
-	return &clock{
-		start: time.Now().Round(0), boot: readClock(unix.CLOCK_BOOTTIME), monotonic: readClock(unix.CLOCK_MONOTONIC),
-	}
-}
-
-func (clk *clock) now() time.Time { return clk.start.Add(readClock(unix.CLOCK_BOOTTIME) - clk.boot) }
-
-// suspended returns for how long the machine has stood still since the clock was made.
-func (clk *clock) suspended() time.Duration {
-	return readClock(unix.CLOCK_BOOTTIME) - clk.boot - (readClock(unix.CLOCK_MONOTONIC) - clk.monotonic)
-}
-
-func readClock(id int32) time.Duration {
-	var tsp unix.Timespec
-	if err := unix.ClockGettime(id, &tsp); err != nil {
-		panic(err) // The kernel has had these clocks since 2011; without them no lease can be kept.
-	}
-	return time.Duration(tsp.Nano())
-}
-
 // lineWriter gathers log lines and writes them in the background: a system call for each line would cost more than
 // the line, and a reader that is slow or gone must hold nothing up.
 type lineWriter struct {
