--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -88,14 +88,14 @@
 	divisions succession.Divisions
 	entries   map[shard.ServerID]shard.ServerEntry
 	// missing are servers whose entries went away while they were not leaving. The last read of the list began at
-	// listReadAt; from wholeAt on it has every server that lives. follower is the place in the list, changed what was last read
+	// listReadAt; from wholeAt on it has every server that lives. follower is the place in the list, listChanges what was last read
 	// of it and is not logged yet; serversWanted asks for a read at once.
 	missing map[shard.ServerID]missingServer
 	// services are those that a configuration has ever named here: servers of others are not spoken to.
 	services            map[string]bool
 	listReadAt, wholeAt time.Time
 	follower            *serverlist.Follower
-	changed             listed
+	listChanges         listed
 	serversWanted       chan struct{}
 	callers             map[submission.Call]chan submission.Answer
 	lastCal             submission.Call
--- /dev/null
+++ b/internal/process/daemon/lines_test.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A killed process loses the lines of its last moments only; one that has nothing to say does not wake for its log.
+func TestLinesAreWrittenSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		chk := is.New(t)
+		var out bytes.Buffer
+		dropped := 0
+		lwr := newLineWriter(&out, func() { dropped++ })
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- lwr.run(ctx) }() //nolint:forbidigo // the test waits for it
+		write := func(line string) {
+			_, err := lwr.Write([]byte(line))
+			chk.NoErr(err)
+		}
+		time.Sleep(time.Hour)
+		write("one\n")
+		time.Sleep(logInterval / 2)
+		write("two\n")
+		chk.Equal(out.String(), "")
+		time.Sleep(logInterval)
+		synctest.Wait()
+		chk.Equal(out.String(), "one\ntwo\n")
+		write("last\n")
+		write(string(make([]byte, logBytes)))
+		chk.Equal(dropped, 1)
+		cancel()
+		chk.NoErr(<-done)
+		chk.Equal(out.String(), "one\ntwo\nlast\n")
+	})
+}
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -100,7 +100,7 @@
 	for _, rec := range recs {
 		dmn.takeServer(now, rec)
 	}
-	dmn.changed = listed{}
+	dmn.listChanges = listed{}
 	dmn.log.Info().Int("servers", len(dmn.entries)).Int64("offset", next).Msg("backend servers read")
 	dmn.redivide(now)
 }
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -71,7 +71,7 @@
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(float64(set.MemoryBytes) * memoryShare))
 	cnt := &counters{}
-	wrt := &lineWriter{out: out, dropped: func() { cnt.logsDropped.Add(1) }}
+	wrt := newLineWriter(out, func() { cnt.logsDropped.Add(1) })
 	grp := &errgroup.Group{}
 	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	defer func() {
@@ -127,8 +127,14 @@
 type lineWriter struct {
 	out     io.Writer
 	dropped func()
-	mu      sync.Mutex
-	buf     []byte
+	// filled is told when there is something to write.
+	filled chan struct{}
+	mu     sync.Mutex
+	buf    []byte
+}
+
+func newLineWriter(out io.Writer, dropped func()) *lineWriter {
+	return &lineWriter{out: out, dropped: dropped, filled: make(chan struct{}, 1)}
 }
 
 // Write implements io.Writer; it never waits. A line that finds the buffer full is dropped and counted.
@@ -140,6 +146,10 @@
 		return len(line), nil
 	}
 	lwr.buf = append(lwr.buf, line...)
+	select {
+	case lwr.filled <- struct{}{}:
+	default:
+	}
 	return len(line), nil
 }
 
@@ -153,17 +163,18 @@
 	}
 }
 
-// run flushes until ctx ends, and once more then.
+// run writes what has gathered some time after the first line, until ctx ends, and once more then. Without lines it sleeps.
 func (lwr *lineWriter) run(ctx context.Context) error {
-	tck := time.NewTicker(logInterval)
-	defer tck.Stop()
 	defer lwr.flush()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tck.C:
-			lwr.flush()
+		case <-lwr.filled:
+		}
+		if !pause(ctx, logInterval) {
+			return nil
 		}
+		lwr.flush()
 	}
 }
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -29,8 +29,8 @@
 
 // logListed tells what has changed since the last time: one line, whose names are bounded.
 func (dmn *Daemon) logListed(from string) {
-	lst := dmn.changed
-	dmn.changed = listed{}
+	lst := dmn.listChanges
+	dmn.listChanges = listed{}
 	if len(lst.came)+len(lst.went) == 0 {
 		return
 	}
@@ -79,7 +79,7 @@
 			return now.Sub(mis.since) > missingFor
 		})
 	}
-	dmn.changed.went = append(dmn.changed.went, string(id))
+	dmn.listChanges.went = append(dmn.listChanges.went, string(id))
 }
 
 // takeServer takes in one record and reports whether it changes anything.
@@ -102,7 +102,7 @@
 	if known && old.Leaving == ent.Leaving && old.Address == ent.Address {
 		return false
 	}
-	dmn.changed.came = append(dmn.changed.came, rec.Key)
+	dmn.listChanges.came = append(dmn.listChanges.came, rec.Key)
 	return true
 }
 
