--- a/internal/process/daemon/lines_test.go
+++ b/internal/process/daemon/lines_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 // A killed process loses the lines of its last moments only; one that has nothing to say does not wake for its log.
@@ -18,8 +19,8 @@
 		dropped := 0
 		lwr := newLineWriter(&out, func() { dropped++ })
 		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error)
-		go func() { done <- lwr.run(ctx) }() //nolint:forbidigo // the test waits for it
+		grp := &errgroup.Group{}
+		grp.Go(func() error { return lwr.run(ctx) })
 		write := func(line string) {
 			_, err := lwr.Write([]byte(line))
 			chk.NoErr(err)
@@ -36,7 +37,7 @@
 		write(string(make([]byte, logBytes)))
 		chk.Equal(dropped, 1)
 		cancel()
-		chk.NoErr(<-done)
+		chk.NoErr(grp.Wait())
 		chk.Equal(out.String(), "one\ntwo\nlast\n")
 	})
 }
