--- a/internal/connection/mesh/seldom_test.go
+++ b/internal/connection/mesh/seldom_test.go
@@ -33,7 +33,7 @@
 	})
 }
 
-// A cut ends. Peers that call each other seldom did not know of each other's leaders for as long again.
+// A cut has ended, and peers that call each other seldom go on without each other for as long again.
 func TestSeldomCalledPeerIsBackSoon(t *testing.T) {
 	inPair(t, func(ntw *pipe.Network, one, two *node) {
 		chk := is.New(t)
--- a/internal/process/daemon/clock_test.go
+++ b/internal/process/daemon/clock_test.go
@@ -7,8 +7,7 @@
 	"github.com/matryer/is"
 )
 
-// A machine that is suspended has to see it with the first look at the clock, whatever is done to the time of day; and the kernel,
-// which takes a system call, is not asked each time.
+// A suspension is missed by a process that does not ask the kernel each time, or a step of the time of day is taken for one.
 func TestClockCountsSuspensions(t *testing.T) {
 	cases := map[string]struct {
 		ran, slept, stepped time.Duration
--- a/internal/process/daemon/idle_test.go
+++ b/internal/process/daemon/idle_test.go
@@ -25,8 +25,7 @@
 	processor                           time.Duration
 }
 
-// TestIdleSystem plays systems without jobs whose servers write their heartbeats. What an instance spends on knowing the others must not
-// grow with their number: at 147 instances and 1,100 servers, all together made 29,000 calls a second to say that nothing was new.
+// What an instance of a system without jobs spends on knowing the others grows with their number, until it has no time for its callers.
 func TestIdleSystem(t *testing.T) {
 	small := playIdle(t, 20)
 	for _, num := range []int{75, 150, 300} {
--- a/internal/process/daemon/lines_test.go
+++ b/internal/process/daemon/lines_test.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// A killed process loses the lines of its last moments only; one that has nothing to say does not wake for its log.
+// A killed process loses more of its log than its last moments.
 func TestLinesAreWrittenSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		chk := is.New(t)
--- a/internal/process/daemon/list_story_test.go
+++ b/internal/process/daemon/list_story_test.go
@@ -25,8 +25,7 @@
 	return ""
 }
 
-// The instance that reads the list of servers for all is gone, in one of many ways, when a server says that it is leaving. After two
-// seconds nothing starts there; once things are calm, one instance reads for all.
+// The instance that reads the list of servers for all is lost when a server says that it is leaving, and tasks go on starting there.
 func TestReaderOfTheListIsLost(t *testing.T) {
 	cases := map[string]func(wld *world, reader string){
 		"nothing happens":                 func(*world, string) {},
@@ -103,8 +102,7 @@
 	return num
 }
 
-// Of twelve instances of a failure domain only two watch each leader. One loses power: its shard has a new leader as soon as in a
-// small domain, and a job sent at once is done in time.
+// Of twelve instances of a failure domain only two watch a leader, and the others learn late that it has lost its power.
 func TestLeaderOfALargeDomainLosesPower(t *testing.T) {
 	inWorld(t, 2, 12, 24, func(wld *world) {
 		chk := is.NewRelaxed(t)
@@ -134,8 +132,7 @@
 	})
 }
 
-// The store turns many instances of a large system away, a whole failure domain even. A new configuration is in force there within two
-// seconds all the same, though most instances hear each other seldom.
+// The store turns many instances of a large system away, a whole failure domain even, and most instances hear each other seldom.
 func TestConfigurationReachesManyThatAreTurnedAway(t *testing.T) {
 	cases := map[string]func(num int, prc *process) bool{
 		"a third of all":         func(num int, _ *process) bool { return num%3 == 0 },
--- a/internal/process/succession/ring_test.go
+++ b/internal/process/succession/ring_test.go
@@ -43,8 +43,7 @@
 	}
 }
 
-// A new configuration of a megabyte is sent to an instance that the store turns away by one after the other; those that hear it every few
-// seconds only went first.
+// An instance that the store turns away waits for a configuration from one that hears it every few seconds only.
 func TestNeighboursTellFirst(t *testing.T) {
 	chk := is.New(t)
 	cncs := ringOf(30)
@@ -62,8 +61,7 @@
 	chk.True(turns[0] > 0 && turns[0] <= 2) // A neighbour, and the first of the others' turns is 1.
 }
 
-// All shards were gone through 50 times a second where nothing changed: a quarter of what an instance of the large site does. A leader
-// that is lost is still followed as soon, and what waits for time alone goes on.
+// All shards are gone through on each tick, though nothing has changed; and a leader that is lost is followed as soon all the same.
 func TestNothingToDecide(t *testing.T) {
 	chk := is.New(t)
 	brd := newBoard(0.4)
@@ -84,7 +82,7 @@
 	chk.True(len(brd.taken(100*time.Millisecond)) >= 2)
 }
 
-// Leaders change while claims come and go; the index of claims says what a look at all instances would.
+// The index of claims names a leader whose claim has gone, or an older one than the newest.
 func TestLeaderIsTheNewestClaim(t *testing.T) {
 	chk := is.New(t)
 	brd := newBoard(0.4)
--- a/internal/version/serverlist/follower_test.go
+++ b/internal/version/serverlist/follower_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// Two instances that read the list at the same moments, as the clocks of all go alike, each took the other's digests for no news.
+// Two instances that read the list at the same moments take each other's digests for no news, and both read it for ever.
 func TestReaderThatKeepsUpIsRelieved(t *testing.T) {
 	chk := is.New(t)
 	fol := newTestFollower()
@@ -89,8 +89,7 @@
 	chk.True(fol.ReadDue(now, 1))
 }
 
-// The pages of a full read are of different times: a change between two of them is no change to who has read it, and was missing for
-// all others.
+// A change between two pages of a full read is no change to who has read it, and is missing for all others.
 func TestFirstReadAfterAFullOneIsNotPassedOn(t *testing.T) {
 	chk := is.New(t)
 	fol := newTestFollower()
@@ -121,7 +120,7 @@
 	chk.Equal(len(fol.Publish(began, 0)), 0)
 }
 
-// A thousand servers change at once. The digests that are still to be written lost their changes when the first one was.
+// Digests that are still to be written lose their changes when the first one is.
 func TestManyChangesGoIntoSeveralDigests(t *testing.T) {
 	chk := is.New(t)
 	fol := newTestFollower()
