--- a/internal/process/daemon/lines_test.go
+++ b/internal/process/daemon/lines_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +16,7 @@
 func TestLinesAreWrittenSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		chk := is.New(t)
-		var out bytes.Buffer
+		var out lockedBuffer
 		dropped := 0
 		lwr := newLineWriter(&out, func() { dropped++ })
 		ctx, cancel := context.WithCancel(t.Context())
@@ -41,3 +42,23 @@
 		chk.Equal(out.String(), "one\ntwo\nlast\n")
 	})
 }
+
+// lockedBuffer is a buffer that is read while it is written.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (lbf *lockedBuffer) Write(data []byte) (int, error) {
+	lbf.mu.Lock()
+	defer lbf.mu.Unlock()
+	return lbf.buf.Write(data)
+}
+
+// String implements fmt.Stringer.
+func (lbf *lockedBuffer) String() string {
+	lbf.mu.Lock()
+	defer lbf.mu.Unlock()
+	return lbf.buf.String()
+}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -127,7 +127,7 @@
 	case Accepted:
 		ldr.seen(now, srv, sent, look)
 		if ldr.settled && srv.idle() {
-			srv.lookAt = now.Add(idlePause)
+			srv.lookAt = now.Add(srv.idlePause())
 		}
 	case Fenced:
 		ldr.fenced(srv)
@@ -140,9 +140,14 @@
 	return ldr.take()
 }
 
-// idlePause is the pause between looks at a server on which nothing runs: no lease needs renewal there, and a look only shows
-// that the server is there, and its clock.
-const idlePause = time.Second
+// idlePause returns the pause until the next look at a server on which nothing runs: no lease needs renewal there, and a look only
+// shows that the server is there, and its clock. A server in its first millisecond has no clock yet that a lease could be counted on.
+func (srv *server) idlePause() time.Duration {
+	if srv.clockAt.IsZero() {
+		return lookPause
+	}
+	return time.Second
+}
 
 // unheard notes that a look got no answer. One in twenty is lost on some days, so a held server is asked again
 // at once, without waiting for an end; taken for silent it would stand idle for half a second and its leases
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -336,6 +336,22 @@
 	chk.Equal(srv.until(now.Add(time.Second), time.Second), time.Second)
 }
 
+// A server that was listed in its first millisecond refuses its first starts as late, as its clock was not read since.
+func TestClockOfAServerInItsFirstMillisecondIsReadAgain(t *testing.T) {
+	chk := is.New(t)
+	dsk := newDesk(t)
+	dsk.did(dsk.ldr.SetServers(dsk.now, Listing{Listed: []ServerEntry{listed("s", 32000)}}))
+	dsk.pass(10 * time.Millisecond)
+	dsk.look("s", Look{})
+	dsk.acts = nil
+	dsk.pass(20 * time.Millisecond)
+	chk.Equal(dsk.looks(), 1)
+	dsk.look("s", Look{Clock: 20 * time.Millisecond})
+	dsk.acts = nil
+	dsk.pass(500 * time.Millisecond)
+	chk.Equal(dsk.looks(), 0)
+}
+
 // A server whose clock is slow keeps a lease for too long if its leader has not read the clock for a while.
 func TestLeaseAfterAPauseCountsOnASlowClock(t *testing.T) {
 	chk := is.New(t)
