--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -94,6 +94,9 @@
 	Reset Cause = "ended by the peer"
 )
 
+// Silence reports whether the peer was only not heard, and not seen to end.
+func (cau Cause) Silence() bool { return cau == Silent || cau == Unreachable || cau == Doubted }
+
 // Peer is another instance as the platform's store names it.
 type Peer struct {
 	Name, Address string
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -19,6 +19,9 @@
 	storePause = 200 * time.Millisecond
 )
 
+// fromStore names the store in logs as the source of what was learnt.
+const fromStore = "store"
+
 // topicReader says how a topic is followed.
 type topicReader struct {
 	topic platform.Topic
@@ -36,7 +39,7 @@
 		take: func(recs []platform.Record) {
 			for _, rec := range recs {
 				if rec.Key == platform.ConfigurationKey && rec.Value != nil {
-					dmn.takeConfiguration(rec.Value, "store", false)
+					dmn.takeConfiguration(rec.Value, fromStore)
 				}
 			}
 		},
@@ -110,7 +113,7 @@
 }
 
 // takeConfiguration puts a configuration in force if it is newer than the one that is.
-func (dmn *Daemon) takeConfiguration(data []byte, from string, peer bool) {
+func (dmn *Daemon) takeConfiguration(data []byte, from string) {
 	cfg, err := platform.DecodeConfiguration(data)
 	if err != nil {
 		dmn.log.Error().Err(err).Str("from", from).Msg("configuration is unreadable; the one in force stays")
@@ -122,7 +125,7 @@
 		return
 	}
 	dmn.cfgData.Store(&data)
-	dmn.cfgAt, dmn.cfgFromPeer = now, peer
+	dmn.cfgAt, dmn.cfgFromPeer = now, from != fromStore
 	if dmn.cfg.Swap(cfg) == nil {
 		close(dmn.configured)
 	}
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -119,7 +119,7 @@
 	case mesh.Configuration:
 		// It takes the lock itself.
 		dmn.group.Go(func() error {
-			dmn.takeConfiguration(msg.Data, string(from), true)
+			dmn.takeConfiguration(msg.Data, string(from))
 			return nil
 		})
 	}
@@ -159,7 +159,7 @@
 	defer dmn.exit(now)
 	dmn.log.Warn().Str("peer", string(id)).Str("cause", string(cau)).Msg("instance lost")
 	dmn.passOn(id, cau)
-	dmn.council.Lost(now, id, cau == mesh.Silent || cau == mesh.Unreachable || cau == mesh.Doubted)
+	dmn.council.Lost(now, id, cau.Silence())
 	for name, ldr := range dmn.leaders {
 		dmn.shardDo(name, ldr.OwnerLost(now, id))
 	}
@@ -167,3 +167,26 @@
 	dmn.updateLeaders()
 	dmn.updatePaces()
 }
+
+// passOn tells the own failure domain that one of its instances has fallen silent: not all of them watch it, and whoever is to take
+// its shards over may not.
+func (dmn *Daemon) passOn(lost shard.InstanceID, cau mesh.Cause) {
+	ins := dmn.council.Others()[lost]
+	if ins == nil || ins.Domain != dmn.prm.Settings.FailureDomain || !cau.Silence() || cau == mesh.Doubted {
+		return // It was seen to end, or the others were told by whoever missed it first.
+	}
+	for id, oth := range dmn.council.Others() {
+		if id != lost && oth.Domain == ins.Domain {
+			dmn.mesh.Send(id, mesh.Missed{Instance: lost})
+		}
+	}
+}
+
+// doubt asks an instance at once that another one has missed.
+func (dmn *Daemon) doubt(from, missed shard.InstanceID) {
+	if missed == dmn.self || dmn.council.Others()[missed] == nil {
+		return
+	}
+	dmn.log.Info().Str("peer", string(missed)).Str("from", string(from)).Msg("instance missed by another")
+	dmn.mesh.Doubt(missed)
+}
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -26,7 +26,10 @@
 				return nil
 			}
 			dmn.noteStore(&sto, err)
-			if err != nil {
+			switch {
+			case errors.Is(err, platform.ErrCompacted):
+				continue
+			case err != nil:
 				pause(ctx, storePause)
 				continue
 			}
@@ -119,7 +122,7 @@
 		changed = true
 		dmn.follower.Changed(serverlist.Change{Offset: from + int64(num), Key: rec.Key, Value: rec.Value})
 	}
-	dmn.logListed("store")
+	dmn.logListed(fromStore)
 	if changed || dmn.anyListShort() {
 		dmn.redivide(now)
 	}
--- a/internal/process/daemon/pace.go
+++ b/internal/process/daemon/pace.go
@@ -42,29 +42,6 @@
 	dmn.mesh.SetPaces(paces)
 }
 
-// passOn tells the own failure domain that one of its instances has fallen silent: not all of them watch it, and whoever is to take
-// its shards over may not.
-func (dmn *Daemon) passOn(lost shard.InstanceID, cau mesh.Cause) {
-	ins := dmn.council.Others()[lost]
-	if ins == nil || ins.Domain != dmn.prm.Settings.FailureDomain || cau != mesh.Silent && cau != mesh.Unreachable {
-		return
-	}
-	for id, oth := range dmn.council.Others() {
-		if id != lost && oth.Domain == ins.Domain {
-			dmn.mesh.Send(id, mesh.Missed{Instance: lost})
-		}
-	}
-}
-
-// doubt asks an instance at once that another one has missed.
-func (dmn *Daemon) doubt(from shard.InstanceID, missed shard.InstanceID) {
-	if missed == dmn.self || dmn.council.Others()[missed] == nil {
-		return
-	}
-	dmn.log.Info().Str("peer", string(missed)).Str("from", string(from)).Msg("instance missed by another")
-	dmn.mesh.Doubt(missed)
-}
-
 // nudgeNear tells the own failure domain at once what is new here and concerns who is to lead its shards.
 func (dmn *Daemon) nudgeNear() {
 	dmn.mesh.NudgeIf(func(id shard.InstanceID) bool {
--- a/internal/version/serverlist/follower.go
+++ b/internal/version/serverlist/follower.go
@@ -59,7 +59,7 @@
 func (fol *Follower) Next() int64 { return fol.next }
 
 // Forget notes that the list has to be read in full.
-func (fol *Follower) Forget() { fol.next, fol.covered, fol.changes = unknown, unknown, nil }
+func (fol *Follower) Forget() { fol.ReadAll(unknown) }
 
 // ReadAll notes a full read, after which the list goes on at an offset.
 func (fol *Follower) ReadAll(next int64) {
@@ -101,12 +101,17 @@
 	}
 	fol.next = dig.To
 	if fol.covered != unknown {
-		fol.covered = max(fol.covered, dig.To)
-		fol.changes = slices.DeleteFunc(fol.changes, func(chg Change) bool { return chg.Offset < fol.covered })
+		fol.cover(dig.To)
 	}
 	return chgs, true
 }
 
+// cover notes that the others have digests of all that lies before an offset.
+func (fol *Follower) cover(to int64) {
+	fol.covered = max(fol.covered, to)
+	fol.changes = slices.DeleteFunc(fol.changes, func(chg Change) bool { return chg.Offset < fol.covered })
+}
+
 // noteDigest notes that another instance reads the list and keeps up with it: one that reads at the same time as this instance brings
 // nothing new, and would be read beside for ever.
 func (fol *Follower) noteDigest(now time.Time, dig *Digest) {
@@ -136,6 +141,5 @@
 // Published notes that a digest was written. One without an answer may be written again.
 func (fol *Follower) Published(now time.Time, dig *Digest) {
 	fol.publishedAt = now
-	fol.covered = max(fol.covered, dig.To)
-	fol.changes = slices.DeleteFunc(fol.changes, func(chg Change) bool { return chg.Offset < fol.covered })
+	fol.cover(dig.To)
 }
