Close failure domains to new work: from the log and from peers, in leaders, choice and admission

Cause: operators can empty a failure domain (a record of its name in the topic of configurations, dropped to open it again).

Change: - version/domainlist: what an instance knows of closed domains, as of an offset of the log. Of two instances the one that knows up to the higher offset knows all that the other does; so peers' knowledge and late or stale answers need no rule beside that. A full read beyond the last known offset opens what it lacks: the newest record of each key is retained, so what is missing there was dropped. - It goes with each beat: an instance that the store turns away has it with the next beat, and one that has just started is not ready before it knows. - A leader gives back what waits and what comes, sends no start again, and goes on renewing what runs. Its load says closed. - Owners leave closed shards out of choice, room and waits in the same moment.

Ruled out: a closing by domain and offset, merged record by record: a full read that lacks a record and a peer that has it could not be told apart from one that came later.

--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"chestnutstack/internal/connection/mesh"
 	"chestnutstack/internal/process/pipe"
 	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/version/domainlist"
 )
 
 // node is one end with what it has heard.
@@ -94,7 +96,7 @@
 func (nod *node) Beat() mesh.Beat {
 	return mesh.Beat{Domain: "a", Processor: 0.4, Ready: true, Round: 7, Divisions: map[string]shard.Division{
 		"a": {Count: 2, Stamp: 1},
-	}}
+	}, Domains: domainlist.View{End: 4, Closed: []string{"b", "c"}}}
 }
 
 func (nod *node) Heard(from shard.InstanceID, _ time.Time, bet mesh.Beat, msgs []mesh.Message) {
@@ -106,7 +108,8 @@
 			nod.got = append(nod.got, wdr.Task)
 		}
 	}
-	if bet.Round != 7 || bet.Processor != 0.4 || bet.Divisions["a"].Count != 2 {
+	if bet.Round != 7 || bet.Processor != 0.4 || bet.Divisions["a"].Count != 2 ||
+		bet.Domains.End != 4 || !slices.Equal(bet.Domains.Closed, []string{"b", "c"}) {
 		nod.got = append(nod.got, "beat is garbled")
 	}
 }
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -6,6 +6,7 @@
 
 	"chestnutstack/internal/connection/meshpb"
 	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/version/domainlist"
 )
 
 // The parameters and the result of a call are one string each, the base64 of a protobuf message: jsonrpc2 decodes
@@ -45,9 +46,12 @@
 		msg.Leads = append(msg.Leads, &meshpb.Lead{
 			Shard: string(led.Shard), Token: led.Token,
 			Number: led.Load.Number, Free: led.Load.Free, Turnover: led.Load.Turnover, WaitsMicros: encodeWaits(led.Load.Waits),
-			LinkWindow: led.Load.LinkWindow, LinkBusy: led.Load.LinkBusy,
+			LinkWindow: led.Load.LinkWindow, LinkBusy: led.Load.LinkBusy, Closed: led.Load.Closed,
 		})
 	}
+	if bet.Domains.End != domainlist.Unread {
+		msg.ClosedDomains = &meshpb.ClosedDomains{End: bet.Domains.End, Names: bet.Domains.Closed}
+	}
 	return msg
 }
 
@@ -56,6 +60,10 @@
 		Domain: msg.GetDomain(), Processor: float64(msg.GetProcessor()) / milli, Ready: msg.GetReady(),
 		Leaving: msg.GetLeaving(), ConfigVersion: msg.GetVersion(), Round: msg.GetRound(),
 		Divisions: make(map[string]shard.Division, len(msg.GetDivisions())),
+		Domains:   domainlist.View{End: domainlist.Unread},
+	}
+	if cld := msg.GetClosedDomains(); cld != nil {
+		bet.Domains = domainlist.View{End: cld.GetEnd(), Closed: cld.GetNames()}
 	}
 	for _, dvn := range msg.GetDivisions() {
 		if dvn.GetCount() > 0 {
@@ -65,7 +73,7 @@
 	for _, led := range msg.GetLeads() {
 		lod := shard.Load{
 			Number: led.GetNumber(), Free: led.GetFree(), Turnover: led.GetTurnover(),
-			LinkWindow: led.GetLinkWindow(), LinkBusy: led.GetLinkBusy(),
+			LinkWindow: led.GetLinkWindow(), LinkBusy: led.GetLinkBusy(), Closed: led.GetClosed(),
 		}
 		for rnk, num := range led.GetWaitsMicros()[:min(len(led.GetWaitsMicros()), shard.Ranks)] {
 			lod.Waits[rnk] = micros(num)
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/version/domainlist"
 )
 
 // Lead says that an instance leads a shard.
@@ -27,6 +28,8 @@
 	Leads []Lead
 	// Divisions is how the instance sees the pool cut into shards.
 	Divisions map[string]shard.Division
+	// Domains is what the instance knows of closed failure domains.
+	Domains domainlist.View
 }
 
 // Message is something that one instance has for another: Order, Withdrawal, Report, Configuration or Missed.
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -33,9 +33,11 @@
 	hst.total.Add(int64(dur))
 }
 
-// counters are what a daemon counts; all of them rise.
+// counters are what a daemon counts; all but closedDomains rise.
 type counters struct {
-	submissions, refusals, stops, looks, storeReads, listReads, digests, badDigests, logsDropped, lateBatches, heldUps atomic.Int64
+	submissions, refusals, stops, looks, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, heldUps atomic.Int64
+	// closedDomains is how many failure domains are closed to new work now.
+	closedDomains atomic.Int64
 	// admittedWithRoom, admittedToWait and notAdmitted are the decisions on submissions; waits are those expected of the second.
 	admittedWithRoom, admittedToWait, notAdmitted atomic.Int64
 	waits                                         histogram
@@ -84,6 +86,8 @@
 		line("list-reads", cnt.listReads.Load())
 		line("list-digests-written", cnt.digests.Load())
 		line("list-digests-refused", cnt.badDigests.Load())
+		line("closings-refused", cnt.badClosings.Load())
+		line("closed-failure-domains", cnt.closedDomains.Load())
 		line("late-batches", cnt.lateBatches.Load())
 		line("held-up", cnt.heldUps.Load())
 		line("log-lines-dropped", cnt.logsDropped.Load())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
 	"chestnutstack/internal/version/config"
+	"chestnutstack/internal/version/domainlist"
 	"chestnutstack/internal/version/serverlist"
 	"chestnutstack/platform"
 )
@@ -91,6 +92,9 @@
 	// listReadAt; from wholeAt on it has every server that lives. follower is the place in the list, listChanges what was last read
 	// of it and is not logged yet; serversWanted asks for a read at once.
 	missing map[shard.ServerID]missingServer
+	// domains is what is known of closed failure domains; refusedClosings were logged of those that it did not believe.
+	domains         *domainlist.List
+	refusedClosings int64
 	// services are those that a configuration has ever named here: servers of others are not spoken to.
 	services            map[string]bool
 	listReadAt, wholeAt time.Time
@@ -138,10 +142,10 @@
 		prm: prm, log: prm.Log, now: prm.Now, cnt: prm.Counters,
 		leaders: map[shard.Name]*shard.Leader{}, uplink: shard.NewUplink(prm.Settings.LinkBytes), divisions: succession.Divisions{},
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{},
-		services: map[string]bool{},
-		callers:  map[submission.Call]chan submission.Answer{},
-		passed:   map[shard.InstanceID]time.Time{},
-		reaches:  map[shard.Name]*reach{}, openWith: map[shard.InstanceID]bool{},
+		services: map[string]bool{}, domains: domainlist.New(prm.Settings.FailureDomains),
+		callers: map[submission.Call]chan submission.Answer{},
+		passed:  map[shard.InstanceID]time.Time{},
+		reaches: map[shard.Name]*reach{}, openWith: map[shard.InstanceID]bool{},
 		follower:      serverlist.NewFollower(serverlist.DefaultConfig(prm.Settings.Instance), prm.Now()),
 		serversWanted: make(chan struct{}, 1),
 		joined:        make(chan struct{}), configured: make(chan struct{}),
@@ -260,8 +264,9 @@
 	dmn.life, dmn.round = life, life
 	dmn.self = mesh.ID(set.Instance, life)
 	dmn.desk = submission.NewDesk(submission.Config{
-		Self: dmn.self, Proof: proof, RetryAfter: retryAfter, Vacancy: vacancy, Link: dmn.uplink,
+		Self: dmn.self, Domain: set.FailureDomain, Proof: proof, RetryAfter: retryAfter, Vacancy: vacancy, Link: dmn.uplink,
 	}, now)
+	dmn.deskDo(dmn.desk.SetClosed(now, dmn.domains.View().Closed))
 	close(dmn.joined)
 	dmn.council = succession.New(succession.DefaultConfig(), succession.Instance{
 		ID: dmn.self, Domain: set.FailureDomain, Processor: set.Processor,
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -103,7 +103,7 @@
 		dmn.logHeldUp(pause)
 	}
 	dmn.tickedAt = now
-	if dmn.listed && dmn.cfg.Load() != nil && len(dmn.entries) > 0 {
+	if dmn.listed && dmn.cfg.Load() != nil && dmn.domains.Known() && len(dmn.entries) > 0 {
 		if !dmn.council.Ready() {
 			dmn.council.SetReady(now)
 			// Two instances that don't know of each other that they are ready would both take a shard over.
@@ -157,6 +157,7 @@
 	dmn.log.Info().Str("shard", string(name)).Int64("token", tok).Msg("taking the shard over")
 	for shd := range dmn.divided {
 		if shd.Name == name {
+			dmn.shardDo(name, ldr.SetClosed(now, dmn.domains.Closed(shd.Domain)))
 			dmn.shardDo(name, ldr.SetServers(now, dmn.listing(now, shd)))
 		}
 	}
@@ -202,9 +203,8 @@
 func (dmn *Daemon) updateLeaders() {
 	for shd := range dmn.divided {
 		led, tok := dmn.council.Leader(shd)
-		near := shd.Domain == dmn.prm.Settings.FailureDomain
 		tgt := submission.Target{Shard: shd.Name, Leader: led, Token: tok}
-		dmn.deskDo(dmn.desk.SetLeader(tgt, near))
+		dmn.deskDo(dmn.desk.SetLeader(tgt, shd.Domain))
 	}
 }
 
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -28,7 +28,14 @@
 	// wait is how long a read waits for news.
 	wait time.Duration
 	// take gets records.
-	take func(recs []platform.Record)
+	take func(bat batch)
+}
+
+// batch has the records that a read of a topic returned.
+type batch struct {
+	recs []platform.Record
+	// from is the offset of the first record, negative if these are the newest of all keys; next is where to go on reading.
+	from, next int64
 }
 
 // configurations waits for news: an operator's change is to be in force within two seconds. A channel
@@ -36,8 +43,10 @@
 func (dmn *Daemon) configurations() topicReader {
 	return topicReader{
 		topic: platform.ConfigurationTopic, wait: time.Second,
-		take: func(recs []platform.Record) {
-			for _, rec := range recs {
+		take: func(bat batch) {
+			// First of all, so that an instance that gets its first configuration knows where not to start anything.
+			dmn.takeClosings(bat)
+			for _, rec := range bat.recs {
 				if rec.Key == platform.ConfigurationKey && rec.Value != nil {
 					dmn.takeConfiguration(rec.Value, fromStore)
 				}
@@ -101,14 +110,14 @@
 		if err != nil {
 			return from, err
 		}
-		rdr.take(recs)
+		rdr.take(batch{recs: recs, from: from, next: next})
 		return next, nil
 	}
 	recs, next, err := dmn.prm.Store.Read(ctx, rdr.topic, from, rdr.wait)
 	if err != nil {
 		return from, err
 	}
-	rdr.take(recs)
+	rdr.take(batch{recs: recs, from: from, next: next})
 	return next, nil
 }
 
@@ -146,9 +155,9 @@
 }
 
 // takeInstances takes in records of the list of entry instances.
-func (dmn *Daemon) takeInstances(recs []platform.Record) {
+func (dmn *Daemon) takeInstances(bat batch) {
 	var prs []mesh.Peer
-	for _, rec := range recs {
+	for _, rec := range bat.recs {
 		if rec.Value == nil {
 			continue
 		}
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -16,7 +16,7 @@
 	defer dmn.mu.Unlock()
 	bet := mesh.Beat{
 		Domain: dmn.prm.Settings.FailureDomain, Processor: dmn.prm.Settings.Processor, Ready: dmn.council.Ready(),
-		Leaving: dmn.leaving.Load(), Round: dmn.round, Divisions: maps.Clone(dmn.divisions),
+		Leaving: dmn.leaving.Load(), Round: dmn.round, Divisions: maps.Clone(dmn.divisions), Domains: dmn.domains.View(),
 	}
 	if cfg := dmn.cfg.Load(); cfg != nil {
 		bet.ConfigVersion = cfg.Version()
@@ -44,6 +44,7 @@
 
 func (dmn *Daemon) hear(now time.Time, from shard.InstanceID, bet mesh.Beat) {
 	dmn.round = max(dmn.round, bet.Round)
+	dmn.mergeClosings(now, from, bet.Domains)
 	if dmn.divisions.Merge(bet.Divisions) {
 		dmn.log.Info().Str("from", string(from)).Interface("divisions", bet.Divisions).Msg("division into shards changed")
 		dmn.redivide(now)
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -134,8 +134,8 @@
 }
 
 // takeDigests takes in records of the digests of the list.
-func (dmn *Daemon) takeDigests(recs []platform.Record) {
-	for _, rec := range recs {
+func (dmn *Daemon) takeDigests(bat batch) {
+	for _, rec := range bat.recs {
 		dig, err := platform.DecodeDigest(rec.Value)
 		if err != nil {
 			dmn.cnt.badDigests.Add(1)
--- a/internal/process/daemon/world_test.go
+++ b/internal/process/daemon/world_test.go
@@ -37,6 +37,8 @@
 	lives   int
 	// linkBytes is what the link of each instance carries a second; 0 for no bound.
 	linkBytes int
+	// domains are the failure domains that settings name.
+	domains []string
 	// sizes are those of the servers in turn; serverProcessor if there are none.
 	sizes []int64
 
@@ -128,6 +130,9 @@
 	wld.servers, wld.entries = map[string]*standin.Server{}, map[string]*process{}
 	wld.serve(storeHost+":1", wld.sto)
 	wld.route("/thumb/", "/deck/")
+	for dom := range domains {
+		wld.domains = append(wld.domains, domainName(dom))
+	}
 	for dom := range domains {
 		for num := range servers {
 			wld.startServer(fmt.Sprintf("server-%d-%d", dom+1, num+1), domainName(dom))
@@ -234,7 +239,7 @@
 	}
 	prc.dmn = New(Params{
 		Settings: platform.Settings{
-			Instance: name, FailureDomain: domain, CallerAddress: host + ":1", ReadyAddress: host + ":2",
+			Instance: name, FailureDomain: domain, FailureDomains: wld.domains, CallerAddress: host + ":1", ReadyAddress: host + ":2",
 			PeerAddress: host + ":3", MetricsAddress: host + ":4", Processor: 0.4,
 			StopTimeout: 6 * time.Second, MemoryBytes: 1 << 28, LinkBytes: int64(wld.linkBytes),
 		},
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -42,7 +42,7 @@
 //
 // A server that answers none of them may carry the start out seconds later. A stop that is accepted proves that it doesn't.
 func (ldr *Leader) unanswered(now time.Time, srv *server, rn *run) {
-	if rn.state != starting || rn.repeats >= startRepeats || rn.ord == nil || srv.state != held {
+	if rn.state != starting || rn.repeats >= startRepeats || rn.ord == nil || srv.state != held || ldr.closed {
 		ldr.stop(now, srv, rn)
 		return
 	}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -13,6 +13,8 @@
 	token   int64
 	since   time.Time
 	settled bool
+	// closed is set while the servers are to get no new work.
+	closed  bool
 	servers map[ServerID]*server
 	orders  map[string]*order
 	que     queue
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -8,6 +8,10 @@
 // place starts waiting tasks in the order of their ranks, each at the server with the least room that still takes it: what is
 // left over elsewhere then takes larger tasks (two tasks of half a server don't fit beside one of a third).
 func (ldr *Leader) place(now time.Time) {
+	if ldr.closed {
+		ldr.turnAway(now)
+		return
+	}
 	if now.Before(ldr.quietUntil) {
 		return
 	}
@@ -237,6 +241,8 @@
 	Waits    [Ranks]time.Duration
 	// LinkWindow are the bytes of starts that the leader's link takes at once, LinkBusy those that are under way or wait.
 	LinkWindow, LinkBusy int64
+	// Closed shards take no new work; nothing is free there.
+	Closed bool
 }
 
 // RoomWait estimates how long a task of a rank waits for room, behind some more that need so many thousandths of a core.
@@ -255,12 +261,12 @@
 // Load returns the room that is left.
 func (ldr *Leader) Load(now time.Time) Load {
 	ldr.loads++
-	lod := Load{Number: ldr.loads}
+	lod := Load{Number: ldr.loads, Closed: ldr.closed}
 	lod.LinkWindow, lod.LinkBusy = ldr.link.window, ldr.link.busy()+ldr.WaitingBytes()
 	trn := ldr.turnover()
 	lod.Turnover = int64(trn * millis(time.Second))
 	for _, srv := range ldr.servers {
-		if !srv.open(now, ldr.tolerance()) {
+		if ldr.closed || !srv.open(now, ldr.tolerance()) {
 			continue
 		}
 		if prc, _ := srv.free(); prc > 0 {
--- a/internal/request/submission/admit.go
+++ b/internal/request/submission/admit.go
@@ -75,7 +75,7 @@
 // admit decides on a new job; a refused one is told when to come back.
 func (dsk *Desk) admit(now time.Time, jb *job) (Answer, bool) {
 	adm := Admit{ID: jb.sub.ID, Work: jb.work(), Due: jb.aim.Sub(now), Useful: jb.useful.Sub(now)}
-	adm.Room = !dsk.anyLeader() || dsk.anyRoom(jb)
+	adm.Room = !dsk.anyOpen() || dsk.anyRoom(jb)
 	adm.Refused = !adm.Room && !dsk.inUse(now, jb, &adm)
 	dsk.do(adm)
 	if !adm.Refused {
@@ -105,7 +105,7 @@
 func (dsk *Desk) anyRoom(jb *job) bool {
 	byt := shard.StartBytes(jb.sub.Payload)
 	for _, viw := range dsk.shards {
-		if viw.leader != "" && viw.load.LinkWait(byt) == 0 && viw.fits(jb.sub.Steps[0].Processor) > 0 {
+		if viw.open() && viw.load.LinkWait(byt) == 0 && viw.fits(jb.sub.Steps[0].Processor) > 0 {
 			return true
 		}
 	}
@@ -116,7 +116,7 @@
 func (dsk *Desk) leastWait(rnk shard.Rank, jb *job) time.Duration {
 	least, found := time.Duration(0), false
 	for _, viw := range dsk.shards {
-		if viw.leader == "" {
+		if !viw.open() {
 			continue
 		}
 		wat := viw.load.RoomWait(rnk, viw.sent) + dsk.cost(viw, jb)
@@ -131,7 +131,7 @@
 func (dsk *Desk) ownWait(jb *job) time.Duration {
 	var all shard.Load
 	for _, viw := range dsk.shards {
-		if viw.leader != "" {
+		if viw.open() {
 			all.Turnover += viw.load.Turnover
 		}
 	}
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -16,13 +16,22 @@
 	token  int64
 	// near shards lie in this instance's failure domain.
 	near bool
-	load shard.Load
+	// domain is the shard's failure domain; closed is set while operators have closed it to new work.
+	domain string
+	closed bool
+	load   shard.Load
 	// sent is what the tasks need that were sent since the last load and found no room, in thousandths of a core.
 	sent int64
 	// payload is the job whose payload was last sent there.
 	payload string
 }
 
+// open reports whether a shard takes new work, as far as is known here and to its leader.
+func (viw *view) open() bool { return viw.leader != "" && !viw.shut() }
+
+// shut reports whether a shard's failure domain is closed to new work.
+func (viw *view) shut() bool { return viw.closed || viw.load.Closed }
+
 // fits returns how many tasks of a size would start at once.
 func (viw *view) fits(processor int64) int64 {
 	num := int64(0)
@@ -57,7 +66,7 @@
 	var least time.Duration
 	var most int64
 	for _, viw := range dsk.ordered {
-		if viw.leader == "" {
+		if !viw.open() {
 			continue
 		}
 		num := viw.fits(stp.Processor)
@@ -111,9 +120,10 @@
 	return viw
 }
 
-func (dsk *Desk) anyLeader() bool {
+// anyOpen reports whether a shard that takes new work has a leader.
+func (dsk *Desk) anyOpen() bool {
 	for _, viw := range dsk.shards {
-		if viw.leader != "" {
+		if viw.open() {
 			return true
 		}
 	}
@@ -127,14 +137,14 @@
 	}
 }
 
-// SetLeader tells the desk who leads a shard; no leader is an empty instance. Orders that lie with
+// SetLeader tells the desk who leads a shard of a failure domain; no leader is an empty instance. Orders that lie with
 // the former leader go to the new one, which knows what of them runs.
-func (dsk *Desk) SetLeader(tgt Target, near bool) []Action {
+func (dsk *Desk) SetLeader(tgt Target, domain string) []Action {
 	viw := dsk.shards[tgt.Shard]
 	if viw == nil {
 		viw = dsk.addShard(tgt.Shard)
 	}
-	viw.near = near
+	viw.near, viw.domain, viw.closed = domain == dsk.cfg.Domain, domain, dsk.closed[domain]
 	if viw.leader == tgt.Leader && viw.token == tgt.Token {
 		return dsk.take()
 	}
@@ -154,6 +164,12 @@
 	return dsk.take()
 }
 
+func (dsk *Desk) advanceAll() {
+	for _, jb := range dsk.inOrder() {
+		dsk.advance(jb)
+	}
+}
+
 // follow sends a task's order to the new leader of its shard.
 func (dsk *Desk) follow(tsk *task, viw *view) {
 	if tsk.done || tsk.shard != viw.name || tsk.leader == "" && tsk.limbo.IsZero() {
@@ -205,9 +221,13 @@
 		// What was told before is not news: room that is gone since would be gone after again.
 		return dsk.take()
 	}
+	opened := viw.load.Closed && !lod.Closed
 	viw.load, viw.sent = lod, 0
 	viw.load.Free = slices.Clone(lod.Free)
-	if len(viw.load.Free) > 0 && viw.load.LinkWait(0) == 0 && dsk.anyWaiting(viw.name) {
+	if opened {
+		dsk.advanceAll()
+	}
+	if viw.open() && len(viw.load.Free) > 0 && viw.load.LinkWait(0) == 0 && dsk.anyWaiting(viw.name) {
 		dsk.recall(viw)
 	}
 	return dsk.take()
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -52,6 +52,8 @@
 // Config has the times that a Desk works with.
 type Config struct {
 	Self shard.InstanceID
+	// Domain is the instance's failure domain.
+	Domain string
 	// Proof is how long after the loss of a leader everything that it ran for this instance is surely over:
 	// it misses this instance, its stops stay without an answer, and the leases lapse.
 	Proof time.Duration
@@ -84,6 +86,8 @@
 	ordered []*view
 	// closing is set once the instance is about to end.
 	closing bool
+	// closed are the failure domains that take no new work.
+	closed map[string]bool
 	// usual is, by route, the share of calls that wait for the route's timeout or longer.
 	usual map[string]float64
 	// ledAt is when a shard was last known to have a leader, or the desk was made.
@@ -167,11 +171,11 @@
 		dsk.calls[cal] = old
 		return dsk.take()
 	}
-	if ans, refused := dsk.refusal(now, sub); refused {
+	jb := newJob(now, cal, sub)
+	if ans, refused := dsk.refusal(now, jb); refused {
 		dsk.do(Reply{Call: cal, ID: sub.ID, Answer: ans})
 		return dsk.take()
 	}
-	jb := newJob(now, cal, sub)
 	dsk.appraise(now, jb)
 	if ans, refused := dsk.admit(now, jb); refused {
 		dsk.do(Reply{Call: cal, ID: sub.ID, Answer: ans})
@@ -193,15 +197,18 @@
 // A shard without a leader has one again within about half a second, after all instances have lost their power
 // too, and callers wait for 1.5 s and more: their jobs wait for it here. An instance that has known no leader for
 // longer is cut off.
-func (dsk *Desk) refusal(now time.Time, sub Submission) (Answer, bool) {
+func (dsk *Desk) refusal(now time.Time, jb *job) (Answer, bool) {
 	if dsk.closing {
 		return Answer{Result: NotRun, RetryAfter: dsk.cfg.RetryAfter, Reason: stops}, true
 	}
-	if sub.Unsupported != "" {
-		return Answer{Result: NotRun, Reason: "unsupported: " + sub.Unsupported}, true
+	if jb.sub.Unsupported != "" {
+		return Answer{Result: NotRun, Reason: "unsupported: " + jb.sub.Unsupported}, true
+	}
+	if dsk.allClosed() {
+		return dsk.closedAnswer(jb), true
 	}
-	if !dsk.anyLeader() && now.Sub(dsk.ledAt) > dsk.cfg.Vacancy {
-		return Answer{Result: NotRun, RetryAfter: dsk.cfg.RetryAfter, Reason: "no shard has a leader"}, true
+	if !dsk.anyOpen() && now.Sub(dsk.ledAt) > dsk.cfg.Vacancy {
+		return Answer{Result: NotRun, RetryAfter: dsk.cfg.RetryAfter, Reason: "no shard that takes work has a leader"}, true
 	}
 	return Answer{}, false
 }
--- a/internal/request/submission/desk_test.go
+++ b/internal/request/submission/desk_test.go
@@ -20,13 +20,16 @@
 const (
 	self  = shard.InstanceID("self/1")
 	other = shard.InstanceID("other/2")
-	proof = 1250 * time.Millisecond
+	// own and elsewhere are the failure domains of near and far shards.
+	own       = "domain-1"
+	elsewhere = "domain-2"
+	proof     = 1250 * time.Millisecond
 )
 
 func newBench() *bench {
 	bch := &bench{now: time.Unix(1000, 0)}
 	bch.dsk = NewDesk(Config{
-		Self: self, Proof: proof, RetryAfter: time.Second, Vacancy: 1500 * time.Millisecond, Link: shard.NewUplink(0),
+		Self: self, Domain: own, Proof: proof, RetryAfter: time.Second, Vacancy: 1500 * time.Millisecond, Link: shard.NewUplink(0),
 	}, bch.now)
 	return bch
 }
@@ -36,7 +39,11 @@
 // lead makes an instance the leader of a shard with room for a number of tasks at once.
 func (bch *bench) lead(name shard.Name, near bool, leader shard.InstanceID, token int64, room int) {
 	tgt := Target{Shard: name, Leader: leader, Token: token}
-	bch.did(bch.dsk.SetLeader(tgt, near))
+	domain := elsewhere
+	if near {
+		domain = own
+	}
+	bch.did(bch.dsk.SetLeader(tgt, domain))
 	bch.did(bch.dsk.SetLoad(name, shard.Load{Number: token, Turnover: 1_000_000, Free: free(room), LinkWindow: 1 << 20}))
 }
 
@@ -140,7 +147,7 @@
 			story: func(bch *bench) {
 				bch.lead("a.0", true, self, 1, 1)
 				bch.submit(1, "j", 1)
-				bch.did(bch.dsk.SetLeader(Target{Shard: "a.0"}, true))
+				bch.did(bch.dsk.SetLeader(Target{Shard: "a.0"}, own))
 				bch.submit(2, "k", 1)
 				bch.did(bch.dsk.GiveUp())
 				bch.lead("a.0", true, self, 2, 1)
@@ -315,7 +322,7 @@
 			bch := newBench()
 			bch.lead("a.0", true, other, 1, 4)
 			bch.submit(1, "j", 1)
-			bch.did(bch.dsk.SetLeader(Target{Shard: "a.0"}, true)) // Nobody leads, so that it goes nowhere else.
+			bch.did(bch.dsk.SetLeader(Target{Shard: "a.0"}, own)) // Nobody leads, so that it goes nowhere else.
 			bch.did(bch.dsk.Report(bch.now, other, shard.Report{
 				Task: "j.0.0.0", Token: 1, Outcome: shard.NotRun, MayHaveRun: mayHaveRun,
 			}))
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -44,10 +44,11 @@
 // Tick does what is due by time alone.
 func (dsk *Desk) Tick(now time.Time) []Action {
 	dsk.now = now
-	if dsk.anyLeader() {
+	if dsk.anyOpen() {
 		dsk.ledAt = now
 	}
 	dsk.resume()
+	dsk.refuseClosed()
 	for _, jb := range dsk.jobs {
 		if !now.Before(jb.deadline) {
 			dsk.abandon(jb, "deadline passed")
@@ -70,9 +71,7 @@
 		return
 	}
 	dsk.heldBytes = 0
-	for _, jb := range dsk.inOrder() {
-		dsk.advance(jb)
-	}
+	dsk.advanceAll()
 }
 
 // HeldBytes is what waits here for the link, to be sent to other instances.
--- /dev/null
+++ b/internal/version/domainlist/list_test.go
@@ -0,0 +1,187 @@
+package domainlist
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func closing(offset int64, domain string) Record {
+	return Record{Offset: offset, Domain: domain, Closed: true}
+}
+
+func opening(offset int64, domain string) Record { return Record{Offset: offset, Domain: domain} }
+
+func TestList(t *testing.T) {
+	cases := map[string]struct {
+		play func(lst *List)
+		want View
+	}{
+		"nothing was read": {
+			play: func(*List) {},
+			want: View{End: -1},
+		},
+		"closed before the instance started": {
+			play: func(lst *List) { lst.ReadAll([]Record{closing(3, "a")}, 9) },
+			want: View{End: 9, Closed: []string{"a"}},
+		},
+		"closed and opened in one read": {
+			play: func(lst *List) {
+				lst.ReadAll(nil, 3)
+				lst.Read([]Record{closing(3, "a"), opening(4, "a")}, 5)
+			},
+			want: View{End: 5},
+		},
+		"two at once": {
+			play: func(lst *List) {
+				lst.ReadAll(nil, 3)
+				lst.Read([]Record{closing(3, "a"), closing(4, "b")}, 5)
+			},
+			want: View{End: 5, Closed: []string{"a", "b"}},
+		},
+		"a late full read does not open what was closed since": {
+			play: func(lst *List) {
+				lst.ReadAll(nil, 3)
+				lst.Read([]Record{closing(3, "a")}, 4)
+				lst.ReadAll(nil, 2)
+			},
+			want: View{End: 4, Closed: []string{"a"}},
+		},
+		"records that are read again change nothing": {
+			play: func(lst *List) {
+				lst.ReadAll(nil, 0)
+				lst.Read([]Record{closing(0, "a"), opening(1, "a")}, 2)
+				lst.Read([]Record{closing(0, "a")}, 1)
+			},
+			want: View{End: 2},
+		},
+		"opened while the history was dropped": {
+			play: func(lst *List) {
+				lst.ReadAll(nil, 0)
+				lst.Read([]Record{closing(0, "a")}, 1)
+				lst.ReadAll(nil, 7)
+			},
+			want: View{End: 7},
+		},
+		"still closed after the history was dropped": {
+			play: func(lst *List) {
+				lst.ReadAll(nil, 0)
+				lst.Read([]Record{closing(0, "a")}, 1)
+				lst.ReadAll([]Record{closing(0, "a")}, 7)
+			},
+			want: View{End: 7, Closed: []string{"a"}},
+		},
+		"a peer knows more": {
+			play: func(lst *List) {
+				lst.ReadAll([]Record{closing(0, "a")}, 2)
+				lst.Merge(View{End: 5, Closed: []string{"b"}})
+			},
+			want: View{End: 5, Closed: []string{"b"}},
+		},
+		"a peer knows less": {
+			play: func(lst *List) {
+				lst.ReadAll([]Record{closing(0, "a")}, 2)
+				lst.Merge(View{End: 1})
+				lst.Merge(View{End: -1})
+			},
+			want: View{End: 2, Closed: []string{"a"}},
+		},
+		"a peer went ahead of the own reading": {
+			play: func(lst *List) {
+				lst.ReadAll(nil, 2)
+				lst.Merge(View{End: 4})
+				lst.Read([]Record{closing(2, "a"), opening(3, "a"), closing(4, "b")}, 5)
+			},
+			want: View{End: 5, Closed: []string{"b"}},
+		},
+		"no name": {
+			play: func(lst *List) { lst.ReadAll([]Record{closing(0, "")}, 1) },
+			want: View{End: 1},
+		},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			lst := New([]string{"a", "b"})
+			cse.play(lst)
+			chk.Equal(lst.View().End, cse.want.End)
+			chk.True(slices.Equal(lst.View().Closed, cse.want.Closed))
+		})
+	}
+}
+
+// Somebody writes closings of thousands of domains that do not exist, and memory and batches grow without a bound.
+func TestClosingsOfManyUnknownDomains(t *testing.T) {
+	chk := is.New(t)
+	lst := New([]string{"a"})
+	var recs []Record
+	for num := range int64(10_000) {
+		recs = append(recs, closing(num, fmt.Sprint("none-", num)))
+	}
+	lst.ReadAll(append(recs, closing(10_000, "a")), 10_001)
+	chk.True(lst.Closed("a"))
+	chk.Equal(len(lst.View().Closed), MostUnknown+1)
+	chk.Equal(lst.Refused(), int64(10_000-MostUnknown))
+}
+
+// Instances read the log in parts, late and again, and take over what others know; each that has come to the end knows what the log says.
+func TestListsAgreeWithTheLog(t *testing.T) {
+	domains := []string{"a", "b", "c"}
+	rapid.Check(t, func(rpd *rapid.T) {
+		var log []Record
+		lsts := []*List{New(domains), New(domains), New(domains)}
+		nexts := make([]int64, len(lsts))
+		for step := range rapid.IntRange(1, 60).Draw(rpd, "steps") {
+			num := rapid.IntRange(0, len(lsts)-1).Draw(rpd, fmt.Sprint("instance ", step))
+			lst, end := lsts[num], int64(len(log))
+			switch rapid.IntRange(0, 3).Draw(rpd, fmt.Sprint("what ", step)) {
+			case 0:
+				log = append(log, Record{
+					Offset: end, Domain: rapid.SampledFrom(domains).Draw(rpd, "domain"), Closed: rapid.Bool().Draw(rpd, "closed"),
+				})
+			case 1:
+				// The answer may be of a replica that lags.
+				end = rapid.Int64Range(0, end).Draw(rpd, "end")
+				lst.ReadAll(newest(log[:end]), end)
+				nexts[num] = end
+			case 2:
+				lst.Merge(lsts[rapid.IntRange(0, len(lsts)-1).Draw(rpd, "peer")].View())
+			case 3:
+				if lst.Known() {
+					lst.Read(log[nexts[num]:end], end)
+					nexts[num] = end
+				}
+			}
+		}
+		for num, lst := range lsts {
+			lst.ReadAll(newest(log), int64(len(log)))
+			if want := state(log); !maps.Equal(lst.closed, want) {
+				rpd.Fatalf("instance %d knows %v, the log says %v", num, lst.closed, want)
+			}
+		}
+	})
+}
+
+func newest(log []Record) []Record {
+	var recs []Record
+	for dom := range state(log) {
+		recs = append(recs, Record{Domain: dom, Closed: true})
+	}
+	return recs
+}
+
+func state(log []Record) map[string]bool {
+	stt := map[string]bool{}
+	for _, rec := range log {
+		if rec.Closed {
+			stt[rec.Domain] = true
+		} else {
+			delete(stt, rec.Domain)
+		}
+	}
+	return stt
+}
