Say which failure domains are closed and whether they are empty; let the soak close them

Cause: an operator has to see that the news is everywhere and that nothing runs in the domain any more; the closing was played in virtual time only.

--- a/internal/process/cli/soak.go
+++ b/internal/process/cli/soak.go
@@ -24,6 +24,7 @@
 	Entries     int           `help:"Entry instances of each failure domain." default:"2"`
 	Servers     int           `help:"Backend servers of each failure domain." default:"4"`
 	Troubles    int           `help:"Troubles of each seed." default:"10"`
+	Closings    int           `help:"How often a failure domain is closed to new work in each seed."`
 	For         time.Duration `help:"How long callers send." default:"14s"`
 	Logs        string        `help:"Directory for the processes' logs; those of seeds that broke nothing are removed." default:"target/soak"`
 }
@@ -48,7 +49,7 @@
 	}
 	shp := soak.DefaultShape()
 	shp.Domains, shp.Entries, shp.Servers = cmd.Domains, cmd.Entries, cmd.Servers
-	shp.Troubles, shp.For = cmd.Troubles, cmd.For
+	shp.Troubles, shp.Closings, shp.For = cmd.Troubles, cmd.Closings, cmd.For
 	cfg := soak.Config{Program: program, Dir: cmd.Logs, Shape: shp}
 	if err := cfg.Check(); err != nil {
 		return &usageError{cause: err}
--- a/internal/process/daemon/closed_story_test.go
+++ b/internal/process/daemon/closed_story_test.go
@@ -17,23 +17,18 @@
 
 // closeDomain closes a failure domain, as an operator does; a start there once the news is out breaks a promise.
 func (wld *world) closeDomain(domain string) {
-	wld.sto.Put(string(platform.ConfigurationTopic), "evacuate/"+domain, map[string]any{})
-	for id := range wld.servers {
-		if strings.HasPrefix(id, "server-"+strings.TrimPrefix(domain, "domain-")+"-") {
-			wld.ldg.Close(id, time.Now().Add(newsTime))
-		}
-	}
+	wld.sto.CloseDomain(domain)
+	wld.ldg.Close(serversOf(domain), time.Now().Add(newsTime))
 }
 
 func (wld *world) openDomain(domain string) {
-	wld.sto.Put(string(platform.ConfigurationTopic), "evacuate/"+domain, nil)
-	for id := range wld.servers {
-		if strings.HasPrefix(id, "server-"+strings.TrimPrefix(domain, "domain-")+"-") {
-			wld.ldg.Open(id)
-		}
-	}
+	wld.sto.OpenDomain(domain)
+	wld.ldg.Open(serversOf(domain))
 }
 
+// serversOf returns how the names of a failure domain's servers begin.
+func serversOf(domain string) string { return "server-" + strings.TrimPrefix(domain, "domain-") + "-" }
+
 // load sends a job to each instance in turn for a while, and returns the calls.
 func (wld *world) load(first int, every, dur time.Duration) []*sent {
 	var snts []*sent
@@ -96,7 +91,7 @@
 		},
 		"another writer writes nonsense": func(wld *world) {
 			wld.sto.Put(string(platform.ConfigurationTopic), "evacuate/domain-2", "no")
-			wld.sto.Put(string(platform.ConfigurationTopic), "evacuate/", map[string]any{})
+			wld.sto.CloseDomain("")
 		},
 	}
 	for name, trouble := range cases {
@@ -217,7 +212,7 @@
 	inWorld(t, 2, 1, 1, func(wld *world) {
 		chk := is.NewRelaxed(t)
 		for num := range 2000 {
-			wld.sto.Put(string(platform.ConfigurationTopic), fmt.Sprint("evacuate/none-", num), map[string]any{})
+			wld.sto.CloseDomain(fmt.Sprint("none-", num))
 		}
 		wld.closeDomain("domain-1")
 		time.Sleep(time.Second)
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -33,11 +33,11 @@
 	hst.total.Add(int64(dur))
 }
 
-// counters are what a daemon counts; all but closedDomains rise.
+// counters are what a daemon counts; those that do not rise say so.
 type counters struct {
 	submissions, refusals, stops, looks, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, heldUps atomic.Int64
-	// closedDomains is how many failure domains are closed to new work now.
-	closedDomains atomic.Int64
+	// closedDomains is how many failure domains are closed to new work now, closedRuns how many runs this instance leads there.
+	closedDomains, closedRuns atomic.Int64
 	// admittedWithRoom, admittedToWait and notAdmitted are the decisions on submissions; waits are those expected of the second.
 	admittedWithRoom, admittedToWait, notAdmitted atomic.Int64
 	waits                                         histogram
@@ -88,6 +88,7 @@
 		line("list-digests-refused", cnt.badDigests.Load())
 		line("closings-refused", cnt.badClosings.Load())
 		line("closed-failure-domains", cnt.closedDomains.Load())
+		line("runs-in-closed-domains", cnt.closedRuns.Load())
 		line("late-batches", cnt.lateBatches.Load())
 		line("held-up", cnt.heldUps.Load())
 		line("log-lines-dropped", cnt.logsDropped.Load())
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -122,9 +122,12 @@
 		dmn.updatePaces()
 	}
 	dmn.updateOpen(now)
+	closedRuns := 0
 	for name, ldr := range dmn.leaders {
 		dmn.shardDo(name, ldr.Tick(now))
+		closedRuns += ldr.RunsWhileClosed()
 	}
+	dmn.cnt.closedRuns.Store(int64(closedRuns))
 	dmn.deskDo(dmn.desk.Tick(now))
 }
 
--- a/internal/process/soak/faults.go
+++ b/internal/process/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"syscall"
 	"time"
 
@@ -41,7 +42,7 @@
 		return ply.injectProcesses(ctx, inj)
 	case cutDomain, cutStore, cutOneWay, silence, resetAll, slowLinks:
 		ply.injectLinks(ctx, inj)
-	case storeDown, storeSlow, storeLoses, storeForgets, configuration:
+	case storeDown, storeSlow, storeLoses, storeForgets, configuration, closeDomain:
 		ply.injectStore(ctx, inj)
 	case serverLate, serverCrash, serverLeaves, serverFails, serverStands, serverSlow:
 		ply.injectServer(ctx, inj)
@@ -135,11 +136,26 @@
 	case storeForgets:
 		sto.CompactServers()
 		sto.CompactConfigurations()
+	case closeDomain:
+		ply.closeDomain(ctx, inj.ins.mch.Domain, inj.lasts)
 	default:
 		ply.watchVersion(ply.sys.configure())
 	}
 }
 
+// closedInForce is within what a closed failure domain gets no work any more (the platform's bound for it).
+const closedInForce = 5 * time.Second
+
+// closeDomain closes a failure domain to new work and opens it again. Where two closings of one domain overlap, the end of the first one opens it.
+func (ply *play) closeDomain(ctx context.Context, domain string, lasts time.Duration) {
+	servers := "server-" + strings.TrimPrefix(domain, domainPrefix) + "-"
+	ply.sys.sto.CloseDomain(domain)
+	ply.sys.ldg.Close(servers, time.Now().Add(closedInForce))
+	sleep(ctx, lasts)
+	ply.sys.ldg.Open(servers)
+	ply.sys.sto.OpenDomain(domain)
+}
+
 func (ply *play) injectServer(ctx context.Context, inj *injection) {
 	var trb standin.Trouble
 	switch inj.kind {
--- a/internal/process/soak/plan.go
+++ b/internal/process/soak/plan.go
@@ -35,10 +35,11 @@
 	serverSlow    kind = "server-slow"
 	configuration kind = "configuration"
 	reload        kind = "reload"
+	closeDomain   kind = "close-domain"
 )
 
 // planned troubles are an operator's work: they alone may cut nothing off.
-var planned = map[kind]bool{stop: true, rollingStop: true, configuration: true, reload: true, serverLeaves: true}
+var planned = map[kind]bool{stop: true, rollingStop: true, configuration: true, reload: true, serverLeaves: true, closeDomain: true}
 
 var kinds = []kind{
 	kill, powerOff, stop, rollingStop, pauseProcess, killAll, cutDomain, cutStore, cutOneWay, silence, resetAll,
@@ -63,6 +64,8 @@
 	// For is how long callers send, Troubles how many things go wrong meanwhile.
 	For      time.Duration
 	Troubles int
+	// Closings is how many times a failure domain is closed to new work and opened again.
+	Closings int
 }
 
 // DefaultShape returns a system of six instances and twelve backend servers: a few dozen processes and ways.
@@ -89,6 +92,7 @@
 		}
 		trbs[idx] = trb
 	}
+	trbs = append(trbs, drawClosings(seed, shp.Closings)...)
 	slices.SortFunc(trbs, func(one, two trouble) int { return int(one.at - two.at) })
 	return trbs
 }
@@ -97,3 +101,17 @@
 func upTo(rnd *rand.Rand, most time.Duration) time.Duration {
 	return time.Duration(rnd.Int64N(int64(most)))
 }
+
+// drawClosings draws closings of failure domains, which overlap. They are drawn by themselves: the other troubles of a seed stay what
+// they are without them.
+func drawClosings(seed uint64, num int) []trouble {
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	trbs := make([]trouble, num)
+	for idx := range trbs {
+		trbs[idx] = trouble{
+			kind: closeDomain, at: upTo(rnd, 3*time.Second), lasts: closedInForce + time.Second + upTo(rnd, 2*time.Second),
+			one: rnd.IntN(1 << 16), two: rnd.IntN(1 << 16),
+		}
+	}
+	return trbs
+}
--- a/internal/process/soak/system.go
+++ b/internal/process/soak/system.go
@@ -96,7 +96,9 @@
 	return sys, nil
 }
 
-func domainName(num int) string { return "domain-" + strconv.Itoa(num+1) }
+const domainPrefix = "domain-"
+
+func domainName(num int) string { return domainPrefix + strconv.Itoa(num+1) }
 
 // serve answers on a free port until the play ends.
 func (sys *system) serve(hdl http.Handler) (address string, err error) {
--- a/internal/request/shard/closed.go
+++ b/internal/request/shard/closed.go
@@ -16,6 +16,17 @@
 	return ldr.take()
 }
 
+// RunsWhileClosed returns how many runs are still there of a closed shard, 0 of an open one.
+func (ldr *Leader) RunsWhileClosed() int {
+	num := 0
+	if ldr.closed {
+		for _, srv := range ldr.servers {
+			num += len(srv.runs)
+		}
+	}
+	return num
+}
+
 // turnAway gives back all waiting orders but those that may still run here.
 func (ldr *Leader) turnAway(now time.Time) {
 	for _, ord := range ldr.que.orders {
