--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -103,7 +103,7 @@
 	case Report:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Report{Report: &meshpb.Report{
 			Task: msg.Report.Task, Token: msg.Report.Token, Outcome: int64(msg.Report.Outcome),
-			TookMicros: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server), MayHaveRun: msg.Report.MayHaveRun,
+			TookMicros: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server), MayHaveRun: msg.Report.MayHaveRun, Hopeless: msg.Report.Hopeless,
 		}}})
 	case Missed:
 		name, life := splitID(msg.Instance)
@@ -129,7 +129,7 @@
 		AgeMicros: now.Sub(ord.Arrived).Microseconds(), AimMicros: ord.Aim.Sub(now).Microseconds(), UsefulMicros: ord.Useful.Sub(now).Microseconds(),
 		ExpectedMicros: ord.Expected.Microseconds(),
 		Label:          ord.Label, Rack: ord.Rack, PerServer: int64(ord.PerServer), Step: ord.Step,
-		Bounce: ord.Bounce, Recall: ord.Recall, Followed: ord.Followed, At: string(ord.At),
+		Bounce: ord.Bounce, Recall: ord.Recall, Followed: ord.Followed, At: string(ord.At), JobBegun: ord.JobBegun,
 	}
 	for _, id := range ord.Avoid {
 		wir.Avoid = append(wir.Avoid, string(id))
@@ -158,7 +158,7 @@
 			rep := bdy.Report
 			msgs = append(msgs, Report{Report: shard.Report{
 				Task: rep.GetTask(), Token: rep.GetToken(), Outcome: shard.Outcome(rep.GetOutcome()),
-				Took: micros(rep.GetTookMicros()), Server: shard.ServerID(rep.GetServer()), MayHaveRun: rep.GetMayHaveRun(),
+				Took: micros(rep.GetTookMicros()), Server: shard.ServerID(rep.GetServer()), MayHaveRun: rep.GetMayHaveRun(), Hopeless: rep.GetHopeless(),
 			}})
 		case *meshpb.Message_Missed:
 			msgs = append(msgs, Missed{Instance: ID(bdy.Missed.GetName(), bdy.Missed.GetLife())})
@@ -176,7 +176,7 @@
 		Arrived: now.Add(-micros(wir.GetAgeMicros())), Aim: now.Add(micros(wir.GetAimMicros())), Useful: now.Add(micros(wir.GetUsefulMicros())),
 		Expected: micros(wir.GetExpectedMicros()), Label: wir.GetLabel(), Rack: wir.GetRack(),
 		PerServer: int(wir.GetPerServer()), Step: wir.GetStep(),
-		Bounce: wir.GetBounce(), Recall: wir.GetRecall(), Followed: wir.GetFollowed(), At: shard.ServerID(wir.GetAt()),
+		Bounce: wir.GetBounce(), Recall: wir.GetRecall(), Followed: wir.GetFollowed(), JobBegun: wir.GetJobBegun(), At: shard.ServerID(wir.GetAt()),
 	}
 	for _, id := range wir.GetAvoid() {
 		ord.Avoid = append(ord.Avoid, shard.ServerID(id))
--- a/internal/process/daemon/callers_test.go
+++ b/internal/process/daemon/callers_test.go
@@ -16,6 +16,8 @@
 	path     string
 	tasks    int
 	patience time.Duration
+	// expected is the caller's guess of the run time; what the payload says if it is 0.
+	expected time.Duration
 	payload
 }
 
@@ -36,12 +38,15 @@
 	if job.patience == 0 {
 		job.patience = 5 * time.Second
 	}
+	if job.expected == 0 {
+		job.expected = time.Duration(job.Millis) * time.Millisecond
+	}
 	text, _ := json.Marshal(job.payload) // Plain fields always encode.
 	ctx, cancel := context.WithTimeout(ctx, job.patience)
 	defer cancel()
 	rep, err := wld.client().Submit(ctx, host+":1", &standin.Job{
 		ID: job.id, Queue: job.path, Tasks: job.tasks, Processor: job.processor(), Memory: 64,
-		Expected: time.Duration(job.Millis) * time.Millisecond, Payload: string(text), Patience: job.patience,
+		Expected: job.expected, Payload: string(text), Patience: job.patience,
 	})
 	if err != nil {
 		return 0, err.Error()
--- a/internal/request/shard/closed.go
+++ b/internal/request/shard/closed.go
@@ -1,9 +1,6 @@
 package shard
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // SetClosed tells the leader whether the failure domain of its servers is closed to new work. What runs there finishes; what waits goes
 // back to its owners, who order it elsewhere.
@@ -34,5 +31,5 @@
 			ldr.bounce(ord)
 		}
 	}
-	ldr.que.orders = slices.DeleteFunc(ldr.que.orders, func(ord *order) bool { return ldr.orders[ord.Task] != ord })
+	ldr.que.dropIf(func(ord *order) bool { return ldr.orders[ord.Task] != ord })
 }
--- /dev/null
+++ b/internal/request/shard/hopeless.go
@@ -0,0 +1,45 @@
+package shard
+
+import "time"
+
+// giveBackHopeless gives waiting orders back that would not be done while their answers are of use.
+//
+// It answers an overload. Owners admit by what leaders told them, each for itself, and more than fits; those who hear that only when
+// their time is over, two seconds later, could have gone elsewhere, and what the rest waits for is hidden behind them.
+// Orders of jobs of which a task has begun stay.
+func (ldr *Leader) giveBackHopeless(now time.Time) {
+	if !ldr.settled || len(ldr.que.orders) == 0 {
+		return
+	}
+	all := max(ldr.turnover(), 1)
+	ranked := ldr.ranked(now, func(*order) bool { return true })
+	ahead := 0.0
+	for rnk, ords := range ranked {
+		own := 0.0
+		rate := max(ldr.drn.rate[rnk], leastShare*all)
+		for _, ord := range ords {
+			wait := time.Duration(max(ahead/all, own/rate) * float64(time.Millisecond))
+			if ord.hopeless(now.Add(wait)) {
+				ldr.giveBack(ord)
+				continue
+			}
+			ahead += float64(ord.Processor)
+			own += float64(ord.Processor)
+		}
+	}
+	ldr.que.dropIf(func(ord *order) bool { return ldr.orders[ord.Task] != ord })
+}
+
+func (ord *order) hopeless(start time.Time) bool {
+	if ord.Followed || ord.jobBegun() {
+		return false
+	}
+	return start.Add(ord.Expected).After(ord.Useful)
+}
+
+func (ldr *Leader) giveBack(ord *order) {
+	delete(ldr.orders, ord.Task)
+	ldr.do(Tell{Owner: ord.Owner, Report: Report{
+		Task: ord.Task, Token: ldr.token, Outcome: NotRun, MayHaveRun: ord.mayHaveRun, Hopeless: true,
+	}})
+}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -271,6 +271,7 @@
 		clear(ldr.ends)
 	}
 	ldr.drn.update(now, ldr.turnover(), ldr.waiting(now))
+	ldr.giveBackHopeless(now)
 	ldr.advance(now, nil)
 	return ldr.take()
 }
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -19,14 +19,7 @@
 	if !ldr.anyToPlace(rms) {
 		return
 	}
-	var ranked [Ranks][]*order
-	for _, ord := range ldr.que.orders {
-		if now.Before(ord.notBefore) {
-			continue
-		}
-		rnk := ldr.rank(now, ord)
-		ranked[rnk] = append(ranked[rnk], ord)
-	}
+	ranked := ldr.ranked(now, func(ord *order) bool { return !now.Before(ord.notBefore) })
 	rnd := &round{rooms: rms}
 	rnd.most = rnd.rooms.most()
 	for rnk, ords := range ranked {
@@ -34,9 +27,19 @@
 			ldr.placeOne(now, rnd, Rank(rnk), ord)
 		}
 	}
-	ldr.que.orders = slices.DeleteFunc(ldr.que.orders, func(ord *order) bool {
-		return ord.run != nil || ldr.orders[ord.Task] != ord
-	})
+	ldr.que.dropIf(func(ord *order) bool { return ord.run != nil || ldr.orders[ord.Task] != ord })
+}
+
+// ranked returns the waiting orders that are chosen, by rank and in their order.
+func (ldr *Leader) ranked(now time.Time, chosen func(ord *order) bool) [Ranks][]*order {
+	var rnks [Ranks][]*order
+	for _, ord := range ldr.que.orders {
+		if chosen(ord) {
+			rnk := ldr.rank(now, ord)
+			rnks[rnk] = append(rnks[rnk], ord)
+		}
+	}
+	return rnks
 }
 
 // anyToPlace reports whether a round of placing can do anything. While all servers are full, most events free none, and a
--- a/internal/request/shard/queue.go
+++ b/internal/request/shard/queue.go
@@ -25,6 +25,9 @@
 	runNumber  int64
 }
 
+// jobBegun reports whether another task of the job may have begun, here or elsewhere.
+func (ord *order) jobBegun() bool { return ord.JobBegun || ord.sib != nil && ord.sib.begun }
+
 // submission returns the part of a task's name that names its submission.
 func (ord *order) submission() string {
 	sub, _, _ := strings.Cut(ord.Task, ".")
@@ -60,3 +63,8 @@
 func (que *queue) anyFollowed() bool {
 	return slices.ContainsFunc(que.orders, func(ord *order) bool { return ord.Followed })
 }
+
+// dropIf removes the orders of which a condition holds.
+func (que *queue) dropIf(gone func(ord *order) bool) {
+	que.orders = slices.DeleteFunc(que.orders, gone)
+}
--- a/internal/request/shard/rank.go
+++ b/internal/request/shard/rank.go
@@ -36,10 +36,10 @@
 }
 
 // rank returns the turn of an order. A job that has begun is finished before others begin: left to its last task, all that
-// was done for it would be lost.
+// was done for it would be lost. So it is with one that has begun in another shard.
 func (ldr *Leader) rank(now time.Time, ord *order) Rank {
 	done := now.Add(ord.Expected)
-	if ord.sib != nil && ord.sib.begun && !done.After(ord.Useful) {
+	if ord.jobBegun() && !done.After(ord.Useful) {
 		done = ord.Aim
 	}
 	return RankOf(ord.Priority, done, ord.Aim, ord.Useful)
--- a/internal/request/shard/words.go
+++ b/internal/request/shard/words.go
@@ -126,6 +126,9 @@
 	// where it last ran, if its owner has heard of that.
 	Followed bool
 	At       ServerID
+	// JobBegun orders are of a job of which another task may have begun: they are kept however long they wait, and go before
+	// others, as all that was done for the job would be lost.
+	JobBegun bool
 	// Bounce asks for the order back if it can't start at once.
 	Bounce bool
 	// Recall asks for an order back that was placed before, if it still waits. It places nothing: the order
@@ -171,6 +174,8 @@
 	Server ServerID
 	// MayHaveRun says of an order that does not run that a server may have begun it: a start got no answer, and was stopped.
 	MayHaveRun bool
+	// Hopeless says of an order that does not run that it would not have started here while its answer is of use.
+	Hopeless bool
 }
 
 // Division is into how many shards the backend servers of a failure domain are cut. Instances that see it
--- a/internal/request/submission/admit.go
+++ b/internal/request/submission/admit.go
@@ -148,16 +148,27 @@
 	return wait + time.Duration(float64(wait)*float64(hsh.Sum32())/(1<<32))
 }
 
+// hopeless reports whether a job whose task came back as hopeless is to be refused: nothing of it has begun, and no shard is believed to
+// have room that was not tried.
+func (dsk *Desk) hopeless(tsk *task) bool {
+	return !tsk.job.begun && (tsk.bounces > maxBounces || !dsk.anyRoom(tsk.job))
+}
+
 // callBackDoomed calls a job back of which nothing has started once its caller would be gone before it could be done: the
 // caller hears at once, and truthfully, that it has not run.
 func (dsk *Desk) callBackDoomed(now time.Time, jb *job) {
 	if jb.doomed || jb.begun || !now.Add(jb.work()).After(jb.deadline) {
 		return
 	}
+	dsk.callBack(jb)
+}
+
+// callBack calls back all tasks of a job that is to be refused.
+func (dsk *Desk) callBack(jb *job) {
 	jb.doomed = true
 	for _, tks := range jb.tasks {
 		for _, tsk := range tks {
-			if tsk.leader != "" {
+			if tsk.leader != "" && !tsk.recalled {
 				tsk.recalled = true
 				dsk.send(tsk, shard.Order{Recall: true})
 			}
