--- a/internal/request/shard/hopeless.go
+++ b/internal/request/shard/hopeless.go
@@ -2,13 +2,16 @@
 
 import "time"
 
+// knownAfter is how long after a take-over a leader knows how fast its queue goes.
+const knownAfter = 10 * drainInterval
+
 // giveBackHopeless gives waiting orders back that would not be done while their answers are of use.
 //
 // It answers an overload. Owners admit by what leaders told them, each for itself, and more than fits; those who hear that only when
 // their time is over, two seconds later, could have gone elsewhere, and what the rest waits for is hidden behind them.
 // Orders of jobs of which a task has begun stay.
 func (ldr *Leader) giveBackHopeless(now time.Time) {
-	if !ldr.settled || len(ldr.que.orders) == 0 {
+	if len(ldr.que.orders) == 0 || now.Sub(ldr.since) < knownAfter {
 		return
 	}
 	all := max(ldr.turnover(), 1)
