--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -99,5 +99,5 @@
 		lvl = zerolog.DebugLevel
 	}
 	dmn.log.WithLevel(lvl).Str("task", rep.Task).Str("from", string(from)).Stringer("outcome", rep.Outcome).
-		Dur("took", rep.Took).Str("server", string(rep.Server)).Msg("report")
+		Dur("took", rep.Took).Str("server", string(rep.Server)).Bool("hopeless", rep.Hopeless).Msg("report")
 }
