Let what was admitted for a lull wait for one; read the tests of stories once

Cause: an order that is of no use when it comes (its caller has sent it before, or its route says no objective) was given back at the next tick as hopeless, though admission takes such jobs for a lull; a pool of short waits would refuse them all. The two new tables of desk stories share checkStory.

--- a/internal/request/shard/hopeless.go
+++ b/internal/request/shard/hopeless.go
@@ -33,8 +33,10 @@
 	ldr.que.dropIf(func(ord *order) bool { return ldr.orders[ord.Task] != ord })
 }
 
+// hopeless reports whether an order that would start at a time is of no use any more. What was of none when it came, as its caller had
+// sent it before or its route says no objective, was admitted for a lull and waits for one.
 func (ord *order) hopeless(start time.Time) bool {
-	if ord.Followed || ord.jobBegun() {
+	if ord.Followed || ord.jobBegun() || !ord.Useful.After(ord.Arrived) {
 		return false
 	}
 	return start.Add(ord.Expected).After(ord.Useful)
--- a/internal/request/submission/desk_test.go
+++ b/internal/request/submission/desk_test.go
@@ -102,6 +102,14 @@
 	return txts
 }
 
+// checkStory plays a story and checks what the desk does.
+func checkStory(t *testing.T, story func(bch *bench), want []string) {
+	t.Helper()
+	bch := newBench()
+	story(bch)
+	is.New(t).Equal(bch.take(), want)
+}
+
 func TestDeskStories(t *testing.T) {
 	const task = "j.0.0.0"
 	cases := map[string]struct {
