Tell callers of hopeless jobs when to come back, each a time of its own

Cause: a job that was refused at admission is told the expected wait, spread; one that turned out hopeless later was told one second, as was everyone else of the burst. Change: both get the same answer (overloadAnswer). TestHopelessCallersComeBackSpread, red before (1 s for all 50). Conclusion: a burst does not come back as one.

--- a/internal/request/submission/admit.go
+++ b/internal/request/submission/admit.go
@@ -81,8 +81,13 @@
 	if !adm.Refused {
 		return Answer{}, false
 	}
-	wait := dsk.comeBack(jb, adm.Waits[0])
-	return Answer{Result: NotRun, RetryAfter: wait, Reason: overloaded}, true
+	return dsk.overloadAnswer(jb), true
+}
+
+// overloadAnswer refuses a job for want of room, until the work that goes with it is expected to be done.
+func (dsk *Desk) overloadAnswer(jb *job) Answer {
+	wait := dsk.leastWait(shard.RanksOf(jb.sub.Priority)[0], jb)
+	return Answer{Result: NotRun, RetryAfter: dsk.comeBack(jb, wait), Reason: overloaded}
 }
 
 // inUse reports whether a job is expected to be done in time, or while it is of use, or in a lull before its caller goes.
@@ -185,6 +190,6 @@
 		return
 	}
 	if !jb.maybeRun() {
-		dsk.abandon(jb, overloaded)
+		dsk.answer(jb, dsk.overloadAnswer(jb))
 	}
 }
--- a/internal/request/submission/hopeless_test.go
+++ b/internal/request/submission/hopeless_test.go
@@ -1,7 +1,11 @@
 package submission
 
 import (
+	"fmt"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	"chestnutstack/internal/request/shard"
 )
@@ -57,3 +61,31 @@
 		t.Run(name, func(t *testing.T) { checkStory(t, cse.story, cse.want) })
 	}
 }
+
+// All whose jobs turn out hopeless in a burst are told to come back in the same second.
+func TestHopelessCallersComeBackSpread(t *testing.T) {
+	chk := is.New(t)
+	bch := newBench()
+	bch.lead("a.0", true, self, 1, 0)
+	least, most := time.Hour, time.Duration(0)
+	for num := range 50 {
+		id := fmt.Sprint("j", num)
+		bch.waits(0, 0, 0)
+		bch.submit(Call(num), id, 1)
+		bch.did(bch.dsk.SetLoad("a.0", busy(int64(100+num))))
+		bch.did(bch.dsk.Report(bch.now, self, shard.Report{Task: id + ".0.0.0", Token: 1, Outcome: shard.NotRun, Hopeless: true}))
+		rep, ok := bch.acts[len(bch.acts)-1].(Reply)
+		chk.True(ok)
+		chk.Equal(rep.Answer.Result, NotRun)
+		least, most = min(least, rep.Answer.RetryAfter), max(most, rep.Answer.RetryAfter)
+	}
+	chk.True(least >= 4*time.Second)
+	chk.True(most-least > 2*time.Second)
+}
+
+// busy returns the load of a shard in which work that is in time waits for four seconds.
+func busy(number int64) shard.Load {
+	lod := shard.Load{Number: number, Turnover: 1_000_000, LinkWindow: 1 << 20}
+	lod.Waits[0] = 4 * time.Second
+	return lod
+}
