Don't take the silence of servers that were dropped for a proof

Cause: Leader.forget drops a server whose entry has lapsed and that never answered; runsNowhere then asked the servers that were left, and with none left it held at once. A leader outside of a domain that was cut off told owners that tasks ran nowhere which the domain's own leader ran. Servers that move to another shard are the same fault: their runs are stopped by that shard's leader, later than the proof was given. Orders whose server the owner knew were not given back, as the code says.

Why this works: a proof by "all of these" now holds only for a leader that has servers and never dropped one unheard; else the order waits for the chain of leases (Doubt), which it did before for silent servers.

--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -39,6 +39,8 @@
 	scratch rooms
 	// whole is set once the list was read after the take-over: a former leader holds no server that it lacks.
 	whole bool
+	// dropped is set once a server was dropped at which another leader may run tasks.
+	dropped bool
 	// loss is the share of answers that are lost.
 	loss float64
 	// lost counts the servers that obey another leader.
@@ -107,6 +109,7 @@
 		if _, elsewhere := lst.All[id]; elsewhere {
 			// It belongs to another shard now, whose leader raises the fence.
 			ldr.lose(srv)
+			ldr.dropped = true
 			continue
 		}
 		srv.unlisted = true
@@ -136,6 +139,7 @@
 	}
 	ldr.lapsed(now, srv)
 	delete(ldr.servers, srv.ent.ID)
+	ldr.dropped = true
 }
 
 // Place takes an order. A task that the leader has already is left alone.
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -57,9 +57,13 @@
 	return true
 }
 
-// knowsAll reports whether the leader knows of every server where an order's task may run.
+// knowsAll reports whether the leader knows of every server where an order's task may run. One without servers knows of none: those
+// that another leader holds may have lapsed from the list. A server that was dropped unheard, or given to another shard, can't be asked.
 func (ldr *Leader) knowsAll(ord *order) bool {
-	return ldr.whole && (ord.At == "" || ldr.servers[ord.At] != nil)
+	if !ldr.whole || ldr.dropped || len(ldr.servers) == 0 {
+		return false
+	}
+	return ord.At == "" || ldr.servers[ord.At] != nil
 }
 
 // hurryProof has the servers looked at where a task may run for another leader. A look that waits for an end was sent before
--- a/internal/request/shard/takeover_test.go
+++ b/internal/request/shard/takeover_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -122,6 +123,58 @@
 	}
 }
 
+// TestLeaderWithoutServersProvesNothing guards against a task that runs twice: a leader that has forgotten servers said that it runs
+// nowhere, while a former leader ran it at one of them.
+func TestLeaderWithoutServersProvesNothing(t *testing.T) {
+	s1, s2 := listed("s1", 32000), listed("s2", 32000)
+	cases := map[string]struct {
+		// list is what the leader knows at the take-over, left what it knows afterwards; answer has the servers that obey it.
+		list, left, all []ServerEntry
+		answer          []ServerID
+	}{
+		"it never had one":                       {},
+		"its only one has lapsed and is silent":  {list: []ServerEntry{s1}},
+		"all have lapsed and are silent":         {list: []ServerEntry{s1, s2}},
+		"one of two has lapsed and is silent":    {list: []ServerEntry{s1, s2}, left: []ServerEntry{s2}, answer: []ServerID{"s2"}},
+		"one of two belongs to another shard":    {list: []ServerEntry{s1, s2}, left: []ServerEntry{s2}, all: []ServerEntry{s1, s2}, answer: []ServerID{"s1", "s2"}},
+		"one of two has obeyed it and is silent": {list: []ServerEntry{s1, s2}, left: []ServerEntry{s2}, answer: []ServerID{"s1", "s2"}},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			dsk := &desk{t: t, now: time.Unix(1000, 0)}
+			dsk.ldr = NewLeader(DefaultConfig(), NewUplink(0), "a.0", 9, dsk.now)
+			listing := func(ents, all []ServerEntry) Listing {
+				lst := Listing{Listed: ents, All: map[ServerID]ServerEntry{}, ReadAt: dsk.now.Add(time.Millisecond)}
+				for _, ent := range all {
+					lst.All[ent.ID] = ent
+				}
+				return lst
+			}
+			dsk.did(dsk.ldr.SetServers(dsk.now, listing(cse.list, cse.all)))
+			for _, id := range cse.answer {
+				dsk.look(id, Look{})
+			}
+			if slices.Contains(cse.answer, "s1") {
+				dsk.lookFrom("s1", dsk.now, Look{}, Unknown)
+				dsk.lookFrom("s1", dsk.now, Look{}, Unknown)
+				dsk.lookFrom("s1", dsk.now, Look{}, Unknown)
+			}
+			dsk.did(dsk.ldr.SetServers(dsk.now, listing(cse.left, cse.all)))
+			dsk.pass(2 * time.Second)
+			ord := dsk.order(0, "j.0")
+			ord.Followed = true
+			dsk.did(dsk.ldr.Place(dsk.now, ord))
+			if slices.Contains(cse.answer, "s2") {
+				dsk.look("s2", Look{})
+			}
+			chk.Equal(dsk.reports(NotRun), 0)
+			dsk.pass(DefaultConfig().Doubt)
+			chk.Equal(dsk.reports(NotRun), 1) // The chain of leases has passed.
+		})
+	}
+}
+
 func TestFormerLeaderIsAskedForAnOrder(t *testing.T) {
 	// A leader stands still for two seconds. Another instance takes its shard over and starts tasks there. The first one
 	// wakes and still says that it leads; an owner follows it with the order of a running task. It went by what its servers had
