Take a foreign shard over by fresh answers of its servers only

Cause: an instance that would lead a shard of another failure domain asks its servers for 0.3 s first. If somebody else took the shard over meanwhile, the first answer was kept. The next time that the shard had no leader, half a minute later and cut off, the answers counted as 24 s old and good.

Change: succession.Reach, pure: answers count from the first one after the last gap, and only while the newest is fresh. Why this works: a cut is missed after 0.4 s, and the patience with foreign shards is 0.4 s more; answers from before the cut are then too old.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -110,7 +110,7 @@
 	// listed is set once the list of instances was read.
 	listed bool
 	// reaches are the ways to shards that this instance may take over; asked counts the askings.
-	reaches map[shard.Name]*reach
+	reaches map[shard.Name]*succession.Reach
 	asked   int
 	// leadersChanged is set once the own instance has taken a shard or left one, or the shards have changed: the next tick
 	// tells the desk.
@@ -145,7 +145,7 @@
 		services: map[string]bool{}, domains: domainlist.New(prm.Settings.FailureDomains),
 		callers: map[submission.Call]chan submission.Answer{},
 		passed:  map[shard.InstanceID]time.Time{},
-		reaches: map[shard.Name]*reach{}, openWith: map[shard.InstanceID]bool{},
+		reaches: map[shard.Name]*succession.Reach{}, openWith: map[shard.InstanceID]bool{},
 		follower:      serverlist.NewFollower(serverlist.DefaultConfig(prm.Settings.Instance), prm.Now()),
 		serversWanted: make(chan struct{}, 1),
 		joined:        make(chan struct{}), configured: make(chan struct{}),
--- /dev/null
+++ b/internal/process/daemon/reach_story_test.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestCutOffDomainKeepsItsLeader guards against an instance outside that takes a shard of a failure domain over which is cut off, by
+// answers of its servers from an earlier time without a leader.
+func TestCutOffDomainKeepsItsLeader(t *testing.T) {
+	for back := 500 * time.Millisecond; back <= 2500*time.Millisecond; back += 50 * time.Millisecond {
+		t.Run(fmt.Sprint("its instance is back after ", back), func(t *testing.T) {
+			inWorld(t, 3, 1, 3, func(wld *world) {
+				chk := is.NewRelaxed(t)
+				wld.powerOff("entry-2-1")
+				time.Sleep(back)
+				wld.startEntry("entry-2-1", "domain-2")
+				time.Sleep(5 * time.Second)
+				chk.Equal(wld.leader("domain-2"), "entry-2-1")
+				before := foreignTakeOvers(wld, "domain-2")
+				wld.cut("domain-2")
+				time.Sleep(5 * time.Second)
+				chk.Equal(foreignTakeOvers(wld, "domain-2"), before)
+			})
+		})
+	}
+}
+
+// foreignTakeOvers returns how often instances outside of a failure domain have taken a shard of it over.
+func foreignTakeOvers(wld *world, domain string) int {
+	num := 0
+	for line := range strings.Lines(wld.logged()) {
+		if strings.Contains(line, "taking the shard over") && strings.Contains(line, `"shard":"`+domain+`.`) &&
+			!strings.Contains(line, `"instance":"entry-`+strings.TrimPrefix(domain, "domain-")) {
+			num++
+		}
+	}
+	return num
+}
