Have orders that follow carry for how long their former leader may run them

What callers would see: a task runs twice, for up to half a second.

Cause: a leader that can't ask all servers gives an order that followed back after 850 ms, as its owner had missed the former leader four beats before. An owner also follows while the former leader is heard (a newer token), is heard and gives no receipts, or hears this instance, one way: then the chain of leases counts from now, 1,242 ms. "The owner has missed it" was taken for true of all orders that follow.

Change: the owner, which knows when the former leader's work is surely over (Desk's limbo, or Proof from now on), says so in the order (RunsFor); the leader waits for no less. Why this works: it is the time after which the owner itself would start the task elsewhere. What it costs: an order whose servers can't all be asked comes back 1.27 s after its leader was missed in place of 0.85; where all answer, nothing.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -129,7 +129,8 @@
 		AgeMicros: now.Sub(ord.Arrived).Microseconds(), AimMicros: ord.Aim.Sub(now).Microseconds(), UsefulMicros: ord.Useful.Sub(now).Microseconds(),
 		ExpectedMicros: ord.Expected.Microseconds(),
 		Label:          ord.Label, Rack: ord.Rack, PerServer: int64(ord.PerServer), Step: ord.Step,
-		Bounce: ord.Bounce, Recall: ord.Recall, Followed: ord.Followed, At: string(ord.At), JobBegun: ord.JobBegun,
+		Bounce: ord.Bounce, Recall: ord.Recall, Followed: ord.Followed, At: string(ord.At), RunsMicros: ord.RunsFor.Microseconds(),
+		JobBegun: ord.JobBegun,
 	}
 	for _, id := range ord.Avoid {
 		wir.Avoid = append(wir.Avoid, string(id))
@@ -177,6 +178,7 @@
 		Expected: micros(wir.GetExpectedMicros()), Label: wir.GetLabel(), Rack: wir.GetRack(),
 		PerServer: int(wir.GetPerServer()), Step: wir.GetStep(),
 		Bounce: wir.GetBounce(), Recall: wir.GetRecall(), Followed: wir.GetFollowed(), JobBegun: wir.GetJobBegun(), At: shard.ServerID(wir.GetAt()),
+		RunsFor: micros(wir.GetRunsMicros()),
 	}
 	for _, id := range wir.GetAvoid() {
 		ord.Avoid = append(ord.Avoid, shard.ServerID(id))
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -71,8 +71,7 @@
 	StopRetry time.Duration
 	// StopPatience is how long a stop may stay without an answer before its server's lease is left to lapse.
 	StopPatience time.Duration
-	// Doubt is how long a task of a former leader may still run that was not found: its owner missed that leader after
-	// four beats, and the rest of the chain of leases follows.
+	// Doubt is the least time for which a task of a former leader may still run that was not found; its owner may know of more.
 	Doubt time.Duration
 	// OwnerSilence is how long after its owner was last heard an order may start: no longer than until the owner is missed, as
 	// it starts the task elsewhere some time after that.
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -156,7 +156,7 @@
 	ldr.orders[req.Task] = ord
 	if !ldr.adopt(now, ord) {
 		if req.Followed && !ldr.runsNowhere(ord) {
-			ord.notBefore = now.Add(ldr.cfg.Doubt)
+			ord.notBefore = now.Add(max(ldr.cfg.Doubt, req.RunsFor))
 			ldr.hurryProof(now, ord)
 		}
 		ldr.que.push(ord)
--- a/internal/request/shard/words.go
+++ b/internal/request/shard/words.go
@@ -123,9 +123,11 @@
 	// Followed says that the order lay with an earlier leader of the shard, which may have started it. It has no payload:
 	// most such tasks run, and after the loss of a leader the payloads of all others would fill links for long enough
 	// that the next leader is missed. One that runs nowhere goes back to its owner, which orders it anew. At is the server
-	// where it last ran, if its owner has heard of that.
+	// where it last ran, if its owner has heard of that. RunsFor is for how long another leader may still run it, from when the
+	// order comes.
 	Followed bool
 	At       ServerID
+	RunsFor  time.Duration
 	// JobBegun orders are of a job of which another task may have begun: they are kept however long they wait, and go before
 	// others, as all that was done for the job would be lost.
 	JobBegun bool
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -182,9 +182,19 @@
 		// the task ran elsewhere. Where its servers obey the new leader, the withdrawal ends nothing.
 		dsk.do(Withdraw{Target: tsk.target(), Task: tsk.name})
 	}
+	rns := dsk.runsFor(tsk)
 	tsk.leader, tsk.token, tsk.limbo, tsk.begun, tsk.queued = viw.leader, viw.token, time.Time{}, false, false
 	tsk.followed = true
-	dsk.send(tsk, shard.Order{Followed: true, At: tsk.server})
+	dsk.send(tsk, shard.Order{Followed: true, At: tsk.server, RunsFor: rns})
+}
+
+// runsFor returns for how long the former leader may still run a task that is about to follow to the next one. A leader that is heard may
+// miss this instance any moment; what it does until then counts, too.
+func (dsk *Desk) runsFor(tsk *task) time.Duration {
+	if tsk.limbo.IsZero() {
+		return dsk.cfg.Proof
+	}
+	return max(0, tsk.limbo.Sub(dsk.now))
 }
 
 func (dsk *Desk) inOrder() []*job {
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -303,7 +303,7 @@
 		Arrived: jb.arrived, Aim: jb.aim, Useful: jb.useful,
 		Expected: stp.Expected, Label: stp.Label, Rack: stp.Rack,
 		PerServer: stp.PerServer, Step: fmt.Sprintf("%s.%d", jb.sub.ID, tsk.step),
-		Avoid: slices.Clone(tsk.avoid), JobBegun: jb.begun, Bounce: how.Bounce, Followed: how.Followed, At: how.At,
+		Avoid: slices.Clone(tsk.avoid), JobBegun: jb.begun, Bounce: how.Bounce, Followed: how.Followed, At: how.At, RunsFor: how.RunsFor,
 	}})
 }
 
