Take the first read of the list for whole only with another instance's word

What callers would see: a task runs at a server whose entry has lapsed, and once more elsewhere.

Cause: an instance that has just started counted its list as whole 2.5 s after its first read, as the platform has entries back 2 s after the store's return. A server that is cut off from the store lacks its entry for as long as the cut lasts, and is led by an instance that knew it before. Asked for a task that runs there, the fresh one said "nowhere" once all the servers that it knew had said so.

Change: serverlist.Census, pure. Each beat tells up to which offset of the list the sender knows every server that may live, if none lacks its entry; a list that was read no further is whole by that, and else after 30 s, for which a missing server counts. Why this works: a server that the first read lacked and that lives was known to somebody; an instance that has read as far and has known it tells no offset. What it costs: after the loss of all instances, for 30 s, an order that followed and is found nowhere comes back by time (1.3 s) and not by proof; with an older instance there it is whole with the first beat, 2.5 s sooner than before.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -37,7 +37,7 @@
 func encodeBeat(bet Beat) *meshpb.Beat {
 	msg := &meshpb.Beat{
 		Domain: bet.Domain, Processor: int64(bet.Processor * milli), Ready: bet.Ready, Leaving: bet.Leaving,
-		Version: bet.ConfigVersion, Round: bet.Round,
+		Version: bet.ConfigVersion, Round: bet.Round, ListedTo: bet.ListedTo,
 	}
 	for dom, dvn := range bet.Divisions {
 		msg.Divisions = append(msg.Divisions, &meshpb.Division{Domain: dom, Count: int64(dvn.Count), Stamp: dvn.Stamp})
@@ -60,7 +60,7 @@
 		Domain: msg.GetDomain(), Processor: float64(msg.GetProcessor()) / milli, Ready: msg.GetReady(),
 		Leaving: msg.GetLeaving(), ConfigVersion: msg.GetVersion(), Round: msg.GetRound(),
 		Divisions: make(map[string]shard.Division, len(msg.GetDivisions())),
-		Domains:   domainlist.View{End: domainlist.Unread},
+		Domains:   domainlist.View{End: domainlist.Unread}, ListedTo: msg.GetListedTo(),
 	}
 	if cld := msg.GetClosedDomains(); cld != nil {
 		bet.Domains = domainlist.View{End: cld.GetEnd(), Closed: cld.GetNames()}
--- a/internal/connection/mesh/words.go
+++ b/internal/connection/mesh/words.go
@@ -30,6 +30,9 @@
 	Divisions map[string]shard.Division
 	// Domains is what the instance knows of closed failure domains.
 	Domains domainlist.View
+	// ListedTo is the offset of the list of backend servers up to which the instance knows all that may live, and none of them lacks
+	// its entry; 0 if it can't tell.
+	ListedTo int64
 }
 
 // Message is something that one instance has for another: Order, Withdrawal, Report, Configuration or Missed.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -89,20 +89,21 @@
 	divisions succession.Divisions
 	entries   map[shard.ServerID]shard.ServerEntry
 	// missing are servers whose entries went away while they were not leaving. The last read of the list began at
-	// listReadAt; from wholeAt on it has every server that lives. follower is the place in the list, listChanges what was last read
-	// of it and is not logged yet; serversWanted asks for a read at once.
+	// listReadAt; census tells whether it has every server that lives. follower is the place in the list, listChanges what was last
+	// read of it and is not logged yet; serversWanted asks for a read at once.
 	missing map[shard.ServerID]missingServer
 	// domains is what is known of closed failure domains; refusedClosings were logged of those that it did not believe.
 	domains         *domainlist.List
 	refusedClosings int64
 	// services are those that a configuration has ever named here: servers of others are not spoken to.
-	services            map[string]bool
-	listReadAt, wholeAt time.Time
-	follower            *serverlist.Follower
-	listChanges         listed
-	serversWanted       chan struct{}
-	callers             map[submission.Call]chan submission.Answer
-	lastCal             submission.Call
+	services      map[string]bool
+	listReadAt    time.Time
+	census        *serverlist.Census
+	follower      *serverlist.Follower
+	listChanges   listed
+	serversWanted chan struct{}
+	callers       map[submission.Call]chan submission.Answer
+	lastCal       submission.Call
 	// suspended is how long the machine had stood still when it was last looked at.
 	suspended time.Duration
 	// sharedAt is when the own shards' loads were told to the desk.
@@ -147,6 +148,7 @@
 		passed:  map[shard.InstanceID]time.Time{},
 		reaches: map[shard.Name]*succession.Reach{}, openWith: map[shard.InstanceID]bool{},
 		follower:      serverlist.NewFollower(serverlist.DefaultConfig(prm.Settings.Instance), prm.Now()),
+		census:        serverlist.NewCensus(serverlist.CensusConfig{Return: entriesReturn, Missing: missingFor}),
 		serversWanted: make(chan struct{}, 1),
 		joined:        make(chan struct{}), configured: make(chan struct{}),
 	}
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -22,6 +22,7 @@
 		bet.ConfigVersion = cfg.Version()
 	}
 	now := dmn.now()
+	bet.ListedTo = dmn.listedTo(now)
 	for name, ldr := range dmn.leaders {
 		// The room that has just come free goes with the report of the end that freed it; the next beat may be 400 ms away.
 		bet.Leads = append(bet.Leads, mesh.Lead{Shard: name, Token: ldr.Token(), Load: ldr.Load(now)})
@@ -45,6 +46,7 @@
 func (dmn *Daemon) hear(now time.Time, from shard.InstanceID, bet mesh.Beat) {
 	dmn.round = max(dmn.round, bet.Round)
 	dmn.mergeClosings(now, from, bet.Domains)
+	dmn.hearListed(now, from, bet.ListedTo)
 	if dmn.divisions.Merge(bet.Divisions) {
 		dmn.log.Info().Str("from", string(from)).Interface("divisions", bet.Divisions).Msg("division into shards changed")
 		dmn.redivide(now)
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -97,7 +97,7 @@
 	now := dmn.enter()
 	defer dmn.exit(now)
 	dmn.listReadAt = began
-	dmn.wholeAt = now.Add(entriesReturn)
+	dmn.census.ReadAll(now, next)
 	dmn.follower.ReadAll(next)
 	dmn.dropUnlisted(now, recs)
 	for _, rec := range recs {
@@ -113,6 +113,7 @@
 	now := dmn.enter()
 	defer dmn.exit(now)
 	dmn.listReadAt = began
+	dmn.census.Read(now)
 	known := dmn.follower.Read(from, next)
 	changed := false
 	for num, rec := range recs {
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -106,11 +106,35 @@
 	return true
 }
 
-// listing returns what is known of the servers of a shard. After a full read the list may be short for a while: entries
+// listedTo returns up to which offset of the list all servers that may live are known, and have their entries; 0 if that can't be told.
+func (dmn *Daemon) listedTo(now time.Time) int64 {
+	if !dmn.census.Whole(now) {
+		return 0
+	}
+	for _, mis := range dmn.missing {
+		if now.Sub(mis.since) <= missingFor {
+			return 0
+		}
+	}
+	return max(0, dmn.follower.Next())
+}
+
+// hearListed takes in up to which offset of the list another instance knows all servers that may live.
+func (dmn *Daemon) hearListed(now time.Time, from shard.InstanceID, to int64) {
+	if !dmn.census.Told(now, to) {
+		return
+	}
+	dmn.log.Info().Str("from", string(from)).Int64("offset", to).Msg("the list of backend servers is whole")
+	if dmn.anyListShort() {
+		dmn.wantServers() // Its leaders took their shards over after the last read, or without knowing.
+	}
+}
+
+// listing returns what is known of the servers of a shard. After the first read the list may be short for a while: entries
 // that lapsed are not in it, and the store may just have come back. What goes from the list later is kept as missing.
 func (dmn *Daemon) listing(now time.Time, shd succession.Shard) shard.Listing {
 	lst := shard.Listing{Listed: dmn.divided[shd], All: dmn.entries}
-	if !now.Before(dmn.wholeAt) {
+	if dmn.census.Whole(now) {
 		lst.ReadAt = dmn.listReadAt
 	}
 	for _, mis := range dmn.missing {
--- a/internal/process/succession/explore_mesh_test.go
+++ b/internal/process/succession/explore_mesh_test.go
@@ -32,7 +32,9 @@
 type fakeBeat struct {
 	ins   Instance
 	round int64
-	loads map[shard.Name]shard.Load
+	// listedTo is the offset up to which the node knows all servers that may live.
+	listedTo int64
+	loads    map[shard.Name]shard.Load
 }
 
 type fakeBatch struct {
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -10,6 +10,7 @@
 
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
+	"chestnutstack/internal/version/serverlist"
 )
 
 // node is an entry instance without sockets: its desk, its council and the shards that it leads, joined as package daemon joins them.
@@ -34,12 +35,15 @@
 	sessions                            map[string]*session
 	entries                             map[shard.ServerID]shard.ServerEntry
 	missing                             map[shard.ServerID]shard.ServerEntry
-	listReadAt, wholeAt                 time.Time
-	local                               []func()
-	calls                               map[submission.Call]*attempt
-	openWith                            map[shard.InstanceID]bool
-	reaches                             map[shard.Name]*Reach
-	leadersChanged                      bool
+	listReadAt                          time.Time
+	census                              *serverlist.Census
+	// listedTo is the offset of the last read of the list.
+	listedTo       int64
+	local          []func()
+	calls          map[submission.Call]*attempt
+	openWith       map[shard.InstanceID]bool
+	reaches        map[shard.Name]*Reach
+	leadersChanged bool
 }
 
 type (
@@ -69,6 +73,7 @@
 	proof        = 1300 * time.Millisecond
 	starvedFor   = 500 * time.Millisecond
 	entryReturn  = 2500 * time.Millisecond
+	missingFor   = 30 * time.Second
 )
 
 // startNode starts the next life of an instance.
@@ -79,7 +84,7 @@
 		inbox: map[string][]func(){}, ldrs: map[shard.Name]*shard.Leader{}, upl: shard.NewUplink(0),
 		sessions: map[string]*session{}, calls: map[submission.Call]*attempt{}, openWith: map[shard.InstanceID]bool{},
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]shard.ServerEntry{}, reaches: map[shard.Name]*Reach{},
-		checked: ply.now,
+		checked: ply.now, census: serverlist.NewCensus(serverlist.CensusConfig{Return: entryReturn, Missing: missingFor}),
 	}
 	nod.dsk = submission.NewDesk(submission.Config{
 		Self: nod.id, Domain: domain, Proof: proof, RetryAfter: time.Second, Vacancy: 1500 * time.Millisecond, Link: nod.upl,
@@ -181,7 +186,7 @@
 }
 
 func (nod *node) beat() fakeBeat {
-	bet := fakeBeat{round: nod.round, loads: map[shard.Name]shard.Load{}, ins: Instance{
+	bet := fakeBeat{round: nod.round, listedTo: nod.wholeTo(), loads: map[shard.Name]shard.Load{}, ins: Instance{
 		ID: nod.id, Domain: nod.domain, Processor: 0.4, Ready: nod.cnc.Ready(), Leaving: nod.leaving, Leads: map[shard.Name]int64{},
 	}}
 	for _, name := range sortedKeys(nod.ldrs) {
@@ -191,12 +196,21 @@
 	return bet
 }
 
+// wholeTo returns up to which offset of the list all servers that may live are known, and listed.
+func (nod *node) wholeTo() int64 {
+	if !nod.census.Whole(nod.ply.now) || len(nod.missing) > 0 {
+		return 0
+	}
+	return nod.listedTo
+}
+
 func (nod *node) heard(from shard.InstanceID, at time.Time, bet fakeBeat, msgs []any) {
 	nod.run(func(now time.Time) {
 		for _, name := range sortedKeys(nod.ldrs) {
 			nod.ldrs[name].OwnerHeard(from, at)
 		}
 		nod.round = max(nod.round, bet.round)
+		nod.census.Told(now, bet.listedTo)
 		if _, changed := nod.cnc.Heard(bet.ins); changed {
 			nod.leaveWeaker()
 			nod.updateLeaders()
@@ -431,20 +445,23 @@
 		return
 	}
 	began := ply.now
-	listed := maps.Clone(ply.listed)
+	listed, offset := maps.Clone(ply.listed), ply.offset
 	ply.after(ply.delay(), func() {
-		nod.deliver("list", func() { nod.run(func(now time.Time) { nod.takeList(now, began, listed) }) })
+		nod.deliver("list", func() { nod.run(func(now time.Time) { nod.takeList(now, began, listed, offset) }) })
 	})
 }
 
-func (nod *node) takeList(now, began time.Time, listed map[shard.ServerID]bool) {
+func (nod *node) takeList(now, began time.Time, listed map[shard.ServerID]bool, offset int64) {
 	if began.Before(nod.listReadAt) {
 		return
 	}
-	if nod.listReadAt.IsZero() && nod.ply.now.Sub(nod.ply.began) > warmUp {
-		nod.wholeAt = now.Add(entryReturn)
+	if nod.listReadAt.IsZero() {
+		nod.census.ReadAll(now, offset)
+	}
+	if now.Sub(nod.ply.began) < warmUp {
+		nod.census.Told(now, offset) // The system had been at work for long when the play began.
 	}
-	nod.listReadAt = began
+	nod.listReadAt, nod.listedTo = began, offset
 	for _, srv := range nod.ply.servers {
 		if ent, was := nod.entries[srv.id]; was && !listed[srv.id] {
 			delete(nod.entries, srv.id)
@@ -467,7 +484,7 @@
 			continue
 		}
 		lst := shard.Listing{Listed: ents, All: nod.entries}
-		if !now.Before(nod.wholeAt) {
+		if nod.census.Whole(now) {
 			lst.ReadAt = nod.listReadAt
 		}
 		for _, id := range sortedKeys(nod.missing) {
--- a/internal/process/succession/explore_test.go
+++ b/internal/process/succession/explore_test.go
@@ -23,7 +23,7 @@
 )
 
 // explored are seeds that broke a promise while a proof was wrong.
-var explored = []uint64{1538, 2202, 6459, 12899}
+var explored = []uint64{1538, 2202, 6459, 12899, 21314, 34062}
 
 // TestExploreOrders guards against tasks that run twice, servers over their capacity and false "not run": it draws orders of deliveries,
 // losses, stalls, lapses, ends and take-overs over pure leaders and desks.
@@ -68,8 +68,9 @@
 	names      []string
 	nodes      map[string]*node
 	servers    []*fakeServer
-	// listed are the servers with entries in the store.
+	// listed are the servers with entries in the store, offset counts their changes.
 	listed map[shard.ServerID]bool
+	offset int64
 	// shut is until when a way is cut.
 	shut   map[[2]string]time.Time
 	jobs   []*callerJob
@@ -194,7 +195,7 @@
 			running: map[string]*fakeRun{}, highest: map[string]int64{},
 		}
 		ply.servers = append(ply.servers, srv)
-		ply.listed[srv.id] = true
+		ply.list(srv, true)
 	}
 	for num, dom := range nodes {
 		ply.startNode(ply.names[num], dom)
@@ -324,11 +325,16 @@
 			continue
 		}
 		ply.note("entry of %s lapses for %v", srv.id, dur)
-		ply.listed[srv.id] = false
-		ply.after(dur+ply.within(400*time.Millisecond), func() { ply.listed[srv.id] = true })
+		ply.list(srv, false)
+		ply.after(dur+ply.within(400*time.Millisecond), func() { ply.list(srv, true) })
 	}
 }
 
+func (ply *play) list(srv *fakeServer, there bool) {
+	ply.offset++
+	ply.listed[srv.id] = there
+}
+
 // end ends a process by a kill, a loss of power or a planned stop, and starts its next life.
 func (ply *play) end(nod *node, dur time.Duration) {
 	if nod.dead || nod.leaving {
