Have seeds add themselves to the list that they pass on

What callers saw: an entry instance that started in an outage of the platform answered not-run for as long as it lasted (TestSessions/start-in-outage, red beside load).

Cause: the seed's last list is from before its own announcement, so that the instance which asks it learns of servers and of no peer, and has no catalogue; it did not ask again, as its list was not empty. Evidence: the view's line (entries 1, backend-servers 1); TestSeedIsNotInItsOwnList takes the seed off the list before the outage: unknown-catalogue-entry before, done after.

Change: PoolList adds the peer itself; an instance that has never read the platform's list asks all seeds with each failed read and takes the list with most others. A first try that took any non-empty list made TestSessions/entry-starts-in-outage red: the instance was its own first seed. A list that has nobody else is not taken, or it would hold every unit of the limits.

--- a/internal/process/entry/answer_peers.go
+++ b/internal/process/entry/answer_peers.go
@@ -114,7 +114,7 @@
 
 // PoolList implements peer.Handler.
 func (hdl peerHandler) PoolList(context.Context) ([]member.Instance, error) {
-	return hdl.ins.view.lastList(), nil
+	return hdl.ins.view.poolList(), nil
 }
 
 // BorrowUnits implements peer.Handler.
--- a/internal/process/entry/session_outages_test.go
+++ b/internal/process/entry/session_outages_test.go
@@ -1,8 +1,12 @@
 package entry_test
 
 import (
+	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/request/callerpb"
 	"chestnutstack/internal/version/platformpb"
 )
 
@@ -78,3 +82,20 @@
 	wld.report(thumbnails("entry-1", "deck-3", 8))
 	wld.report(order("entry-1", "van-1"))
 }
+
+// TestSeedIsNotInItsOwnList guards against an instance that starts in an outage and stays alone: the list that it gets from its seed was read
+// before the platform listed the seed.
+func TestSeedIsNotInItsOwnList(t *testing.T) {
+	inWorld(t, shape{entries: 1, domains: 1, servers: 1, slots: 4}, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		chk.NoErr(wld.plt.PutInstance(&platformpb.Instance{Id: "entry-1"}, true))
+		time.Sleep(10 * time.Second)
+		wld.faultPlatform(&platformpb.Faults{Refuse: true})
+		wld.startUnlisted("entry-2", "domain-1")
+		time.Sleep(5 * time.Second)
+		res := wld.submit(quotation("entry-2", "quote-1"))
+		chk.NoErr(res.err)
+		chk.Equal(res.answer.GetVerdict(), callerpb.Verdict_VERDICT_DONE)
+		wld.faultPlatform(&platformpb.Faults{})
+	})
+}
--- a/internal/process/entry/view.go
+++ b/internal/process/entry/view.go
@@ -18,14 +18,6 @@
 	"chestnutstack/internal/version/platform"
 )
 
-const (
-	// listInterval is how often the platform's list is read. Each read is two wasted messages, and
-	// what is urgent arrives by heartbeats and by direct evidence.
-	listInterval = 4 * time.Second
-	// listRetry is the pause after a read that failed, or that came before there was a view.
-	listRetry = time.Second
-)
-
 // view keeps the tracker of members fed, and tells dispatch, limits and the session pool of changes.
 type view struct {
 	ins *Instance
@@ -34,10 +26,14 @@
 	mu      sync.Mutex
 	trk     *member.Tracker
 	current *member.View
-	// last is the list as it was last read, for peers that start while the platform is out of reach.
-	last  []member.Instance
-	peers map[dispatch.PeerID]member.Peer
-	wake  chan struct{}
+	// self is what the platform's list is to say of this instance.
+	self member.Instance
+	// last is the list as it was last read, for peers that start while the platform is out of reach; fromPlatform is set once it was
+	// read there, and not only had from peers.
+	last         []member.Instance
+	fromPlatform bool
+	peers        map[dispatch.PeerID]member.Peer
+	wake         chan struct{}
 
 	// addrMu is a leaf: a decision asks for an address while it holds its own lock.
 	addrMu    sync.Mutex
@@ -57,6 +53,7 @@
 	return &view{
 		ins:   ins,
 		lst:   lst,
+		self:  self,
 		trk:   member.New(member.DefaultConfig(), self, rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+2))),
 		peers: make(map[dispatch.PeerID]member.Peer),
 		wake:  make(chan struct{}, 1),
@@ -202,93 +199,6 @@
 	return max(time.Millisecond, next.Sub(vie.ins.now()))
 }
 
-// runList reads the platform's list again and again; the pauses differ between instances, so that
-// they don't all ask at once when the platform is back.
-func (vie *view) runList(ctx context.Context) error {
-	rnd := rand.New(rand.NewPCG(vie.ins.cfg.Seed, vie.ins.cfg.Seed+3))
-	for ctx.Err() == nil {
-		pause := listRetry
-		if vie.readList(ctx) {
-			pause = listInterval
-		}
-		sleep(ctx, pause/2+time.Duration(rnd.Int64N(int64(pause))))
-	}
-	return nil
-}
-
-// readList reads the list once and reports whether that was enough for a while.
-func (vie *view) readList(ctx context.Context) bool {
-	vie.ins.metrics.Count(metrics.List, 2)
-	raw, err := vie.lst.Instances(ctx)
-	if err == nil {
-		vie.listed(toMembers(raw))
-		return len(raw) > 0
-	}
-	vie.ins.log.Warn().Err(err).Msg("list of instances not read")
-	vie.note(func(now time.Time, trk *member.Tracker) { trk.ListFailed(now) })
-	if lst := vie.askSeeds(ctx); lst != nil {
-		vie.listed(lst)
-	}
-	return false
-}
-
-func (vie *view) listed(lst []member.Instance) {
-	vie.mu.Lock()
-	vie.last = lst
-	vie.mu.Unlock()
-	vie.note(func(now time.Time, trk *member.Tracker) { trk.ListRead(now, lst) })
-}
-
-// askSeeds asks peers for the list that they last read. Only an instance that knows nothing yet does:
-// it started while the platform was out of reach, and would serve nobody until the platform is back.
-func (vie *view) askSeeds(ctx context.Context) []member.Instance {
-	if len(vie.lastList()) > 0 {
-		return nil
-	}
-	for _, adr := range vie.ins.cfg.SeedPeers {
-		lst, err := vie.ins.peers.PoolList(ctx, peer.Target{Address: adr})
-		if err == nil && len(lst) > 0 {
-			return lst
-		}
-	}
-	return nil
-}
-
-func (vie *view) lastList() []member.Instance {
-	vie.mu.Lock()
-	defer vie.mu.Unlock()
-	return vie.last
-}
-
-func toMembers(lst []platform.Instance) []member.Instance {
-	out := make([]member.Instance, 0, len(lst))
-	for _, ent := range lst {
-		mem := member.Instance{
-			ID:            ent.ID,
-			Incarnation:   ent.Incarnation,
-			Kind:          member.KindServer,
-			Address:       ent.Address,
-			PeerAddress:   ent.PeerAddress,
-			FailureDomain: ent.FailureDomain,
-			Rack:          ent.Rack,
-			Worker:        ent.Worker,
-			Leaving:       ent.Leaving,
-			Slots:         ent.Slots,
-			Capacity:      ent.Capacity,
-		}
-		switch ent.Kind {
-		case platform.KindEntry:
-			mem.Kind = member.KindEntry
-		case platform.KindBackendServer:
-		default:
-			// A kind that a later platform may have is nothing that this version can use.
-			continue
-		}
-		out = append(out, mem)
-	}
-	return out
-}
-
 // leave tells the peers, which stop lending to this instance and take over its homes.
 func (vie *view) leave() {
 	vie.note(func(now time.Time, trk *member.Tracker) { trk.Leave(now) })
--- a/internal/process/entry/world_test.go
+++ b/internal/process/entry/world_test.go
@@ -137,7 +137,10 @@
 	}
 }
 
-func (wld *world) startEntry(id, domain string) {
+func (wld *world) startEntry(id, domain string) { wld.list(wld.startUnlisted(id, domain)) }
+
+// startUnlisted starts an entry instance and returns what is to be listed of it.
+func (wld *world) startUnlisted(id, domain string) *platformpb.Instance {
 	var toks []catalogue.Token
 	for par, tok := range wld.tokens {
 		toks = append(toks, catalogue.Token{
@@ -153,7 +156,6 @@
 	}
 	plt := platform.New(http2.NewClient(nil, wld.net.Dialer(id)), "http://platform:1", 5*time.Second)
 	ins := entry.New(cfg, plt, zerolog.Nop())
-	wld.list(entry.Listed(cfg))
 	ctx, stop := context.WithCancel(wld.ctx)
 	prc := &process{stop: stop, done: make(chan struct{})}
 	wld.entries[id] = prc
@@ -161,6 +163,7 @@
 		defer close(prc.done)
 		return ins.Run(ctx)
 	})
+	return entry.Listed(cfg)
 }
 
 // kill ends an entry instance as a crash does: every connection closes at once, and nothing that it
