Have an instance leave a foreign shard whose servers obey it no more

Cause: an instance outside had taken the shard over, whatever made it do so, and claimed it for as long as the cut lasted with a newer token, though no server had heard of that token. At the end of the cut the token decides: the leader inside leaves, owners follow, leases lapse.

Change: a leader in another failure domain than its servers' leaves once none of them has shown for 2 s that it obeys (idle ones are looked at each second). To take the shard again it has to be answered for 0.3 s, as always. Why this works: what a cut hides is led from inside; whoever sees none of it has nothing to lead. Leaders of the same failure domain stay: nobody has a better way to the servers, and shards whose servers all crash must have a leader when they are back. Open: within its 2 s the outsider's claim still wins; owners go by the token alone.

--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -111,6 +111,7 @@
 		}
 	}
 	dmn.leaveWeaker(now)
+	dmn.leaveDisobeyed(now)
 	for _, shd := range dmn.council.Decide(now) {
 		if shd.Domain == dmn.prm.Settings.FailureDomain || dmn.reachable(now, shd) {
 			dmn.takeOver(now, shd.Name)
@@ -139,6 +140,18 @@
 	dmn.carryOut(now)
 }
 
+// leaveDisobeyed leaves the shards of other failure domains whose servers all have stopped answering, or never did. They are cut off, and
+// more likely led by their own instances, which would follow this one's newer token at the end of the cut.
+func (dmn *Daemon) leaveDisobeyed(now time.Time) {
+	for shd := range dmn.divided {
+		ldr := dmn.leaders[shd.Name]
+		if shd.Domain != dmn.prm.Settings.FailureDomain && ldr != nil && ldr.Disobeyed(now) {
+			dmn.abandon(now, shd.Name, false)
+		}
+	}
+	dmn.carryOut(now)
+}
+
 // logHeldUp tells how long the process came to nothing: whether it, or another one, was short of processor is what
 // explains most of what it missed.
 func (dmn *Daemon) logHeldUp(pause time.Duration) {
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -329,6 +329,11 @@
 		nod.nudge()
 	}
 	nod.leaveWeaker()
+	for _, shd := range Sorted(nod.shards()) {
+		if ldr := nod.ldrs[shd.Name]; ldr != nil && shd.Domain != nod.domain && ldr.Disobeyed(now) {
+			nod.abandon(shd.Name, false)
+		}
+	}
 	for _, shd := range nod.cnc.Decide(now) {
 		if shd.Domain == nod.domain || nod.reachable(now, shd) {
 			nod.takeOver(now, shd.Name)
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -73,6 +73,8 @@
 	StopPatience time.Duration
 	// Doubt is the least time for which a task of a former leader may still run that was not found; its owner may know of more.
 	Doubt time.Duration
+	// ObeyPatience is for how long no server may show that it obeys the leader; an idle one is looked at once a second.
+	ObeyPatience time.Duration
 	// OwnerSilence is how long after its owner was last heard an order may start: no longer than until the owner is missed, as
 	// it starts the task elsewhere some time after that.
 	OwnerSilence time.Duration
@@ -95,6 +97,7 @@
 		StopRetry:     20 * time.Millisecond,
 		StopPatience:  100 * time.Millisecond,
 		Doubt:         850 * time.Millisecond,
+		ObeyPatience:  2 * time.Second,
 		OwnerSilence:  450 * time.Millisecond,
 		Stall:         350 * time.Millisecond,
 		Quarantine:    time.Second,
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -182,7 +182,7 @@
 	first := srv.state == claiming
 	srv.state = held
 	srv.doubts = 0
-	srv.obeyedAt = sent
+	srv.obeyedAt, ldr.obeyedAt = sent, now
 	srv.setClock(now, look.Clock)
 	for _, end := range look.Ended {
 		if end.Seq > srv.seen {
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -45,6 +45,8 @@
 	loss float64
 	// lost counts the servers that obey another leader.
 	lost int
+	// obeyedAt is when a server last showed that it obeys this leader, or the take-over.
+	obeyedAt time.Time
 }
 
 type foundEnd struct {
@@ -55,7 +57,7 @@
 // NewLeader returns the leader of a shard that was taken over with a fencing token; link is the instance's.
 func NewLeader(cfg Config, link *Uplink, name Name, token int64, now time.Time) *Leader {
 	return &Leader{
-		cfg: cfg, link: link, name: name, token: token, since: now,
+		cfg: cfg, link: link, name: name, token: token, since: now, obeyedAt: now,
 		servers: map[ServerID]*server{}, orders: map[string]*order{}, ends: map[string]foundEnd{},
 		heard: map[InstanceID]time.Time{},
 		steps: map[string]*siblings{}, meanRun: firstRun, stepsAt: now,
@@ -81,6 +83,9 @@
 // Lost returns how many servers the leader has lost to another one.
 func (ldr *Leader) Lost() int { return ldr.lost }
 
+// Disobeyed reports whether no server has obeyed the leader for a while.
+func (ldr *Leader) Disobeyed(now time.Time) bool { return now.Sub(ldr.obeyedAt) > ldr.cfg.ObeyPatience }
+
 // take returns the actions that have gathered.
 func (ldr *Leader) take() []Action {
 	acts := ldr.acts
