Don't blame servers for the time in which their leader stood still

Cause: a leader that got no processor for over 350 ms took each of its runs for one that stands still, stopped them, and closed the servers of two such jobs for a second ("server fails what it runs"). The pause also counted as run time: four runs raised the mean from 200 to 534 ms, by which owners refuse.

Change: standing still is what a server says by a look that was sent well after the last progress. Runs beside a pause of half a second are not timed. Why this works: a look's answer is evidence of its server whenever it is read; the clock alone is evidence of nobody. What it costs: a task that stands still is found by the second look after its last progress, some 50 ms later. Servers that leave looks without an answer are found by that, as before.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -295,7 +295,9 @@
 	switch end.How {
 	case EndedDone:
 		srv.succeeded()
-		ldr.noteRun(now.Sub(rn.sentAt))
+		if !rn.blurred {
+			ldr.noteRun(now.Sub(rn.sentAt))
+		}
 		ldr.observe(now, srv, rn, now.Sub(rn.sentAt))
 	case EndedFailed:
 		ldr.failed(now, srv, ord.submission())
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -304,7 +304,7 @@
 		if rn.state == ending && rn.stopped.IsZero() && !rn.stopping && !now.Before(rn.stopDue) {
 			ldr.sendStop(srv, rn)
 		}
-		if ldr.stalled(now, rn) {
+		if ldr.stalled(now, srv, rn) {
 			ldr.giveUp(now, srv, rn)
 		}
 	}
@@ -319,8 +319,13 @@
 	}
 }
 
-func (ldr *Leader) stalled(now time.Time, rn *run) bool {
-	return rn.state == running && rn.ord != nil && rn.percent < 100 && now.Sub(rn.progressAt) > ldr.cfg.Stall
+// stalled reports whether the progress of a run stands still. The server has to have said so since: a leader that got no processor, or no
+// answer, for a while has seen no progress either.
+func (ldr *Leader) stalled(now time.Time, srv *server, rn *run) bool {
+	if rn.state != running || rn.ord == nil || rn.percent >= percents || now.Sub(rn.progressAt) <= ldr.cfg.Stall {
+		return false
+	}
+	return srv.obeyedAt.Sub(rn.progressAt) > ldr.cfg.Stall-ldr.cfg.Wait
 }
 
 func (ldr *Leader) look(now time.Time, srv *server) {
--- a/internal/request/shard/owner.go
+++ b/internal/request/shard/owner.go
@@ -15,7 +15,14 @@
 
 // HeldUp tells the leader that its process came to nothing for a while. Nothing starts until a time, so that the sockets are read
 // first: callers may have left, and owners may have said that they start tasks elsewhere.
-func (ldr *Leader) HeldUp(until time.Time) { ldr.quietUntil = until }
+func (ldr *Leader) HeldUp(until time.Time) {
+	ldr.quietUntil = until
+	for _, srv := range ldr.servers {
+		for _, rn := range srv.runs {
+			rn.timed, rn.blurred = true, true
+		}
+	}
+}
 
 // ownerThere reports whether an order's owner still waits for it, as far as can be known.
 func (ldr *Leader) ownerThere(now time.Time, ord *order) bool {
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -74,8 +74,8 @@
 	// stopAt is when the first stop was sent, stopDue when the next is; stopped when one was accepted.
 	stopAt, stopDue, stopped time.Time
 	stopping                 bool
-	// timed is set once the run has told of its server's speed.
-	timed bool
+	// timed is set once the run has told of its server's speed; blurred ones tell nothing of it, as their leader stood still meanwhile.
+	timed, blurred bool
 }
 
 type runState int
