--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -385,16 +385,6 @@
 // and the next still comes in time.
 const leaseRenewals = 3
 
-// token returns a fencing token that no other instance ever uses, higher than all it has heard of.
-func (dmn *Daemon) token() int64 {
-	dmn.round++
-	return dmn.round<<lifeBits | dmn.life&(1<<lifeBits-1)
-}
-
-// lifeBits is the part of a token that names its holder: a million lives of instances, and as many rounds
-// stay below the 53 bits that every JSON reader keeps.
-const lifeBits = 20
-
 func (dmn *Daemon) nextCall() submission.Call {
 	dmn.lastCal++
 	return dmn.lastCal
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -182,6 +182,16 @@
 	dmn.wantServers()
 }
 
+// token returns a fencing token that no other instance ever uses, higher than all it has heard of.
+func (dmn *Daemon) token() int64 {
+	dmn.round++
+	return dmn.round<<lifeBits | dmn.life&(1<<lifeBits-1)
+}
+
+// lifeBits is the part of a token that names its holder: a million lives of instances, and as many rounds
+// stay below the 53 bits that every JSON reader keeps.
+const lifeBits = 20
+
 // abandon gives a shard up.
 func (dmn *Daemon) abandon(now time.Time, name shard.Name, fenced bool) {
 	ldr := dmn.leaders[name]
