Don't tell callers to come back in hours while no server answers

Cause: a shard's turnover counts servers that answer; with none it is 0, and a queue divided by it makes 8,040 s and more. Owners refused by that number and told it; leaders gave waiting orders back by the same division.

Change: a shard whose servers don't answer says nothing of waits. While none answers at all, jobs wait for 1.5 s, as for a leader, then they are refused at once, as not run, with a second to wait. Why this works: 0 is no speed but the want of one; whoever knows another shard's speed goes by that one.

--- a/internal/process/daemon/pause_story_test.go
+++ b/internal/process/daemon/pause_story_test.go
@@ -33,3 +33,24 @@
 		})
 	}
 }
+
+// TestAllServersStandStill guards against callers that are refused, with hours to wait, as all backend servers have been held up for a second.
+func TestAllServersStandStill(t *testing.T) {
+	inWorld(t, 2, 1, 3, func(wld *world) {
+		chk := is.NewRelaxed(t)
+		for id := range wld.servers {
+			wld.net.Stall(id)
+		}
+		wld.grp.Go(func() error {
+			time.Sleep(1200 * time.Millisecond)
+			for id := range wld.servers {
+				wld.net.Resume(id)
+			}
+			return nil
+		})
+		snts := wld.load(1, 100*time.Millisecond, 3*time.Second)
+		// Answers are of use for 0.9 s: those of the jobs that came 0.7 s after the beginning, or later.
+		count(snts)
+		chk.Equal(count(snts[7:]), map[int]int{http.StatusOK: len(snts) - 7})
+	})
+}
--- a/internal/request/shard/hopeless.go
+++ b/internal/request/shard/hopeless.go
@@ -11,10 +11,10 @@
 // their time is over, two seconds later, could have gone elsewhere, and what the rest waits for is hidden behind them.
 // Orders of jobs of which a task has begun stay.
 func (ldr *Leader) giveBackHopeless(now time.Time) {
-	if len(ldr.que.orders) == 0 || now.Sub(ldr.since) < knownAfter {
-		return
+	all := ldr.turnover()
+	if len(ldr.que.orders) == 0 || now.Sub(ldr.since) < knownAfter || all == 0 {
+		return // How fast the queue goes is not known; while no server answers, it is not known either.
 	}
-	all := max(ldr.turnover(), 1)
 	ranked := ldr.ranked(now, func(*order) bool { return true })
 	ahead := 0.0
 	for rnk, ords := range ranked {
--- a/internal/request/shard/hopeless_test.go
+++ b/internal/request/shard/hopeless_test.go
@@ -81,3 +81,16 @@
 	dsk.look("s", Look{Ended: []End{{Seq: 1, Run: run}}})
 	chk.Equal(dsk.starts(), map[string]ServerID{"j2.0": "s"})
 }
+
+// TestNothingIsHopelessWhileNoServerAnswers guards against orders that are given back for a wait that nobody knows.
+func TestNothingIsHopelessWhileNoServerAnswers(t *testing.T) {
+	chk := is.New(t)
+	dsk := newDesk(t, listed("s", 32000))
+	dsk.pass(knownAfter)
+	for range leastDoubts {
+		dsk.lookFrom("s", dsk.now, Look{}, Unknown)
+	}
+	dsk.place(0, "j1.0", "j2.0", "j3.0")
+	dsk.pass(time.Second)
+	chk.Equal(dsk.reports(NotRun), 0)
+}
--- a/internal/request/submission/admit.go
+++ b/internal/request/submission/admit.go
@@ -28,6 +28,31 @@
 	leftOfNew = 0.4
 )
 
+// refusal says whether a submission can't be served, whatever happens next.
+//
+// A shard without a leader has one again within about half a second, after all instances have lost their power
+// too, and so have servers that were held up answered; callers wait for 1.5 s and more: their jobs wait for it here. An
+// instance that has known no leader for longer is cut off.
+func (dsk *Desk) refusal(now time.Time, jb *job) (Answer, bool) {
+	if dsk.closing {
+		return Answer{Result: NotRun, RetryAfter: dsk.cfg.RetryAfter, Reason: stops}, true
+	}
+	if jb.sub.Unsupported != "" {
+		return Answer{Result: NotRun, Reason: "unsupported: " + jb.sub.Unsupported}, true
+	}
+	if dsk.allClosed() {
+		return dsk.closedAnswer(jb), true
+	}
+	if dsk.anyServing() || now.Sub(dsk.servingAt) <= dsk.cfg.Vacancy {
+		return Answer{}, false
+	}
+	reason := "no shard that takes work has a leader"
+	if dsk.anyOpen() {
+		reason = "no backend server answers"
+	}
+	return Answer{Result: NotRun, RetryAfter: dsk.cfg.RetryAfter, Reason: reason}, true
+}
+
 // appraise notes until when a job's answer is of use.
 //
 // A caller waits for its route's timeout beyond the time in which the answer is of use to it, and tells how much of that is
@@ -75,7 +100,7 @@
 // admit decides on a new job; a refused one is told when to come back.
 func (dsk *Desk) admit(now time.Time, jb *job) (Answer, bool) {
 	adm := Admit{ID: jb.sub.ID, Work: jb.work(), Due: jb.aim.Sub(now), Useful: jb.useful.Sub(now)}
-	adm.Room = !dsk.anyOpen() || dsk.anyRoom(jb)
+	adm.Room = !dsk.anyServing() || dsk.anyRoom(jb)
 	adm.Refused = !adm.Room && !dsk.inUse(now, jb, &adm)
 	dsk.do(adm)
 	if !adm.Refused {
@@ -117,11 +142,11 @@
 	return false
 }
 
-// leastWait returns how long a job waits in the shortest queue.
+// leastWait returns how long a job waits in the shortest queue; one whose servers don't answer goes by nothing that is known.
 func (dsk *Desk) leastWait(rnk shard.Rank, jb *job) time.Duration {
 	least, found := time.Duration(0), false
 	for _, viw := range dsk.shards {
-		if !viw.open() {
+		if !viw.serving() {
 			continue
 		}
 		wat := viw.load.RoomWait(rnk, viw.sent) + dsk.cost(viw, jb)
@@ -136,10 +161,13 @@
 func (dsk *Desk) ownWait(jb *job) time.Duration {
 	var all shard.Load
 	for _, viw := range dsk.shards {
-		if viw.open() {
+		if viw.serving() {
 			all.Turnover += viw.load.Turnover
 		}
 	}
+	if all.Turnover == 0 {
+		return 0
+	}
 	stp := jb.sub.Steps[0]
 	return all.RoomWait(0, int64(stp.Count-1)*stp.Processor)
 }
--- a/internal/request/submission/admit_test.go
+++ b/internal/request/submission/admit_test.go
@@ -150,3 +150,39 @@
 		})
 	}
 }
+
+// TestNoServerAnswers guards against callers that are told to come back in hours: while no server of any shard answers, nothing is known of
+// how long their jobs would wait.
+func TestNoServerAnswers(t *testing.T) {
+	silent := shard.Load{Number: 9, LinkWindow: 1 << 20}
+	for rnk := range silent.Waits {
+		silent.Waits[rnk] = 2 * time.Hour // What its leader makes of a queue that does not go.
+	}
+	cases := map[string]struct {
+		// after is for how long it has been so.
+		after time.Duration
+		want  []string
+	}{
+		"since a moment ago": {after: 100 * time.Millisecond, want: []string{"place j.0.0.0 at self/1"}},
+		"for a second":       {after: time.Second, want: []string{"place j.0.0.0 at self/1"}},
+		"for two seconds":    {after: 2 * time.Second, want: []string{"reply 1 not-run"}},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			bch := newBench()
+			bch.lead("a.0", true, self, 1, 0)
+			bch.did(bch.dsk.Tick(bch.now))
+			bch.did(bch.dsk.SetLoad("a.0", silent))
+			bch.now = bch.now.Add(cse.after)
+			bch.did(bch.dsk.Tick(bch.now))
+			bch.call(1, "j", fresh)
+			for _, act := range bch.acts {
+				if rpl, ok := act.(Reply); ok {
+					chk.True(rpl.Answer.RetryAfter <= 2*time.Second)
+				}
+			}
+			chk.Equal(bch.take(), cse.want)
+		})
+	}
+}
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -29,6 +29,9 @@
 // open reports whether a shard takes new work, as far as is known here and to its leader.
 func (viw *view) open() bool { return viw.leader != "" && !viw.shut() }
 
+// serving reports whether a shard takes new work and has a server that answers, as far as is known here.
+func (viw *view) serving() bool { return viw.open() && viw.load.Turnover > 0 }
+
 // shut reports whether a shard's failure domain is closed to new work.
 func (viw *view) shut() bool { return viw.closed || viw.load.Closed }
 
@@ -130,6 +133,16 @@
 	return false
 }
 
+// anyServing reports whether a shard that takes new work has a server that answers.
+func (dsk *Desk) anyServing() bool {
+	for _, viw := range dsk.shards {
+		if viw.serving() {
+			return true
+		}
+	}
+	return false
+}
+
 // full notes that a shard has no room for what it was just sent.
 func (dsk *Desk) full(name shard.Name) {
 	if viw := dsk.shards[name]; viw != nil {
--- a/internal/request/submission/desk.go
+++ b/internal/request/submission/desk.go
@@ -90,8 +90,8 @@
 	closed map[string]bool
 	// usual is, by route, the share of calls that wait for the route's timeout or longer.
 	usual map[string]float64
-	// ledAt is when a shard was last known to have a leader, or the desk was made.
-	ledAt time.Time
+	// servingAt is when a shard was last known to have a leader and a server that answers, or the desk was made.
+	servingAt time.Time
 	// now is the time of the newest event that came with one, a tick's interval ago at most.
 	now time.Time
 	// heldBytes are those of tasks that wait for the link.
@@ -145,7 +145,7 @@
 // NewDesk returns a desk without submissions.
 func NewDesk(cfg Config, now time.Time) *Desk {
 	return &Desk{
-		cfg: cfg, ledAt: now, jobs: map[string]*job{}, calls: map[Call]*job{}, tasks: map[string]*task{},
+		cfg: cfg, servingAt: now, jobs: map[string]*job{}, calls: map[Call]*job{}, tasks: map[string]*task{},
 		shards: map[shard.Name]*view{}, usual: map[string]float64{},
 	}
 }
@@ -192,27 +192,6 @@
 	return dsk.take()
 }
 
-// refusal says whether a submission can't be served, whatever happens next.
-//
-// A shard without a leader has one again within about half a second, after all instances have lost their power
-// too, and callers wait for 1.5 s and more: their jobs wait for it here. An instance that has known no leader for
-// longer is cut off.
-func (dsk *Desk) refusal(now time.Time, jb *job) (Answer, bool) {
-	if dsk.closing {
-		return Answer{Result: NotRun, RetryAfter: dsk.cfg.RetryAfter, Reason: stops}, true
-	}
-	if jb.sub.Unsupported != "" {
-		return Answer{Result: NotRun, Reason: "unsupported: " + jb.sub.Unsupported}, true
-	}
-	if dsk.allClosed() {
-		return dsk.closedAnswer(jb), true
-	}
-	if !dsk.anyOpen() && now.Sub(dsk.ledAt) > dsk.cfg.Vacancy {
-		return Answer{Result: NotRun, RetryAfter: dsk.cfg.RetryAfter, Reason: "no shard that takes work has a leader"}, true
-	}
-	return Answer{}, false
-}
-
 func newJob(now time.Time, cal Call, sub Submission) *job {
 	jb := &job{sub: sub, calls: []Call{cal}, arrived: now, deadline: now.Add(sub.Patience)}
 	for num, stp := range sub.Steps {
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -44,8 +44,8 @@
 // Tick does what is due by time alone.
 func (dsk *Desk) Tick(now time.Time) []Action {
 	dsk.now = now
-	if dsk.anyOpen() {
-		dsk.ledAt = now
+	if dsk.anyServing() {
+		dsk.servingAt = now
 	}
 	dsk.resume()
 	dsk.refuseClosed()
