Play the outsider's story at eleven moments; say what the listed seeds still show

Cause: read again with each mechanism taken out of the last code. TestOutsiderThatNoServerObeys was red in 12 of 20 plays only: whether the leader inside is back before the leases lapse hangs on the moment. The listed seeds of TestExploreOrders show neither a leader without servers nor a short first read any more, put back one by one; the later mends play them otherwise. Reach, RunsFor and their tests are red at once.

Change: the story plays eleven moments, with the same checks: 8 to 11 red in each of four runs without the mechanism, none in three with it. The trace of a play is written for a red one only. Not done: seeds that show the two faults on the last code; eight searches of 95 s ended without a verdict.

--- a/internal/process/daemon/reach_story_test.go
+++ b/internal/process/daemon/reach_story_test.go
@@ -46,23 +46,31 @@
 // TestOutsiderThatNoServerObeys guards against tasks that are broken off at the end of a cut: an instance outside has taken the shard over, and
 // its newer token wins though none of the servers has heard of it.
 func TestOutsiderThatNoServerObeys(t *testing.T) {
-	inWorld(t, 3, 1, 3, func(wld *world) {
-		chk := is.NewRelaxed(t)
-		wld.cut("domain-2")
-		time.Sleep(time.Second)
-		dmn := wld.entries["entry-1-1"].dmn
-		now := dmn.enter()
-		dmn.takeOver(now, "domain-2.0")
-		dmn.exit(now)
-		time.Sleep(3 * time.Second)
-		snt := wld.sendAsync(wld.ctx, "entry-2-1", jobSpec{id: jobID(1), tasks: 4, payload: payload{Millis: 2000}})
-		time.Sleep(500 * time.Millisecond)
-		chk.Equal(wld.ldg.Running(), 4)
-		wld.heal()
-		<-snt.done
-		chk.Equal(snt.status, http.StatusOK)
-		for num := range 4 {
-			chk.Equal(wld.ldg.Starts(fmt.Sprintf("%s.0.0.%d", jobID(1), num)), 1)
-		}
-	})
+	for end := 200 * time.Millisecond; end <= 1200*time.Millisecond; end += 100 * time.Millisecond {
+		t.Run(fmt.Sprint("the cut ends after ", end), func(t *testing.T) {
+			inWorld(t, 3, 1, 3, func(wld *world) { outsiderLeads(t, wld, end) })
+		})
+	}
+}
+
+// outsiderLeads plays a cut that ends so long after the start of four tasks.
+func outsiderLeads(t *testing.T, wld *world, end time.Duration) {
+	t.Helper()
+	chk := is.NewRelaxed(t)
+	wld.cut("domain-2")
+	time.Sleep(time.Second)
+	dmn := wld.entries["entry-1-1"].dmn
+	now := dmn.enter()
+	dmn.takeOver(now, "domain-2.0")
+	dmn.exit(now)
+	time.Sleep(3 * time.Second)
+	snt := wld.sendAsync(wld.ctx, "entry-2-1", jobSpec{id: jobID(1), tasks: 4, payload: payload{Millis: 2000}})
+	time.Sleep(end)
+	chk.Equal(wld.ldg.Running(), 4)
+	wld.heal()
+	<-snt.done
+	chk.Equal(snt.status, http.StatusOK)
+	for num := range 4 {
+		chk.Equal(wld.ldg.Starts(fmt.Sprintf("%s.0.0.%d", jobID(1), num)), 1)
+	}
 }
--- a/internal/process/succession/explore_story_test.go
+++ b/internal/process/succession/explore_story_test.go
@@ -34,7 +34,7 @@
 			ply.cut(led, "s4b", 3*time.Second)
 			ply.runUntil(ply.now.Add(6 * time.Second))
 			chk.Equal(ply.broken, nil)
-			if testing.Verbose() {
+			if testing.Verbose() && len(ply.broken) > 0 {
 				ply.write(t)
 			}
 		})
--- a/internal/process/succession/explore_test.go
+++ b/internal/process/succession/explore_test.go
@@ -21,7 +21,7 @@
 	exploreSeeds = flag.Uint64("explore-seeds", 150, "number of seeds of TestExploreOrders")
 )
 
-// explored are seeds that broke a promise while a proof was wrong.
+// explored are seeds that have broken a promise.
 var explored = []uint64{1538, 2202, 6459, 12899, 21314, 34062}
 
 // TestExploreOrders guards against tasks that run twice, servers over their capacity and false "not run": it draws orders of deliveries,
