Keep an unanswered start counted until its stop is accepted

What callers could see: a task that runs twice at once, or a server above its capacity.

Cause: expireLeases queues the order of an unanswered start again and is to keep the run, as the server may still carry the start out. At its next call, one tick later, it dropped the kept run like any other. It also changed the map that it ranged over, so that the run could be dropped at once. When the server was reached again nothing stopped the run: the server got a lease, with which it runs the late start, and other tasks beside it.

Change: a run whose order was queued again stays until a stop of it is accepted, and is stopped from the expiry on, also if its start still waits for an answer. As long as that stop is overdue the server gets no lease.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -1,6 +1,10 @@
 package shard
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // HandleStartResult handles the result of a StartRun; clock is the server's clock, or 0 if it did not answer.
 func (ldr *Leader) HandleStartResult(now time.Time, id ServerID, rid RunID, res CallResult, clock time.Duration) []Action {
@@ -340,15 +344,22 @@
 }
 
 // expireLeases queues the orders of a server again whose leases have expired by any clock. A start without an answer may still be carried
-// out: that run is to stay counted as unclaimed, so that the server gets no task, until a stop is accepted.
+// out: that run stays counted as unclaimed, so that the server gets no task, until a stop is accepted.
 func (ldr *Leader) expireLeases(now time.Time, srv *server) {
-	for _, rn := range srv.runs {
-		ord := rn.ord
+	for _, rn := range slices.Collect(maps.Values(srv.runs)) {
+		mayStart := rn.acceptedAt.IsZero() && rn.stopAcceptedAt.IsZero()
+		if mayStart && rn.ord == nil {
+			continue // Its order was queued again by an earlier call.
+		}
 		ldr.requeue(now, srv, rn)
-		if ord != nil && rn.acceptedAt.IsZero() && rn.stopAcceptedAt.IsZero() {
-			rn.ord, rn.state = nil, ending
-			srv.add(rn)
+		if !mayStart {
+			continue
+		}
+		rn.ord, rn.state = nil, ending
+		if rn.stopAt.IsZero() {
+			rn.stopAt = now
 		}
+		srv.add(rn)
 	}
 }
 
