Reassign orders only to a leadership with a newer token

What callers could see: a task that runs twice at once.

Cause: an owner that loses a leader follows the newest one that it still hears. If that one's token is older than the lost leader's, as of an instance that reads its sockets late and has not heard the newest round, the servers that confirm the older leader still obey the lost one when it reaches them. "All servers have answered since the order came" then proves nothing, and the owner orders the task anew at once.

Change: an order stays orphaned until its leases have surely expired, or until a leadership with a newer token is heard.

TestCoordinatorScenarios, "a leader is lost, and one with an older token leads its shard": red before (the order went to the older leader at once).

--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -190,9 +190,10 @@
 	}
 }
 
-// reassign sends a task's order to the new leader of its shard, if it was with the former one or is orphaned.
+// reassign sends a task's order to the new leader of its shard, if it was with the former one or is orphaned. A leader whose token is lower
+// than the former one's gets no order: what servers answer it proves nothing, as they still obey the former leader.
 func (crd *Coordinator) reassign(tsk *task, viw *shardView) {
-	if tsk.done || tsk.shard != viw.name || tsk.leader == "" && tsk.orphanedUntil.IsZero() {
+	if tsk.done || tsk.shard != viw.name || tsk.leader == "" && tsk.orphanedUntil.IsZero() || viw.token < tsk.token {
 		return
 	}
 	// The former leader may have started it without reporting that.
--- a/internal/request/submission/coordinator_test.go
+++ b/internal/request/submission/coordinator_test.go
@@ -202,6 +202,19 @@
 			},
 			want: []string{"order j.0.0.0 at other/2 return-if-busy", "order j.0.0.0 at third/4 reassigned"},
 		},
+		"a leader is lost, and one with an older token leads its shard": {
+			// The servers that answer the older leader would still obey the lost one, which may be about to start the task: the older one
+			// can't tell that it runs nowhere.
+			scenario: func(hrn *harness) {
+				hrn.setLeader("b.0", false, other, 5, 1)
+				hrn.submit(1, "j", 1)
+				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, other))
+				hrn.setLeader("b.0", false, "third/4", 2, 0)
+				hrn.record([]Action{Reply{Call: 99}}) // Marks the moment in the list of actions.
+				hrn.setLeader("b.0", false, "fourth/5", 7, 0)
+			},
+			want: []string{"order j.0.0.0 at other/2 return-if-busy", "reply 99 succeeded", "order j.0.0.0 at fourth/5 reassigned"},
+		},
 		"a leader is lost with its shard": {
 			// Until the leases of the lost leader have surely expired, the task is not ordered elsewhere.
 			scenario: func(hrn *harness) {
