Wait anew before a former leader takes its shard over again

What callers could see: two leaders of one shard, whose tasks are stopped and start again. Found by reading, shown by a test.

Cause: since when a shard has no leader was kept over an instance's own leadership. Once that ended, the shard counted as having had no leader all the while, and was taken over again in the same moment, without the delay in which the next leader is heard.

Change: a takeover ends that time. The time of the elector's creation, which nothing read, is gone.

TestFormerLeaderWaitsLikeOthers: red before.

--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -79,7 +79,6 @@
 type Elector struct {
 	cfg          Config
 	self         Instance
-	started      time.Time
 	readyAt      time.Time
 	peers        map[shard.InstanceID]*Instance
 	everHadPeers bool
@@ -117,8 +116,8 @@
 	self.Leads = map[shard.Name]int64{}
 	return &Elector{
 		cfg: cfg, self: self,
-		started: now, lastPeerLostAt: now,
-		peers: map[shard.InstanceID]*Instance{}, takeableSince: map[shard.Name]time.Time{}, backoffs: map[shard.Name]backoff{},
+		lastPeerLostAt: now,
+		peers:          map[shard.InstanceID]*Instance{}, takeableSince: map[shard.Name]time.Time{}, backoffs: map[shard.Name]backoff{},
 		hadLeader: map[shard.Name]bool{}, claims: claims{},
 	}
 }
@@ -181,6 +180,7 @@
 	elc.self.Leads[name] = token
 	elc.claims.add(elc.self.ID, name, token)
 	elc.takeoverAt, elc.changed = now, true
+	delete(elc.takeableSince, name)
 }
 
 // HandleLeadershipEnd takes note that the own instance leads a shard no more. If it was fenced, that is, met a higher token although no
--- a/internal/process/succession/succession_test.go
+++ b/internal/process/succession/succession_test.go
@@ -197,6 +197,17 @@
 	chk.True(tries >= 4 && tries <= 9)
 }
 
+func TestFormerLeaderWaitsLikeOthers(t *testing.T) {
+	// Guards against an instance that takes a shard over again in the moment its leadership ends: it had no leader for a while before it
+	// was first taken over, and that time must not count once more. The new leader may not have been heard yet.
+	chk := is.New(t)
+	fix := newFixture(0.4)
+	chk.True(fix.takeovers(time.Second)["a.0"])
+	fix.elc.HandleLeadershipEnd(fix.now, "a.0", false)
+	chk.True(!fix.takeovers(DefaultConfig().TakeoverDelay - 10*time.Millisecond)["a.0"])
+	chk.True(fix.takeovers(100 * time.Millisecond)["a.0"])
+}
+
 func TestDutyRanksAreDistinct(t *testing.T) {
 	// Guards against a duty done by several instances or none, and against one instance that has most duties first.
 	chk := is.New(t)
