Let the backoff of a fenced leader reach its maximum

Cause: the pause after a shard was lost to another token doubled six times at most, from 50 ms to 3.2 s, so that MaxBackoff, 5 s, was never reached. Found by reading.

Change: the bound of the doublings only keeps the pause from overflowing.

TestBackoffReachesItsMaximum: red before (the shard was taken over again before 5 s had passed).

--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -197,8 +197,8 @@
 	elc.backoffs[name] = backoff{until: now.Add(pause), count: bck.count + 1}
 }
 
-// maxBackoffDoublings bounds the doublings of InitialBackoff.
-const maxBackoffDoublings = 6
+// maxBackoffDoublings keeps the doubled InitialBackoff from overflowing. It is above the seven doublings that reach MaxBackoff.
+const maxBackoffDoublings = 16
 
 // Peers returns the other instances that are heard, by ID.
 func (elc *Elector) Peers() map[shard.InstanceID]*Instance { return elc.peers }
--- a/internal/process/succession/succession_test.go
+++ b/internal/process/succession/succession_test.go
@@ -197,6 +197,21 @@
 	chk.True(tries >= 4 && tries <= 9)
 }
 
+func TestBackoffReachesItsMaximum(t *testing.T) {
+	// Guards against an instance that keeps taking a shard over from a leader it does not hear, more often than each MaxBackoff.
+	chk := is.New(t)
+	fix := newFixture(0.4)
+	cfg := DefaultConfig()
+	for range 10 {
+		fix.elc.HandleTakeover(fix.now, "a.0", 9)
+		fix.elc.HandleLeadershipEnd(fix.now, "a.0", true)
+	}
+	lost := fix.now
+	chk.True(!fix.takeovers(cfg.MaxBackoff - time.Millisecond)["a.0"])
+	fix.now = lost.Add(cfg.MaxBackoff)
+	chk.True(fix.takeovers(time.Second)["a.0"])
+}
+
 func TestFormerLeaderWaitsLikeOthers(t *testing.T) {
 	// Guards against an instance that takes a shard over again in the moment its leadership ends: it had no leader for a while before it
 	// was first taken over, and that time must not count once more. The new leader may not have been heard yet.
