Count the turns to send a configuration from when its receiver is heard

What callers saw: around each start of an instance, tasks that were stopped and started again, and late answers.

Cause: an instance that hears another one with an older configuration sends it its own, in turns that count from when the configuration came into force. Half a minute later all turns have passed: an instance that started was sent the configuration by each of the others at once, while it read it from the store. A configuration of 0.5 MB, sent by 15 to 20 others, filled a link of 25 Mbit/s for three seconds, so that the instance lost all others, though they were fine, and took their shards over by what it had heard before.

Such losses were put down to a lack of processor before.

Change: the turns of an instance that was first heard after the configuration came into force count from then. Each sending is a line of the log and is counted (configurations-sent).

--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -36,7 +36,8 @@
 
 // counters are the metrics of a daemon: monotonic counters, except those that are described as gauges.
 type counters struct {
-	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses atomic.Int64
+	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses,
+	configsSent atomic.Int64
 	// closedDomains and closedRuns are gauges: the failure domains that are closed to new work, and the runs that this instance leads there.
 	closedDomains, closedRuns atomic.Int64
 	// admittedWithCapacity, admittedToWait and notAdmitted count the decisions on submissions; waits has, for
@@ -89,6 +90,7 @@
 		line("list-reads", cnt.listReads.Load())
 		line("list-digests-written", cnt.digests.Load())
 		line("list-digests-refused", cnt.badDigests.Load())
+		line("configurations-sent", cnt.configsSent.Load())
 		line("closings-refused", cnt.badClosings.Load())
 		line("closed-failure-domains", cnt.closedDomains.Load())
 		line("runs-in-closed-domains", cnt.closedRuns.Load())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -132,8 +132,8 @@
 	// cfgAt is when the configuration came into force here; cfgFromPeer is set if another instance sent it.
 	cfgAt       time.Time
 	cfgFromPeer bool
-	// configSentAt is when a configuration was last sent to each instance.
-	configSentAt map[shard.InstanceID]time.Time
+	// configSentAt is when a configuration was last sent to each instance that is heard, firstHeardAt since when that one has been heard.
+	configSentAt, firstHeardAt map[shard.InstanceID]time.Time
 	// localActions are pending actions addressed to this instance itself.
 	localActions []func(now time.Time)
 
@@ -153,7 +153,7 @@
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{},
 		services: map[string]bool{}, closedDomains: domainlist.New(prm.Settings.FailureDomains),
 		callers:      map[submission.CallID]chan submission.Answer{},
-		configSentAt: map[shard.InstanceID]time.Time{},
+		configSentAt: map[shard.InstanceID]time.Time{}, firstHeardAt: map[shard.InstanceID]time.Time{},
 		reachability: map[shard.Name]*succession.Reachability{}, openOrdersWith: map[shard.InstanceID]bool{},
 		follower:          serverlist.NewFollower(serverlist.DefaultConfig(prm.Settings.Instance), prm.Now()),
 		coverage:          serverlist.NewCoverage(serverlist.CoverageConfig{RecoveryTime: recoveryTime, MaxUnlisted: maxUnlisted}),
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -61,6 +61,7 @@
 	}
 	fresh, changed := dmn.elector.HandleHeartbeat(ins)
 	if fresh {
+		dmn.firstHeardAt[from] = now
 		dmn.log.Info().Str("peer", string(from)).Msg("instance heard")
 	}
 	if changed {
@@ -83,17 +84,24 @@
 //
 // A large configuration has 1 MB, and 40 instances that all sent it to all would saturate the network. So the other instance first gets
 // the time to read it from the store; then the senders take turns: its neighbours first, whose heartbeats it gets most often, the others
-// in an order that differs by receiver.
+// in an order that differs by receiver. The turns of an instance that has just started count from when it was first heard: sent by all at
+// once, the configuration would fill its link for seconds, and it would lose all other instances.
 func (dmn *Daemon) sendConfiguration(now time.Time, to shard.InstanceID, data []byte) {
 	turn := time.Duration(dmn.elector.NotifyRank(to))
 	after := configSendDelay
 	if dmn.cfgFromPeer {
 		after = 0 // The store is out of this instance's reach, so probably out of the other's, too.
 	}
-	if now.Sub(dmn.cfgAt) < after+turn*configSendStagger || now.Sub(dmn.configSentAt[to]) < configSendPause {
+	lacking := dmn.cfgAt
+	if first := dmn.firstHeardAt[to]; first.After(lacking) {
+		lacking = first
+	}
+	if now.Sub(lacking) < after+turn*configSendStagger || now.Sub(dmn.configSentAt[to]) < configSendPause {
 		return
 	}
 	dmn.configSentAt[to] = now
+	dmn.cnt.configsSent.Add(1)
+	dmn.log.Info().Str("peer", string(to)).Int("bytes", len(data)).Int64("version", dmn.cfg.Load().Version()).Msg("configuration sent")
 	dmn.mesh.Send(to, mesh.Configuration{Data: data})
 }
 
@@ -163,6 +171,8 @@
 	defer dmn.endEvent(now)
 	dmn.log.Warn().Str("peer", string(id)).Str("cause", string(cau)).Msg("instance lost")
 	dmn.announceLoss(id, cau)
+	delete(dmn.firstHeardAt, id)
+	delete(dmn.configSentAt, id)
 	dmn.elector.HandleInstanceLost(now, id, cau.IsSilence())
 	for name, ldr := range dmn.leaders {
 		dmn.runLeaderActions(name, ldr.HandleOwnerLost(now, id))
--- a/internal/process/daemon/list_test.go
+++ b/internal/process/daemon/list_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -161,3 +163,37 @@
 		})
 	}
 }
+
+// Guards against an instance that starts, gets a large configuration from each of the others while it reads it from the store, and loses
+// them all as its link is full.
+func TestStartingInstanceGetsTheConfigurationOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runTestSystemWith(t, &system{linkBytes: 3_000_000}, 2, 10, 2, func(sys *system) {
+			chk := is.NewRelaxed(t)
+			var prefixes []string
+			for num := range 4000 {
+				prefixes = append(prefixes, fmt.Sprintf("/route-%d/", num))
+			}
+			sys.publishRoutes(append(prefixes, "/thumb/")...)
+			time.Sleep(5 * time.Second)
+			sent := func() (num int64) {
+				for _, prc := range sys.instances {
+					num += prc.dmn.cnt.configsSent.Load()
+				}
+				return num
+			}
+			before, logged := sent(), len(sys.logText())
+			sys.kill("entry-1-1")
+			time.Sleep(time.Second)
+			sys.net.Narrow(storeHost, 2_000_000)
+			sys.startInstance("entry-1-1", domainName(0))
+			time.Sleep(4 * time.Second)
+			chk.Equal(sys.queryRoute("entry-1-1", "/thumb/"), http.StatusOK)
+			chk.True(sent()-before <= 1)
+			for _, lin := range strings.Split(sys.logText()[logged:], "\n") {
+				chk.True(!strings.Contains(lin, `"instance":"entry-1-1"`) || !strings.Contains(lin, "instance lost"))
+			}
+		})
+		time.Sleep(20 * time.Second)
+	})
+}
