Keep the record of a step while an order of it waits

What callers saw: possibly a 503 or a late answer for a job of which tasks had run. Found by reading.

Cause: the records of run times of steps are removed after five seconds, also if an order of the step still waits. The first start then made a new record and marked that one, so that the order's own said that no task of its job had started: it waited behind others and could be returned as too late.

Change: a record stays while an order of its step is left.

TestTaskOfAJobThatStartedLateIsKept: red before.

--- a/internal/request/shard/speed.go
+++ b/internal/request/shard/speed.go
@@ -209,14 +209,18 @@
 	return false
 }
 
-// pruneSteps removes the run times of old steps.
+// pruneSteps removes the run times of old steps of which no order is left.
 func (ldr *Leader) pruneSteps(now time.Time) {
 	if now.Sub(ldr.stepsPrunedAt) < siblingsKept {
 		return
 	}
 	ldr.stepsPrunedAt = now
+	used := make(map[*siblings]bool, len(ldr.orders))
+	for _, ord := range ldr.orders {
+		used[ord.sibs] = true
+	}
 	for stp, sib := range ldr.steps {
-		if now.Sub(sib.since) > siblingsKept {
+		if now.Sub(sib.since) > siblingsKept && !used[sib] {
 			delete(ldr.steps, stp)
 		}
 	}
--- a/internal/request/shard/toolate_test.go
+++ b/internal/request/shard/toolate_test.go
@@ -83,6 +83,26 @@
 	chk.Equal(har.starts(), map[string]ServerID{"j2.0": "s"})
 }
 
+// Guards against a task that waits for over 5 s and is returned as too late although another task of its job has started since: the record
+// of their step must not be replaced by a new one while an order of it waits.
+func TestTaskOfAJobThatStartedLateIsKept(t *testing.T) {
+	chk := is.New(t)
+	har := newHarness(t, serverEntry("s", size))
+	long := har.order(0, "full.0")
+	long.ExpectedRunTime = 3 * siblingsKept
+	har.record(har.ldr.HandleOrder(har.now, long))
+	full := har.answerStart("full.0", Accepted)
+	for _, task := range []string{"j.0", "j.1"} {
+		ord := har.order(0, task)
+		ord.Due, ord.UsefulUntil = har.now.Add(time.Minute), har.now.Add(time.Minute)
+		har.record(har.ldr.HandleOrder(har.now, ord))
+	}
+	har.advance(3 * siblingsKept)
+	har.answerRenewal("s", RenewResult{Ended: []End{{Seq: 1, Run: full}}})
+	chk.Equal(har.starts()["j.0"], ServerID("s"))
+	chk.True(har.ldr.orders["j.1"].jobStarted())
+}
+
 // Guards against orders that are returned as too late while no server answers, when the wait is not known.
 func TestNothingIsTooLateWhileNoServerAnswers(t *testing.T) {
 	chk := is.New(t)
