Prove nothing by asking once a server has accepted another token

What callers could see: a task that runs twice at once, if a leader goes on after it was fenced. The daemon resigns such a leader in the same event, so it was not seen; found by reading.

Cause: a server that has accepted another leader's token is dropped, and "all servers have answered" held of those that were left.

Change: whatever drops a server in favour of another leader also ends the proof by asking.

TestDroppedServersDelayReturnUntilOrphanExpiry, "one of two has accepted another leader's token": red before.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -373,6 +373,7 @@
 
 // dropServer drops a server that belongs to another leader and reports its orders as Lost: that leader may have their runs.
 func (ldr *Leader) dropServer(srv *server) {
+	ldr.droppedUnproven = true
 	for _, rn := range srv.runs {
 		if rn.ord == nil {
 			continue
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -116,7 +116,6 @@
 		if _, elsewhere := lst.All[id]; elsewhere {
 			// The server belongs to another shard now, whose leader raises its fencing token.
 			ldr.dropServer(srv)
-			ldr.droppedUnproven = true
 			continue
 		}
 		srv.unlisted = true
--- a/internal/request/shard/takeover_test.go
+++ b/internal/request/shard/takeover_test.go
@@ -155,6 +155,8 @@
 		// list is the listing at the takeover and left the one afterwards; answer lists the servers that confirm the leader.
 		list, left, all []ServerEntry
 		answer          []ServerID
+		// fenced is set if s1 accepts the token of another leader afterwards.
+		fenced bool
 	}{
 		"it never had one": {},
 		"the only one has expired and does not answer":      {list: []ServerEntry{s1}},
@@ -162,6 +164,9 @@
 		"one of two has expired and does not answer":        {list: []ServerEntry{s1, s2}, left: []ServerEntry{s2}, answer: []ServerID{"s2"}},
 		"one of two belongs to another shard":               {list: []ServerEntry{s1, s2}, left: []ServerEntry{s2}, all: []ServerEntry{s1, s2}, answer: []ServerID{"s1", "s2"}},
 		"one of two has confirmed it and no longer answers": {list: []ServerEntry{s1, s2}, left: []ServerEntry{s2}, answer: []ServerID{"s1", "s2"}},
+		"one of two has accepted another leader's token": {
+			list: []ServerEntry{s1, s2}, left: []ServerEntry{s1, s2}, answer: []ServerID{"s1", "s2"}, fenced: true,
+		},
 	}
 	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -185,6 +190,9 @@
 				har.answerRenewalSentAt("s1", har.now, RenewResult{}, Unknown)
 			}
 			har.record(har.ldr.SetServers(har.now, listing(cse.left, cse.all)))
+			if cse.fenced {
+				har.answerRenewalSentAt("s1", har.now, RenewResult{}, Fenced)
+			}
 			har.advance(2 * time.Second)
 			ord := har.order(0, "j.0")
 			ord.Reassigned = true
