Let a deaf instance wait until it hears others, not for a fixed time

What callers saw: tasks stopped and started again as two instances led one shard, for up to 1.9 s at a time; by it a task can run twice.

Cause: an instance that misses most of its failure domain takes nothing over for 1.5 s, as it will hear the others again by then.

Change: the wait ends once this instance has heard any others for 1.5 s on end, since the losses, or nobody for 3 s, when it is more likely the only one left (1.5 s after the last loss before, some 1.9 s). Losses count together while less than 1.5 s lie between two.

--- a/internal/process/succession/silence.go
+++ b/internal/process/succession/silence.go
@@ -12,24 +12,42 @@
 	return len(elc.peers) == 0 && elc.everHadPeers && now.Sub(elc.lastPeerLostAt) < elc.cfg.IsolationTimeout
 }
 
-// countSilent counts an instance of the own failure domain that has fallen silent; the count restarts after PauseGrace without one.
+// HandleHeard takes note that another instance is known to have been alive at a time.
+func (elc *Elector) HandleHeard(at time.Time) {
+	if at.Sub(elc.heardAt) > elc.cfg.PauseGrace {
+		elc.hearingSince = at
+	}
+	if at.After(elc.heardAt) {
+		elc.heardAt = at
+	}
+}
+
+// countSilent counts an instance of the own failure domain that has fallen silent; the count restarts after IsolationTimeout without one.
 func (elc *Elector) countSilent(now time.Time) {
-	if now.Sub(elc.silentAt) > elc.cfg.PauseGrace {
+	if now.Sub(elc.silentAt) > elc.cfg.IsolationTimeout {
 		elc.silentPeers = 0
 	}
 	elc.silentPeers++
 	elc.silentAt = now
 }
 
-// maybeOverloaded reports whether most of the own failure domain fell silent less than IsolationTimeout ago. That is more likely because
-// this instance reads too slowly: one with a fifth of a core and its callers' traffic missed 13 others within half a second, took seven
-// shards over from healthy leaders, and lost them again one after the other. Such an instance hears the others again after 1.0 to 1.5 s,
-// so it waits as long as an isolated one.
+// maybeOverloaded reports whether most of the own failure domain has fallen silent and may be heard again soon. That many are more likely
+// missed because this instance reads too slowly or its link is full: one with a fifth of a core missed 13 others within half a second, took
+// seven shards over from healthy leaders, and lost them again one after the other. The shards are taken over only once this instance has
+// heard any others for IsolationTimeout on end, as it would then hear the silent ones too; or once it has heard nobody for maxDeafness,
+// when it is more likely the only one left.
 func (elc *Elector) maybeOverloaded(now time.Time) bool {
-	if elc.silentPeers < minSilentPeers || now.Sub(elc.silentAt) > elc.cfg.IsolationTimeout {
+	if elc.silentPeers < minSilentPeers || elc.silentPeers <= silentRatio*elc.DomainPeerCount() {
 		return false
 	}
-	return elc.silentPeers > silentRatio*elc.DomainPeerCount()
+	if deaf := now.Sub(elc.heardAt); deaf > elc.cfg.PauseGrace {
+		return deaf <= maxDeafness*elc.cfg.IsolationTimeout
+	}
+	since := elc.silentAt
+	if elc.hearingSince.After(since) {
+		since = elc.hearingSince
+	}
+	return now.Sub(since) <= elc.cfg.IsolationTimeout
 }
 
 const (
@@ -39,4 +57,6 @@
 	// silentRatio is the ratio of silent to remaining instances above which own overload is assumed: more than any power loss that leaves
 	// some instances running.
 	silentRatio = 3
+	// maxDeafness is a multiple of IsolationTimeout: a link was full for up to 3 s after the start of its instance.
+	maxDeafness = 2
 )
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -92,12 +92,15 @@
 	hadLeader map[shard.Name]bool
 	// takeableSince is since when a shard has had no known leader, or a replaceable one.
 	takeableSince map[shard.Name]time.Time
-	// silentPeers is how many instances of the own failure domain have fallen silent in a row, with less than PauseGrace between two;
+	// silentPeers is how many instances of the own failure domain have fallen silent in a row, with less than IsolationTimeout between two;
 	// silentAt is when the last one did.
 	silentPeers int
 	silentAt    time.Time
-	backoffs    map[shard.Name]backoff
-	claims      claims
+	// heardAt is the latest time at which any other instance is known to have been alive. Since hearingSince there was no PauseGrace without
+	// such a time.
+	heardAt, hearingSince time.Time
+	backoffs              map[shard.Name]backoff
+	claims                claims
 	// changed is set by each event that may change who leads a shard. All shards were last checked at checkedAt; unsettled are those
 	// that had no leader then, or a replaceable one.
 	changed   bool
