Log on what evidence an order is returned and a shard taken over

A leader that returns a reassigned order says whether every server has confirmed it since, how many there are, and how old the oldest confirmation is; a takeover says which leader the shard was last seen to have, how long ago, and how many instances are heard.

--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -172,7 +172,7 @@
 	dmn.leaders[name] = ldr
 	dmn.elector.HandleTakeover(now, name, tok)
 	dmn.leadersChanged = true
-	dmn.log.Info().Str("shard", string(name)).Int64("token", tok).Msg("taking the shard over")
+	dmn.logTakeover(now, name, tok)
 	for shd := range dmn.serversByShard {
 		if shd.Name == name {
 			dmn.runLeaderActions(name, ldr.SetClosed(now, dmn.closedDomains.Closed(shd.Domain)))
@@ -184,6 +184,15 @@
 	dmn.requestListRead()
 }
 
+// logTakeover logs a takeover with the leader that the shard was last seen to have, how long ago, and how many instances are heard.
+func (dmn *Daemon) logTakeover(now time.Time, name shard.Name, tok int64) {
+	lin := dmn.log.Info().Str("shard", string(name)).Int64("token", tok).Int("heard", len(dmn.elector.Peers()))
+	if led, at := dmn.elector.LastLeader(name); led != "" {
+		lin = lin.Str("former", string(led)).Dur("former-ago", now.Sub(at))
+	}
+	lin.Msg("taking the shard over")
+}
+
 // nextToken returns a fencing token that no other instance ever uses, higher than all that this one has heard of: the round, then the
 // low bits of the incarnation.
 func (dmn *Daemon) nextToken() int64 {
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -87,9 +87,9 @@
 	shards         []Shard
 	// takeoverAt is the time of the own instance's last takeover.
 	takeoverAt time.Time
-	// pausedAt is when the last pause of the own process was noticed; hadLeader has the shards that were once seen to have a leader.
-	pausedAt  time.Time
-	hadLeader map[shard.Name]bool
+	// pausedAt is when the last pause of the own process was noticed; lastLeaders has the leaders that shards were last seen to have.
+	pausedAt    time.Time
+	lastLeaders map[shard.Name]lastLeader
 	// takeableSince is since when a shard has had no known leader, or a replaceable one.
 	takeableSince map[shard.Name]time.Time
 	// silentPeers is how many instances of the own failure domain have fallen silent in a row, with less than IsolationTimeout between two;
@@ -108,6 +108,12 @@
 	unsettled []Shard
 }
 
+// lastLeader is the leader that a shard was last seen to have, at a time.
+type lastLeader struct {
+	id shard.InstanceID
+	at time.Time
+}
+
 // backoff bars a shard from being taken over until a time, after a number of losses to another leader's token.
 type backoff struct {
 	until time.Time
@@ -121,7 +127,7 @@
 		cfg: cfg, self: self,
 		lastPeerLostAt: now,
 		peers:          map[shard.InstanceID]*Instance{}, takeableSince: map[shard.Name]time.Time{}, backoffs: map[shard.Name]backoff{},
-		hadLeader: map[shard.Name]bool{}, claims: claims{},
+		lastLeaders: map[shard.Name]lastLeader{}, claims: claims{},
 	}
 }
 
@@ -240,6 +246,12 @@
 	return elc.claims.newest(shd.Name)
 }
 
+// LastLeader returns the leader that a shard was last seen to have by Decide and when, or "" if it never had one.
+func (elc *Elector) LastLeader(name shard.Name) (shard.InstanceID, time.Time) {
+	lst := elc.lastLeaders[name]
+	return lst.id, lst.at
+}
+
 // Superseded returns, in the order of their names, the shards led by the own instance that another one leads with a newer token.
 func (elc *Elector) Superseded() []shard.Name {
 	var names []shard.Name
@@ -291,12 +303,12 @@
 		return false
 	}
 	if led != "" {
-		elc.hadLeader[shd.Name] = true
+		elc.lastLeaders[shd.Name] = lastLeader{id: led, at: now}
 		if !elc.replaceable(now, shd, led) {
 			delete(elc.takeableSince, shd.Name)
 			return false
 		}
-	} else if elc.hadLeader[shd.Name] && (now.Sub(elc.pausedAt) < elc.cfg.PauseGrace || elc.maybeOverloaded(now)) {
+	} else if _, had := elc.lastLeaders[shd.Name]; had && (now.Sub(elc.pausedAt) < elc.cfg.PauseGrace || elc.maybeOverloaded(now)) {
 		return false
 	}
 	since, waiting := elc.takeableSince[shd.Name]
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -5,7 +5,7 @@
 // Name identifies a shard: a part of a failure domain's backend servers.
 type Name string
 
-// Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, QuarantineServer or SendReport.
+// Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, QuarantineServer, NoteReturn or SendReport.
 type Action interface{ action() }
 
 // StartRun asks a backend server to start a run; its result goes to Uplink.HandleStartResult, then to Leader.HandleStartResult.
@@ -57,6 +57,19 @@
 	Duration time.Duration
 }
 
+// NoteReturn describes on what evidence a reassigned order is returned as run nowhere; its report follows.
+type NoteReturn struct {
+	Task  string
+	Owner InstanceID
+	// Proven is set if every server has confirmed the leader since the order came; else the runs of former leaders have expired.
+	Proven bool
+	// Servers is the number of servers known, OldestConfirmed the age of the oldest of their confirmations. Waited is the time since the
+	// order came.
+	Servers                 int
+	OldestConfirmed, Waited time.Duration
+}
+
+func (NoteReturn) action()       {}
 func (QuarantineServer) action() {}
 func (StartRun) action()         {}
 func (StopRun) action()          {}
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -61,6 +61,7 @@
 // placeOne starts a task, leaves it in the queue or returns it to its owner.
 func (ldr *Leader) placeOne(now time.Time, rnd *placementRound, rnk Rank, ord *order) {
 	if ord.Reassigned {
+		ldr.noteReturn(now, ord)
 		ldr.returnOrder(ord) // The task runs nowhere, and the order has no payload.
 		return
 	}
@@ -121,6 +122,19 @@
 	meanRunWeight = 32
 )
 
+// noteReturn describes on what evidence a reassigned order is about to be returned.
+func (ldr *Leader) noteReturn(now time.Time, ord *order) {
+	note := NoteReturn{
+		Task: ord.Task, Owner: ord.Owner, Proven: ldr.runsNowhere(ord), Servers: len(ldr.servers), Waited: now.Sub(ord.receivedAt),
+	}
+	for _, srv := range ldr.servers {
+		if srv.state == confirmed {
+			note.OldestConfirmed = max(note.OldestConfirmed, now.Sub(srv.confirmedAt))
+		}
+	}
+	ldr.emit(note)
+}
+
 // returnOrder returns an order to its owner as NotRun.
 func (ldr *Leader) returnOrder(ord *order) {
 	delete(ldr.orders, ord.Task)
