Check the proof that a task runs nowhere when its order is returned

What callers could see: a task that runs twice at once.

Cause: a reassigned order was marked as proven in the moment in which the last server had answered, and returned once the takeover was complete, up to 120 ms later. Servers that were listed in between, on which a former leader may have started the task, were not asked.

Change: the mark is gone; the proof is evaluated when the order is about to be returned.

TestReassignedOrderAtANewLeader, "a server is listed after the others have answered, during the takeover": red before (the order was returned).

--- a/internal/request/shard/closed.go
+++ b/internal/request/shard/closed.go
@@ -26,7 +26,7 @@
 // returnWaiting returns all waiting orders to their owners, except reassigned ones whose task may still run here.
 func (ldr *Leader) returnWaiting(now time.Time) {
 	for _, ord := range ldr.que.orders {
-		if !ord.Reassigned || !now.Before(ord.notBefore) {
+		if !ord.Reassigned || ldr.mayPlace(now, ord) {
 			ldr.returnOrder(ord)
 		}
 	}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -265,17 +265,14 @@
 	})
 }
 
-// adoptWaiting connects waiting reassigned orders to runs that servers have listed since, and lets the next placement handle those that
-// are now proven to run nowhere.
+// adoptWaiting connects waiting reassigned orders to runs that servers have listed since, and asks for the proof that the others run nowhere.
 func (ldr *Leader) adoptWaiting(now time.Time) {
 	kept := make([]*order, 0, len(ldr.que.orders))
 	for _, ord := range ldr.que.orders {
 		if ord.Reassigned && ldr.adopt(now, ord) {
 			continue
 		}
-		if ord.Reassigned && ldr.runsNowhere(ord) {
-			ord.notBefore = time.Time{}
-		} else if ord.Reassigned {
+		if ord.Reassigned {
 			ldr.requestProof(now, ord)
 		}
 		kept = append(kept, ord)
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -19,7 +19,7 @@
 	if !ldr.anyToPlace(fss) {
 		return
 	}
-	ranked := ldr.ranked(now, func(ord *order) bool { return !now.Before(ord.notBefore) })
+	ranked := ldr.ranked(now, func(ord *order) bool { return ldr.mayPlace(now, ord) })
 	rnd := &placementRound{free: fss}
 	rnd.mostProcessor = rnd.free.most()
 	for rnk, ords := range ranked {
@@ -30,6 +30,12 @@
 	ldr.que.removeIf(func(ord *order) bool { return ord.run != nil || ldr.orders[ord.Task] != ord })
 }
 
+// mayPlace reports whether an order is due. A reassigned order is due early if its task is proven to run nowhere; the proof must hold now, as
+// servers may have been listed since they were asked.
+func (ldr *Leader) mayPlace(now time.Time, ord *order) bool {
+	return !now.Before(ord.notBefore) || ord.Reassigned && ldr.runsNowhere(ord)
+}
+
 // ranked returns the waiting orders for which chosen returns true, by rank and in queue order.
 func (ldr *Leader) ranked(now time.Time, chosen func(ord *order) bool) [Ranks][]*order {
 	var rnks [Ranks][]*order
--- a/internal/request/shard/takeover_test.go
+++ b/internal/request/shard/takeover_test.go
@@ -87,6 +87,18 @@
 			},
 			returned: 1,
 		},
+		"a server is listed after the others have answered, during the takeover": {
+			story: func(har *harness) {
+				reassigned(har)
+				har.answerRenewal("s1", RenewResult{Running: []Progress{{Run: RunID{Task: "k.0", Number: 5}}}})
+				har.answerRenewal("s2", RenewResult{})
+				har.record(har.ldr.SetServers(har.now, Listing{
+					Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000), serverEntry("s3", 32000)},
+				}))
+				har.advance(DefaultConfig().AdoptWait)
+			},
+			stops: 1,
+		},
 		"its last server is not known here": {
 			// The entry of that server has expired, and the instance has never seen it.
 			story: func(har *harness) {
