Don't count a message that was never sent as unacknowledged

Cause: the report that a task has started may wait for the next batch. If it came while a batch was on its way, the receipt of that batch started the time in which it had to be acknowledged, though it was not sent. Where the peer calls often no batch follows, as its receipts have the heartbeats, and after 400 ms the session was ended.

Change: the time starts only if a message waits that is sent at once.

--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -287,6 +287,28 @@
 	})
 }
 
+func TestDeferredReportEndsNoSession(t *testing.T) {
+	// The report that a task has started waits for the next batch. It comes while another batch is on its way, and then no other is sent
+	// for a while, as the peer calls often and gets the heartbeats in its receipts. A report that was never sent must not count as one
+	// that the peer has left unacknowledged: the session with a healthy peer would end, and all orders with it.
+	inPair(t, func(ntw *pipe.Network, one, two *node) {
+		chk := is.New(t)
+		two.msh.SetSchedules(map[shard.InstanceID]mesh.Schedule{mesh.ID("one", 1): {Intervals: 20}})
+		time.Sleep(time.Second)
+		one.pause(ntw)
+		two.send("one", 1)
+		time.Sleep(10 * time.Millisecond)
+		two.msh.Send(mesh.ID("one", 1), mesh.Report{Report: shard.Report{Task: "j.0", Outcome: shard.Started}})
+		time.Sleep(10 * time.Millisecond)
+		one.resume(ntw)
+		time.Sleep(1200 * time.Millisecond)
+		for _, nod := range []*node{one, two} {
+			_, lost, _ := nod.seen()
+			chk.Equal(lost, 0)
+		}
+	})
+}
+
 func TestStaleBatchIsRejected(t *testing.T) {
 	// A paused process resumes, detects no loss as its checks are late, and reads an order whose sender has ended the session and
 	// sent the task elsewhere. It mustn't run it, and knows from the process ages in the batch that it is stale.
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -206,8 +206,8 @@
 // acknowledge notes that the peer accepted the batch in flight, and returns the bytes of its payloads.
 func (per *peer) acknowledge(now time.Time) (bytes int64) {
 	per.inFlight, per.numbered, per.unackedSince = nil, false, time.Time{}
-	if len(per.outbox) > 0 {
-		per.startAckWait(now)
+	if slices.ContainsFunc(per.outbox, func(msg Message) bool { return !isDeferrable(msg) }) {
+		per.startAckWait(now) // A deferrable message waits for the next batch, however long that takes.
 	}
 	bytes, per.inFlightBytes = per.inFlightBytes, 0
 	return bytes
