Don't refuse jobs for the time in which the own process was paused

What callers saw: a 503 with "no backend server answers" right after a moment in which the whole machine held the processes up for two seconds and more, though everything was up.

Cause: a job waits for 1.5 s for a shard that has a leader and a server that answers. That time counted from when such a shard was last seen, with a pause of the own process in it: a job that came after the pause and before the first tick was refused at once.

Evidence, a red run of TestAllProcessesPaused/2s: processes paused until 4.500; "submitted" and "refused" with "no backend server answers" at 4.501; the servers accept starts at 4.551.

Change: the coordinator is told of a long pause once, and leaves it out.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -124,8 +124,8 @@
 	// leadersChanged is set when this instance took over or resigned a shard, or the shards changed; the next tick then passes the leaders to
 	// the coordinator. Changes that other instances report are passed at once.
 	leadersChanged bool
-	// lastTickAt is the time of the last tick; zero before the first.
-	lastTickAt time.Time
+	// lastTickAt is the time of the last tick, zero before the first; pausedSince is the last tick before the last long pause.
+	lastTickAt, pausedSince time.Time
 	// openOrdersWith are the instances with which unfinished orders exist, in either direction, as of openOrdersUpdatedAt.
 	openOrdersWith      map[shard.InstanceID]bool
 	openOrdersUpdatedAt time.Time
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -19,10 +19,14 @@
 	if dmn.mesh != nil {
 		dmn.uplink.SetPeerBytes(dmn.mesh.UnacknowledgedBytes())
 	}
-	if !dmn.lastTickAt.IsZero() && now.Sub(dmn.lastTickAt) > longPauseThreshold {
+	if pause := now.Sub(dmn.lastTickAt); !dmn.lastTickAt.IsZero() && pause > longPauseThreshold {
 		for _, ldr := range dmn.leaders {
 			ldr.HandlePause(now.Add(socketReadTime))
 		}
+		if dmn.coordinator != nil && dmn.pausedSince != dmn.lastTickAt {
+			dmn.pausedSince = dmn.lastTickAt
+			dmn.coordinator.HandlePause(pause)
+		}
 	}
 	if slp := dmn.prm.Suspended(); slp-dmn.suspended > suspensionThreshold {
 		dmn.handleSuspension(now, slp-dmn.suspended)
--- a/internal/request/submission/coordinator_test.go
+++ b/internal/request/submission/coordinator_test.go
@@ -271,6 +271,19 @@
 			},
 			want: []string{"reply 2 not-run", "order j.0.0.0 at self/1"},
 		},
+		"no shard is seen to have a leader, as the process is paused": {
+			// What the process missed while it was paused says nothing about the shards: the job waits as after a start.
+			scenario: func(hrn *harness) {
+				hrn.setLeader("a.0", true, self, 1, 1)
+				hrn.record(hrn.crd.HandleTick(hrn.now))
+				hrn.record(hrn.crd.HandleLeader(Target{Shard: "a.0"}, sameDomain))
+				hrn.now = hrn.now.Add(2 * time.Second)
+				hrn.crd.HandlePause(2 * time.Second)
+				hrn.submit(1, "j", 1)
+				hrn.setLeader("a.0", true, self, 2, 1)
+			},
+			want: []string{"order j.0.0.0 at self/1"},
+		},
 		"the deadline passes with nothing ordered": {
 			scenario: func(hrn *harness) {
 				hrn.submit(1, "j", 1)
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -61,6 +61,9 @@
 	return crd.takeActions()
 }
 
+// HandlePause takes note that this process was paused for a time: that no shard was seen to be served meanwhile is no evidence that none was.
+func (crd *Coordinator) HandlePause(dur time.Duration) { crd.servingAt = crd.servingAt.Add(dur) }
+
 // ResumeHeld orders the tasks that were held back by the link, as far as it has room. It is called when the link may have become free.
 func (crd *Coordinator) ResumeHeld() []Action {
 	crd.resume()
