Show that the end of an adopted run is taken for proof

Cause: a leader that has taken a shard over and adopted a run (or an ending one) queues its reassigned order again when that run ends without a result. Nothing holds such an order back, so placeOne returns it as not run at once, though a server has not confirmed the leader yet. The former leader sees the same end by a renewal that was sent before the takeover, and starts the task on that server.

--- /dev/null
+++ b/internal/process/daemon/two_leaders_test.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/request/shard"
+)
+
+// twoLeaders is a system in which a second instance takes a shard over while its leader lives. The owner of the tasks is in another failure
+// domain, whose servers are full, so that the tasks run in the shard: on its large server, as the small one had a task when they started.
+// Tasks that start anew in the shard go to the small server first, which leaves less free.
+type twoLeaders struct {
+	*system
+	t *testing.T
+	// first leads the shard, second takes it over; owner has sent the tasks.
+	first, second, owner *process
+	// busy are the servers of the shard that run the tasks, idle its other ones.
+	busy, idle []string
+	sent       *sentJob
+}
+
+const twoLeadersShard = shard.Name("domain-1.0")
+
+// inTwoLeaders runs body in virtual time in a system in which the tasks of a job run. The owner's failure domain is full for a time.
+func inTwoLeaders(t *testing.T, full time.Duration, job jobSpec, body func(two *twoLeaders)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		sys := &system{serverSizes: []int64{serverProcessor, taskProcessor + 1000}}
+		runTestSystemWith(t, sys, 2, 2, 2, func(sys *system) { body(startTwoLeaders(t, sys, full, job)) })
+		time.Sleep(20 * time.Second) // As in inTestSystem.
+	})
+}
+
+// startTwoLeaders fills the owner's failure domain for a time, has the owner submit a job, and returns when its tasks run.
+func startTwoLeaders(t *testing.T, sys *system, full time.Duration, job jobSpec) *twoLeaders {
+	t.Helper()
+	led := sys.leader("domain-1")
+	oth := map[string]string{"entry-1-1": "entry-1-2", "entry-1-2": "entry-1-1"}[led]
+	two := &twoLeaders{system: sys, t: t, first: sys.instances[led], second: sys.instances[oth], owner: sys.instances["entry-2-1"]}
+	sys.sendAsync(sys.ctx, "entry-2-1", jobSpec{id: jobID(1), tasks: 3, payload: payload{Millis: int(full.Milliseconds())}})
+	time.Sleep(20 * time.Millisecond)
+	sys.sendAsync(sys.ctx, "entry-2-1", jobSpec{id: jobID(3), tasks: 1, payload: payload{Millis: 100}})
+	time.Sleep(20 * time.Millisecond)
+	two.sent = sys.sendAsync(sys.ctx, "entry-2-1", job)
+	time.Sleep(20 * time.Millisecond)
+	for line := range strings.Lines(sys.logText()) {
+		if !strings.Contains(line, `"message":"start"`) || !strings.Contains(line, job.id) {
+			continue
+		}
+		for num := 1; num <= 2; num++ {
+			if id := fmt.Sprint("server-1-", num); strings.Contains(line, id) && !slices.Contains(two.busy, id) {
+				two.busy = append(two.busy, id)
+			}
+		}
+	}
+	for num := 1; num <= 2; num++ {
+		if id := fmt.Sprint("server-1-", num); !slices.Contains(two.busy, id) {
+			two.idle = append(two.idle, id)
+		}
+	}
+	return two
+}
+
+// takeOver has the second instance take the shard over.
+func (two *twoLeaders) takeOver() {
+	dmn := two.second.dmn
+	now := dmn.beginEvent()
+	dmn.takeOver(now, twoLeadersShard)
+	dmn.endEvent(now)
+}
+
+// cutBothWays holds up all that two hosts send to each other.
+func (two *twoLeaders) cutBothWays(one, oth string) {
+	two.net.CutWay(one, oth)
+	two.net.CutWay(oth, one)
+}
+
+// mendBothWays ends what cutBothWays began.
+func (two *twoLeaders) mendBothWays(one, oth string) {
+	two.net.MendWay(one, oth)
+	two.net.MendWay(oth, one)
+}
+
+// TestStoppedRunStartsElsewhere guards against tasks that run twice at once: the second leader stops runs that no order has come for, and the
+// first, which sees their ends, starts them on a server that the second has not reached. The second must not take an end that it sees for
+// proof that the task runs nowhere when the owner's order comes at last.
+func TestStoppedRunStartsElsewhere(t *testing.T) {
+	// The first leader has a renewal in progress that was sent before the takeover, which waits until the runs end.
+	for _, phase := range []time.Duration{0, 190 * time.Millisecond} {
+		for late := 5 * time.Millisecond; late <= 25*time.Millisecond; late += 10 * time.Millisecond {
+			t.Run(fmt.Sprintf("taken over after %v, owner hears it %v after the stop", phase, late), func(t *testing.T) {
+				job := jobSpec{id: jobID(2), tasks: 2, payload: payload{Millis: 1500}}
+				inTwoLeaders(t, 900*time.Millisecond, job, func(two *twoLeaders) {
+					chk := is.NewRelaxed(t)
+					chk.Equal(len(two.idle), 1)
+					time.Sleep(phase)
+					two.cutBothWays(two.second.host, two.first.host)
+					two.cutBothWays(two.second.host, two.idle[0])
+					two.net.CutWay(two.second.host, two.owner.host)
+					two.net.CutWay(two.owner.host, two.first.host)
+					two.takeOver()
+					time.Sleep(shard.DefaultConfig().AdoptWait + late)
+					two.net.MendWay(two.second.host, two.owner.host)
+					time.Sleep(time.Second)
+					two.mendBothWays(two.second.host, two.first.host)
+					two.mendBothWays(two.second.host, two.idle[0])
+					two.net.MendWay(two.owner.host, two.first.host)
+					<-two.sent.done
+					chk.Equal(two.sent.status, http.StatusOK)
+				})
+			})
+		}
+	}
+}
