Ask for proof when an adopted run ends without a result

What callers saw: a task that runs twice at once, all tasks of an owner together, beside a second leader of a shard whose first one lives.

Cause: a new leader that had found a task's run, or stopped it as no order had come for it, returned the task's order as not run as soon as that run had ended. The former leader, which was not refused anywhere yet, saw the same end by a renewal that was sent before, and started the task on a server that had not confirmed the new leader.

Change: a reassigned order whose run has ended waits like one that was found nowhere: until every server has confirmed this leader since the order came, or until what a former leader started is over. It is connected to another run of its task if one is listed.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -315,7 +315,7 @@
 	case end.Kind == EndedFailed && !stopped:
 		ldr.finish(ord, Failed, now.Sub(rn.sentAt))
 	default:
-		ldr.que.push(ord)
+		ldr.queueAgain(now, ord)
 	}
 }
 
@@ -326,7 +326,7 @@
 }
 
 // requeue queues the order of a run again that is proven to be over without a listed end.
-func (ldr *Leader) requeue(_ time.Time, srv *server, rn *run) {
+func (ldr *Leader) requeue(now time.Time, srv *server, rn *run) {
 	srv.drop(rn)
 	ord := rn.ord
 	if ord == nil {
@@ -337,7 +337,7 @@
 		delete(ldr.orders, ord.Task)
 		return
 	}
-	ldr.que.push(ord)
+	ldr.queueAgain(now, ord)
 }
 
 // expireLeases queues the orders of a server again whose leases have expired by any clock. A start without an answer may still be carried
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -160,9 +160,11 @@
 	}
 	ord := &order{Order: req, receivedAt: now, sibs: ldr.siblings(now, req.Step)}
 	ldr.orders[req.Task] = ord
+	if req.Reassigned {
+		ord.notBefore = now.Add(max(ldr.cfg.OrphanExpiry, req.MayRunFor))
+	}
 	if !ldr.adopt(now, ord) {
 		if req.Reassigned {
-			ord.notBefore = now.Add(max(ldr.cfg.OrphanExpiry, req.MayRunFor))
 			ldr.requestProof(now, ord)
 		}
 		ldr.que.push(ord)
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -40,6 +40,18 @@
 	return false
 }
 
+// queueAgain queues an order whose run is over without a result. A reassigned one waits for the proof that its task runs nowhere, unless
+// another run of it was found: a former leader that sees the same end starts the task again, on a server that has not confirmed this leader.
+func (ldr *Leader) queueAgain(now time.Time, ord *order) {
+	if ord.Reassigned {
+		if ldr.adopt(now, ord) {
+			return
+		}
+		ldr.requestProof(now, ord)
+	}
+	ldr.que.push(ord)
+}
+
 // runsNowhere reports whether it is proven that no other leader runs a reassigned task: every server has confirmed this leader since the
 // order came. An earlier listing proves nothing: this leader may have been paused since, and its successor, with a higher token, may run
 // the task. The listing of the server where the task last ran is not enough either: a former leader that still reaches other servers may
