Show two more ways in which a task runs twice beside a second leader

Cause 1 (TestLeaseThatAnotherLeaderRenews): the first leader gets no answers of a server, counts the leases there as expired after 672 ms and starts the tasks on another server; the second leader has taken the server over and renews the leases. The withdrawal does not arrive, as the way from the owner has failed for less than 450 ms. Cause 2 (TestServerIsAddedDuringATakeover): the second leader has read the list after its takeover and lost the store; a server is added; the first leader, which has not heard of the second and was refused nowhere yet, starts waiting tasks there; all servers that the second knows confirm it, so that it reports these tasks as not run. The order of reads is the fault: the list may be read before all servers obey the reader.

--- a/internal/process/daemon/two_leaders_test.go
+++ b/internal/process/daemon/two_leaders_test.go
@@ -42,6 +42,7 @@
 // startTwoLeaders fills the owner's failure domain for a time, has the owner submit a job, and returns when its tasks run.
 func startTwoLeaders(t *testing.T, sys *system, full time.Duration, job jobSpec) *twoLeaders {
 	t.Helper()
+	time.Sleep(maxUnlisted) // Until then no list counts as complete, and no leader reports that a task runs nowhere.
 	led := sys.leader("domain-1")
 	oth := map[string]string{"entry-1-1": "entry-1-2", "entry-1-2": "entry-1-1"}[led]
 	two := &twoLeaders{system: sys, t: t, first: sys.instances[led], second: sys.instances[oth], owner: sys.instances["entry-2-1"]}
@@ -120,3 +121,90 @@
 		}
 	}
 }
+
+// TestLeaseThatAnotherLeaderRenews guards against tasks that run twice at once: the first leader loses contact with a server, counts the leases
+// there as expired and starts the tasks on another one, while the second leader has taken the server over and renews the leases.
+func TestLeaseThatAnotherLeaderRenews(t *testing.T) {
+	for after := 400 * time.Millisecond; after <= 800*time.Millisecond; after += 50 * time.Millisecond {
+		t.Run(fmt.Sprint("taken over after ", after), func(t *testing.T) {
+			job := jobSpec{id: jobID(2), tasks: 2, payload: payload{Millis: 1500}}
+			inTwoLeaders(t, 900*time.Millisecond, job, func(two *twoLeaders) {
+				chk := is.NewRelaxed(t)
+				two.net.CutWay(two.busy[0], two.first.host)
+				time.Sleep(after)
+				two.cutBothWays(two.second.host, two.first.host)
+				two.cutBothWays(two.second.host, two.idle[0])
+				two.net.CutWay(two.owner.host, two.first.host)
+				two.takeOver()
+				time.Sleep(time.Second)
+				two.net.MendWay(two.busy[0], two.first.host)
+				two.mendBothWays(two.second.host, two.first.host)
+				two.mendBothWays(two.second.host, two.idle[0])
+				two.net.MendWay(two.owner.host, two.first.host)
+				<-two.sent.done
+				chk.Equal(two.sent.status, http.StatusOK)
+			})
+		})
+	}
+}
+
+// TestServerIsAddedDuringATakeover guards against tasks that run twice at once: a server is added just after the second leader has read the list
+// and lost contact with the store. The first leader, which has not heard of the second, starts waiting tasks there, and the second reports
+// that they run nowhere.
+func TestServerIsAddedDuringATakeover(t *testing.T) {
+	for _, cse := range []struct {
+		added, heard time.Duration
+		// withdrawn is set if the owner reaches the first leader, which then stops what it has started.
+		withdrawn bool
+	}{
+		{added: 10 * time.Millisecond},
+		{added: 10 * time.Millisecond, heard: 40 * time.Millisecond},
+		{added: 40 * time.Millisecond},
+		{added: 40 * time.Millisecond, heard: 80 * time.Millisecond},
+		{added: 80 * time.Millisecond, heard: 110 * time.Millisecond},
+		{added: 10 * time.Millisecond, heard: 40 * time.Millisecond, withdrawn: true},
+	} {
+		t.Run(fmt.Sprintf("added after %v, owner hears the second leader after %v, withdrawn %t", cse.added, cse.heard, cse.withdrawn), func(t *testing.T) {
+			// Three tasks run, the others wait.
+			job := jobSpec{id: jobID(2), tasks: 12, payload: payload{Millis: 1500}}
+			inTwoLeaders(t, 900*time.Millisecond, job, func(two *twoLeaders) {
+				chk := is.NewRelaxed(t)
+				time.Sleep(110 * time.Millisecond) // The small server is full, too.
+				two.cutBothWays(two.second.host, two.first.host)
+				if !cse.withdrawn {
+					two.net.CutWay(two.owner.host, two.first.host)
+				}
+				if cse.heard > 0 {
+					two.net.CutWay(two.second.host, two.owner.host)
+				}
+				two.takeOver()
+				if cse.heard > 0 {
+					two.grp.Go(func() error {
+						time.Sleep(cse.heard)
+						two.net.MendWay(two.second.host, two.owner.host)
+						return nil
+					})
+				}
+				// Virtual time stands still while the second leader reads the list, so it reads it once more.
+				time.Sleep(time.Millisecond)
+				two.second.dmn.requestListRead()
+				time.Sleep(time.Millisecond)
+				two.cutBothWays(two.second.host, storeHost)
+				time.Sleep(cse.added)
+				two.startServer("server-1-3", "domain-1")
+				two.first.dmn.requestListRead()
+				// The owner's failure domain gets free capacity for all that waits.
+				for num := 3; num <= 8; num++ {
+					two.startServer(fmt.Sprint("server-2-", num), "domain-2")
+				}
+				two.owner.dmn.requestListRead()
+				time.Sleep(time.Second)
+				two.mendBothWays(two.second.host, two.first.host)
+				two.mendBothWays(two.second.host, storeHost)
+				two.net.MendWay(two.owner.host, two.first.host)
+				<-two.sent.done
+				chk.Equal(two.sent.status, http.StatusOK)
+			})
+		})
+	}
+}
