Return orders to their owner when leases are believed to have expired

What callers could see: a task that runs twice at once, beside a second leader of a shard whose first one lives.

Cause: a leader that got no answers of a server counted the leases there as expired after 672 ms, as only it extends them, and started the tasks elsewhere. A second leader that has taken the server over and found the runs extends them, too. The owner knows which of the two it follows; the first leader does not, if the way between them fails.

Change: such orders go back to their owner, marked as possibly run. An owner that follows another leader by then ignores the report; else it orders the task anew. A return of an order that may have run says nothing of the shard's free capacity.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -340,15 +340,24 @@
 	ldr.queueAgain(now, ord)
 }
 
-// expireLeases queues the orders of a server again whose leases have expired by any clock. A start without an answer may still be carried
-// out: that run stays counted as unclaimed, so that the server gets no task, until a stop is accepted.
+// expireLeases ends the runs of a server whose leases have expired by any clock, if only this leader extends them. Another leader may: so the
+// orders go back to their owners, who know which leader they follow, and none is started again here. A start without an answer may still be
+// carried out: that run stays counted as unclaimed until a stop is accepted. Until then the server gets no task and no lease: with a lease
+// that was extended it would run the late start beside the order's next run.
 func (ldr *Leader) expireLeases(now time.Time, srv *server) {
 	for _, rn := range slices.Collect(maps.Values(srv.runs)) {
+		ord := rn.ord
 		mayStart := rn.acceptedAt.IsZero() && rn.stopAcceptedAt.IsZero()
-		if mayStart && rn.ord == nil {
-			continue // Its order was queued again by an earlier call.
+		if mayStart && ord == nil {
+			continue // Its order went back at an earlier call.
+		}
+		if ord != nil && !ord.cancelled && !ord.Reassigned {
+			srv.drop(rn)
+			ord.run, ord.srv = nil, nil
+			ldr.returnOrder(ord)
+		} else {
+			ldr.requeue(now, srv, rn)
 		}
-		ldr.requeue(now, srv, rn)
 		if !mayStart {
 			continue
 		}
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -329,7 +329,7 @@
 	case shard.NotRun:
 		tsk.leader = ""
 		tsk.job.started = tsk.job.started || rep.MayHaveRun
-		if !tsk.reassigned {
+		if !tsk.reassigned && !rep.MayHaveRun {
 			tsk.returns++
 			crd.markFull(tsk.shard)
 		}
