Read the list once all servers follow, and use added servers only if they do

What callers could see: tasks that run twice at once where a server is added while a shard changes its leader: the new leader reports that they run nowhere, and the former one runs them on the added server.

Cause: a leader took its list of servers for complete if it was read after its takeover. Until the former leader is refused by a server, or hears of the takeover, it goes on, and starts tasks on a server that it has read of since.

Change: the list counts if its read began after every known server had confirmed the new leader, which asks for a read then. And a leader gives a server that is listed after its takeover no task before all others that answer have confirmed it since. So a server that was listed in time is known to the new leader, and one that is listed later is not used by the former one, as its other servers refuse it by then.

--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -95,6 +95,8 @@
 		case shard.QuarantineServer:
 			dmn.log.Info().Str("server", string(act.Server)).Float64("measure", act.Measure).Dur("pause", act.Duration).
 				Msg(act.Reason)
+		case shard.ReadList:
+			dmn.requestListRead()
 		case shard.NoteReturn:
 			dmn.log.Info().Str("task", act.Task).Str("shard", string(name)).Str("owner", string(act.Owner)).Bool("proven", act.Proven).
 				Int("servers", act.Servers).Dur("oldest-confirmed", act.OldestConfirmed).Dur("waited", act.Waited).
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -184,8 +184,6 @@
 		}
 	}
 	dmn.mesh.SendHeartbeats()
-	// The former leader may have used servers that were added after this instance's last read.
-	dmn.requestListRead()
 }
 
 // logTakeover logs a takeover with the leader that the shard was last seen to have, how long ago, and how many instances are heard.
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -5,7 +5,7 @@
 // Name identifies a shard: a part of a failure domain's backend servers.
 type Name string
 
-// Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, QuarantineServer, NoteReturn or SendReport.
+// Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, ReadList, QuarantineServer, NoteReturn or SendReport.
 type Action interface{ action() }
 
 // StartRun asks a backend server to start a run; its result goes to Uplink.HandleStartResult, then to Leader.HandleStartResult.
@@ -57,6 +57,9 @@
 	Duration time.Duration
 }
 
+// ReadList asks for a read of the list of servers that begins now.
+type ReadList struct{}
+
 // NoteReturn describes on what evidence a reassigned order is returned as run nowhere; its report follows.
 type NoteReturn struct {
 	Task  string
@@ -69,6 +72,7 @@
 	OldestConfirmed, Waited time.Duration
 }
 
+func (ReadList) action()         {}
 func (NoteReturn) action()       {}
 func (QuarantineServer) action() {}
 func (StartRun) action()         {}
--- a/internal/request/shard/adopted_end_test.go
+++ b/internal/request/shard/adopted_end_test.go
@@ -28,7 +28,7 @@
 	}
 	cases := map[string]struct {
 		story func(har *harness)
-		// confirmed is set if the other server answers the new leader after the order has come.
+		// confirmed is set if the other server answers the new leader after the order has come, and the list is read then.
 		confirmed bool
 	}{
 		"stopped as unclaimed, the order comes before the end": {
@@ -55,6 +55,9 @@
 				har.advance(10 * time.Millisecond)
 				har.answerRenewal("s1", stopped)
 				har.answerRenewal("s2", RenewResult{})
+				har.record(har.ldr.SetServers(har.now, Listing{
+					Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000)}, ReadAt: har.now.Add(time.Millisecond),
+				}))
 				har.advance(10 * time.Millisecond)
 				har.answerRenewal("s1", RenewResult{})
 			},
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -37,8 +37,12 @@
 	loadNumber int64
 	// freeBuf is reused by freeServers.
 	freeBuf freeServers
-	// listingComplete is set once a listing was read after the takeover: a former leader can hold no server that it lacks.
-	listingComplete bool
+	// allConfirmedAt is when every known server had first confirmed the leader; listReadAt is when the read of the newest complete listing
+	// began. A listing that was read since then has each server that a former leader may use: it uses none that is listed later, as its other
+	// servers refuse it by then (see admitAdded).
+	allConfirmedAt, listReadAt time.Time
+	// added counts the servers with addedAt set.
+	added int
 	// droppedUnproven is set once a server was dropped on which another leader may still run tasks.
 	droppedUnproven bool
 	// lossRate is the running share of calls to backend servers that got no answer.
@@ -99,7 +103,9 @@
 
 // SetServers replaces the listing of the shard's servers; it is called with each new listing.
 func (ldr *Leader) SetServers(now time.Time, lst Listing) []Action {
-	ldr.listingComplete = ldr.listingComplete || lst.ReadAt.After(ldr.takeoverAt)
+	if lst.ReadAt.After(ldr.listReadAt) {
+		ldr.listReadAt = lst.ReadAt
+	}
 	listed := make(map[ServerID]bool, len(lst.Listed))
 	for _, ent := range lst.Listed {
 		listed[ent.ID] = true
@@ -108,6 +114,13 @@
 			continue
 		}
 		ldr.servers[ent.ID] = newServer(ent, now)
+		if ldr.takeoverComplete {
+			ldr.servers[ent.ID].addedAt = now
+			ldr.added++
+		}
+	}
+	if ldr.added > 0 {
+		ldr.requestConfirmations(now, now)
 	}
 	for id, srv := range ldr.servers {
 		if listed[id] {
@@ -131,8 +144,11 @@
 	return ldr.takeActions()
 }
 
-// ListingComplete reports whether a listing was read after the takeover, so that it has every server a former leader may hold.
-func (ldr *Leader) ListingComplete() bool { return ldr.listingComplete }
+// ListingComplete reports whether a complete listing was read after every server had confirmed the leader, so that it has every server that
+// a former leader may use.
+func (ldr *Leader) ListingComplete() bool {
+	return !ldr.allConfirmedAt.IsZero() && ldr.listReadAt.After(ldr.allConfirmedAt)
+}
 
 // dropUnlisted drops an unlisted server that does not answer, once the leases of its runs have expired; its orders are queued again. A
 // confirmed server stays, because live servers go missing from the list while the store is unavailable.
@@ -291,6 +307,11 @@
 
 // advance ends the handling of each event: it completes the takeover if possible, maintains srv if it is not nil, and starts waiting tasks.
 func (ldr *Leader) advance(now time.Time, srv *server) {
+	if ldr.allConfirmedAt.IsZero() && len(ldr.servers) > 0 && ldr.allListed() {
+		ldr.allConfirmedAt = now
+		ldr.emit(ReadList{})
+	}
+	ldr.admitAdded()
 	if !ldr.takeoverComplete {
 		ldr.completeTakeover(now)
 	}
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -23,6 +23,8 @@
 	state serverState
 	// unlisted servers have no entry in the list now.
 	unlisted bool
+	// addedAt is when a server was listed that is to get no task yet (see admitAdded); zero for the others.
+	addedAt time.Time
 	// runs is changed only by add and drop, which keep the used and unclaimed counts right.
 	runs                      map[RunID]*run
 	usedProcessor, usedMemory int64
@@ -139,7 +141,7 @@
 // quarantine it is on trial, with one task at a time.
 func (srv *server) acceptsTasks(now time.Time, tolerated int) bool {
 	switch {
-	case srv.state != confirmed || srv.missed > tolerated || srv.ent.Leaving:
+	case srv.state != confirmed || srv.missed > tolerated || srv.ent.Leaving || !srv.addedAt.IsZero():
 		return false
 	case now.Before(srv.quarantinedUntil) || now.Before(srv.spd.quarantinedUntil):
 		return false
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -71,20 +71,25 @@
 // knowsAllServers reports whether the leader knows every server on which an order's task may run. A leader without servers does not: those
 // of another leader may have expired from the list. Nor does one that dropped a server unheard or to another shard, as it can't ask it.
 func (ldr *Leader) knowsAllServers(ord *order) bool {
-	if !ldr.listingComplete || ldr.droppedUnproven || len(ldr.servers) == 0 {
+	if !ldr.ListingComplete() || ldr.droppedUnproven || len(ldr.servers) == 0 {
 		return false
 	}
 	return ord.LastServer == "" || ldr.servers[ord.LastServer] != nil
 }
 
 // requestProof calls the servers on which a task may run for another leader. A renewal that waits for an end was sent before the order came
-// and proves nothing. One such call at a time to each server serves all orders that come meanwhile.
+// and proves nothing.
 func (ldr *Leader) requestProof(now time.Time, ord *order) {
-	if !ldr.knowsAllServers(ord) {
-		return
+	if ldr.knowsAllServers(ord) {
+		ldr.requestConfirmations(now, ord.receivedAt)
 	}
+}
+
+// requestConfirmations calls the servers that have not confirmed the leader since a time, without waiting for ends. One such call at a time to
+// each server serves all that is asked for meanwhile.
+func (ldr *Leader) requestConfirmations(now, since time.Time) {
 	for _, srv := range ldr.servers {
-		if srv.state != confirmed || srv.proofPending || srv.confirmedSince(ord.receivedAt) {
+		if srv.state != confirmed || srv.proofPending || srv.confirmedSince(since) {
 			continue
 		}
 		srv.proofPending = true
@@ -92,6 +97,34 @@
 	}
 }
 
+// admitAdded lets servers that were listed after the takeover get tasks once all others that answer have confirmed the leader since. A
+// leader that was succeeded without knowing it is refused by them, and must not start tasks on servers that its successor does not know.
+func (ldr *Leader) admitAdded() {
+	if ldr.added == 0 {
+		return
+	}
+	ldr.added = 0
+	for _, srv := range ldr.servers {
+		switch {
+		case srv.addedAt.IsZero():
+		case srv.state == confirmed && ldr.othersConfirmedSince(srv, srv.addedAt):
+			srv.addedAt = time.Time{}
+		default:
+			ldr.added++
+		}
+	}
+}
+
+// othersConfirmedSince reports whether all servers that answer, except one, have confirmed the leader since a time.
+func (ldr *Leader) othersConfirmedSince(except *server, since time.Time) bool {
+	for _, srv := range ldr.servers {
+		if srv != except && srv.state == confirmed && !srv.confirmedSince(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // allListed reports whether every server has confirmed this leader and listed its runs.
 func (ldr *Leader) allListed() bool {
 	for _, srv := range ldr.servers {
