Test the read of the list and the proof at the return each by itself

With both mends of the list in place TestServerIsAddedDuringATakeover stays green without the one and without the other only in part: without the read after all servers have confirmed it is green. TestServerIsAddedBeforeTheOthersFollow is red then (one of its four moments), as the servers still answer the former leader after the server was added. Likewise the case of TestReassignedOrderAtANewLeader for the proof at the return no longer needed it, as the list counts later; the new case does.

--- a/internal/process/daemon/two_leaders_test.go
+++ b/internal/process/daemon/two_leaders_test.go
@@ -208,3 +208,45 @@
 		})
 	}
 }
+
+// TestServerIsAddedBeforeTheOthersFollow guards against tasks that run twice at once: a server is added after the second leader has read the
+// list, and the others answer the first leader once more before the second reaches them. So the first starts waiting tasks on the added
+// server, which the second must not leave out of its proof.
+func TestServerIsAddedBeforeTheOthersFollow(t *testing.T) {
+	for reached := 20 * time.Millisecond; reached <= 80*time.Millisecond; reached += 20 * time.Millisecond {
+		t.Run(fmt.Sprint("reached after ", reached), func(t *testing.T) {
+			job := jobSpec{id: jobID(2), tasks: 12, payload: payload{Millis: 1500}}
+			inTwoLeaders(t, 900*time.Millisecond, job, func(two *twoLeaders) {
+				chk := is.NewRelaxed(t)
+				time.Sleep(110 * time.Millisecond) // The small server is full, too.
+				servers := slices.Concat(two.busy, two.idle)
+				two.cutBothWays(two.second.host, two.first.host)
+				two.net.CutWay(two.owner.host, two.first.host)
+				for _, id := range servers {
+					two.cutBothWays(two.second.host, id)
+				}
+				two.takeOver()
+				time.Sleep(time.Millisecond) // As above, virtual time stands still while the list is read.
+				two.second.dmn.requestListRead()
+				time.Sleep(time.Millisecond)
+				two.cutBothWays(two.second.host, storeHost)
+				two.startServer("server-1-3", "domain-1")
+				two.first.dmn.requestListRead()
+				time.Sleep(reached)
+				for _, id := range servers {
+					two.mendBothWays(two.second.host, id)
+				}
+				for num := 3; num <= 8; num++ {
+					two.startServer(fmt.Sprint("server-2-", num), "domain-2")
+				}
+				two.owner.dmn.requestListRead()
+				time.Sleep(time.Second)
+				two.mendBothWays(two.second.host, two.first.host)
+				two.mendBothWays(two.second.host, storeHost)
+				two.net.MendWay(two.owner.host, two.first.host)
+				<-two.sent.done
+				chk.Equal(two.sent.status, http.StatusOK)
+			})
+		})
+	}
+}
--- a/internal/request/shard/takeover_test.go
+++ b/internal/request/shard/takeover_test.go
@@ -99,6 +99,22 @@
 			},
 			stops: 1,
 		},
+		"a server is listed after the others have answered again, during the takeover": {
+			story: func(har *harness) {
+				other := RenewResult{Running: []Progress{{Run: RunID{Task: "k.0", Number: 5}}}}
+				har.answerRenewal("s1", other)
+				har.answerRenewal("s2", RenewResult{})
+				har.now = har.now.Add(10 * time.Millisecond)
+				reassigned(har)
+				har.answerRenewal("s1", other)
+				har.answerRenewal("s2", RenewResult{})
+				har.record(har.ldr.SetServers(har.now, Listing{
+					Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000), serverEntry("s3", 32000)},
+				}))
+				har.advance(DefaultConfig().AdoptWait)
+			},
+			stops: 1,
+		},
 		"its last server is not known here": {
 			// The entry of that server has expired, and the instance has never seen it.
 			story: func(har *harness) {
