Show a false proof by a leader that never knew the task's service

A test that fails; the product is not changed.

An instance calls only servers of services that a configuration has named since its own start. One that started after the last route of a service was removed leaves these servers out of its shards, and still calls its list whole. As leader it returns a reassigned order as proven to run nowhere, though the server on which the task runs was never asked. What the owner knows of the last server does not help within some 100 ms of the start, as that report waits for the next batch.

--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -44,6 +44,8 @@
 	domains []string
 	// serverSizes are the capacities of the backend servers, assigned round robin, in thousandths of a core; serverProcessor if empty.
 	serverSizes []int64
+	// services are the services of backend servers whose tasks are not of the usual one.
+	services map[string]string
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -193,7 +195,11 @@
 
 // listServer writes a server's record, as its heartbeat does; state is "ready" or "draining".
 func (sys *system) listServer(id, domain, state string) {
-	sys.sto.List(sys.servers[id], service, id+":1", domain, state == "draining")
+	svc := service
+	if oth := sys.services[id]; oth != "" {
+		svc = oth
+	}
+	sys.sto.List(sys.servers[id], svc, id+":1", domain, state == "draining")
 }
 
 // startInstance starts an instance on a machine of its own. A name that was started before gets a new incarnation, on a new machine.
