Let the last instance of a failure domain take over where others are heard seldom

What callers would see: servers without a leader for good, and 503s, after the other instances of a failure domain have lost power.

Cause: a gap of over 0.5 s in hearing others began the wait anew, and idle instances of other failure domains are heard once a second. What is known of the time at which they were alive is older still.

Change: only a gap of 1.5 s begins the wait anew, and what counts is when a batch was read.

--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -37,7 +37,7 @@
 	for _, ldr := range dmn.leaders {
 		ldr.HandleOwnerHeard(from, at)
 	}
-	dmn.elector.HandleHeard(at)
+	dmn.elector.HandleHeard(now)
 	dmn.handleHeartbeat(now, from, bet)
 	for _, msg := range msgs {
 		dmn.handleMessage(now, from, msg)
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -146,7 +146,7 @@
 		for _, name := range sortedKeys(nod.leaders) {
 			nod.leaders[name].HandleOwnerHeard(from, at)
 		}
-		nod.elector.HandleHeard(at)
+		nod.elector.HandleHeard(now)
 		nod.tokenRound = max(nod.tokenRound, hbt.round)
 		nod.coverage.HandlePeerComplete(now, hbt.listOffset)
 		if _, changed := nod.elector.HandleHeartbeat(hbt.ins); changed {
--- a/internal/process/succession/silence.go
+++ b/internal/process/succession/silence.go
@@ -12,14 +12,12 @@
 	return len(elc.peers) == 0 && elc.everHadPeers && now.Sub(elc.lastPeerLostAt) < elc.cfg.IsolationTimeout
 }
 
-// HandleHeard takes note that another instance is known to have been alive at a time.
-func (elc *Elector) HandleHeard(at time.Time) {
-	if at.Sub(elc.heardAt) > elc.cfg.PauseGrace {
-		elc.hearingSince = at
-	}
-	if at.After(elc.heardAt) {
-		elc.heardAt = at
+// HandleHeard takes note that a batch or receipt of another instance was read at a time.
+func (elc *Elector) HandleHeard(now time.Time) {
+	if now.Sub(elc.heardAt) > elc.cfg.IsolationTimeout {
+		elc.hearingSince = now
 	}
+	elc.heardAt = now
 }
 
 // countSilent counts an instance of the own failure domain that has fallen silent; the count restarts after IsolationTimeout without one.
@@ -34,8 +32,9 @@
 // maybeOverloaded reports whether most of the own failure domain has fallen silent and may be heard again soon. That many are more likely
 // missed because this instance reads too slowly or its link is full: one with a fifth of a core missed 13 others within half a second, took
 // seven shards over from healthy leaders, and lost them again one after the other. The shards are taken over only once this instance has
-// heard any others for IsolationTimeout on end, as it would then hear the silent ones too; or once it has heard nobody for maxDeafness,
-// when it is more likely the only one left.
+// heard any others for IsolationTimeout, as it would then hear the silent ones too; or once it has heard nobody for maxDeafness, when it is
+// more likely the only one left. Idle instances of other failure domains are heard each 1.5 s or more often, so only a longer gap begins the
+// wait anew.
 func (elc *Elector) maybeOverloaded(now time.Time) bool {
 	if elc.silentPeers < minSilentPeers || elc.silentPeers <= silentRatio*elc.DomainPeerCount() {
 		return false
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -96,8 +96,7 @@
 	// silentAt is when the last one did.
 	silentPeers int
 	silentAt    time.Time
-	// heardAt is the latest time at which any other instance is known to have been alive. Since hearingSince there was no PauseGrace without
-	// such a time.
+	// heardAt is when any other instance was last heard. Since hearingSince there was no IsolationTimeout in which none was.
 	heardAt, hearingSince time.Time
 	backoffs              map[shard.Name]backoff
 	claims                claims
