Ask for proof anew when a reassigned order replaces another owner's

What callers could see: a task that runs twice at once, where a caller has submitted its job a second time elsewhere and both owners' orders meet at one leader.

Cause: a reassigned order that met another owner's order for its task took that one's place with the time at which that one came, so that what servers had said before it came counted as proof.

Change: it counts as come now, and waits like any other.

--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -202,10 +202,14 @@
 		}
 		return
 	}
+	if req.Reassigned {
+		// What the servers have said before this order came proves nothing.
+		old.receivedAt, old.notBefore = now, now.Add(max(ldr.cfg.OrphanExpiry, req.MayRunFor))
+	}
 	if old.run == nil {
 		ldr.que.remove(old)
 		old.Order = req
-		ldr.que.push(old)
+		ldr.queueAgain(now, old)
 		return
 	}
 	ldr.stopRun(now, old.srv, old.run)
