Take no list for complete that has servers of an unknown service

What callers could see: a task that runs twice at once, in another failure domain the second time: its leader is killed just after the start, and the next leader started after the last route of the task's service was removed.

Cause: an instance calls the servers of those services only that a configuration has named since its start. Its list counted as complete all the same, so that it proved that the task runs nowhere without having asked the server that runs it ("proven", "servers" 1 of 4).

Change: while the failure domain has servers of a service that this instance never knew, orders that are found nowhere wait for the leases.

--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -131,11 +131,22 @@
 	}
 }
 
+// listsUnknownService reports whether a failure domain has servers of a service that no configuration has named since the start. They are not
+// called here, but a former leader that knows the service from before may run tasks there.
+func (dmn *Daemon) listsUnknownService(domain string) bool {
+	for _, ent := range dmn.entries {
+		if ent.FailureDomain == domain && !dmn.services[ent.Service] {
+			return true
+		}
+	}
+	return false
+}
+
 // shardListing returns the known servers of a shard for its leader. ReadAt is set only if the list is complete: after the first read it
 // may lack entries that expired, for instance as the store has just come back. Entries that go away later are kept as missing.
 func (dmn *Daemon) shardListing(now time.Time, shd succession.Shard) shard.Listing {
 	lst := shard.Listing{Listed: dmn.serversByShard[shd], All: dmn.entries}
-	if dmn.coverage.Complete(now) {
+	if dmn.coverage.Complete(now) && !dmn.listsUnknownService(shd.Domain) {
 		lst.ReadAt = dmn.listReadAt
 	}
 	for _, mis := range dmn.missing {
