Force a takeover by an instance that never saw a server of the shard

Change: TestNewLeaderNeverSawAServer waits until the lists are whole, and the tasks start 10 ms before their leader is killed.

--- a/internal/process/daemon/two_leaders_test.go
+++ b/internal/process/daemon/two_leaders_test.go
@@ -250,3 +250,29 @@
 		})
 	}
 }
+
+// TestNewLeaderNeverSawAServer guards against tasks that run twice at once: the entry of a live server is gone when an instance starts, which
+// then takes the shard over from a killed leader. The leader started tasks on that server just before and no report of that has reached
+// the owner, so that the new leader must not report them as not run because all servers of its own list say so.
+func TestNewLeaderNeverSawAServer(t *testing.T) {
+	for _, age := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond, 2700 * time.Millisecond} {
+		t.Run(fmt.Sprintf("it started %v before", age), func(t *testing.T) {
+			inTestSystem(t, 2, 1, 2, func(sys *system) {
+				chk := is.NewRelaxed(t)
+				time.Sleep(maxUnlisted) // The lists are complete.
+				sys.sto.Unlist(sys.servers["server-1-1"])
+				time.Sleep(500 * time.Millisecond)
+				sys.startInstance("entry-1-2", "domain-1")
+				time.Sleep(age)
+				sys.sendAsync(sys.ctx, "entry-2-1", jobSpec{id: jobID(1), tasks: 4, payload: payload{Millis: 300}})
+				time.Sleep(20 * time.Millisecond)
+				snt := sys.sendAsync(sys.ctx, "entry-2-1", jobSpec{id: jobID(2), tasks: 4, payload: payload{Millis: 900}})
+				time.Sleep(10 * time.Millisecond)
+				chk.Equal(sys.ldg.Running(), 8)
+				sys.kill("entry-1-1")
+				<-snt.done
+				chk.Equal(snt.status, http.StatusOK)
+			})
+		})
+	}
+}
