--- a/internal/process/succession/silence.go
+++ b/internal/process/succession/silence.go
@@ -56,6 +56,6 @@
 	// silentRatio is the ratio of silent to remaining instances above which own overload is assumed: more than any power loss that leaves
 	// some instances running.
 	silentRatio = 3
-	// maxDeafness is a multiple of IsolationTimeout: a link was full for up to 3 s after the start of its instance.
+	// maxDeafness is how long to wait while nobody is heard, in units of IsolationTimeout: a full link delays heartbeats for less.
 	maxDeafness = 2
 )
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -150,7 +150,7 @@
 	return !ldr.allConfirmedAt.IsZero() && ldr.listReadAt.After(ldr.allConfirmedAt)
 }
 
-// dropUnlisted drops an unlisted server that does not answer, once the leases of its runs have expired; its orders are queued again. A
+// dropUnlisted drops an unlisted server that does not answer, once the leases of its runs have expired; its orders go back to their owners. A
 // confirmed server stays, because live servers go missing from the list while the store is unavailable.
 func (ldr *Leader) dropUnlisted(now time.Time, srv *server) {
 	if !srv.unlisted || srv.state == confirmed || srv.state == claiming && now.Sub(ldr.takeoverAt) < ldr.cfg.OrphanExpiry {
