--- a/internal/request/shard/handover_test.go
+++ b/internal/request/shard/handover_test.go
@@ -17,6 +17,63 @@
 	})
 }
 
+func TestStartWithoutAnswerOutlivesItsLease(t *testing.T) {
+	// A server gets a start and answers nothing until its leases have expired, so that the task goes back to its owner, who has it started
+	// elsewhere. The server may still carry the first start out once it is reached again: until it has accepted a stop, it must get no lease
+	// and no other task.
+	unanswered := func(har *harness, first ServerID, run RunID) {
+		for range 20 {
+			har.answerRenewalSentAt(first, har.now, RenewResult{}, Unknown)
+			har.advance(100 * time.Millisecond)
+			har.record(har.ldr.HandleStopResult(har.now, first, run, Unknown))
+		}
+	}
+	cases := map[string]func(har *harness, first ServerID) RunID{
+		"the start was given up": func(har *harness, first ServerID) RunID {
+			run := har.answerStart("j.0", Unknown)
+			for range startRepeats {
+				har.answerStart("j.0", Unknown)
+			}
+			har.record(har.ldr.HandleStopResult(har.now, first, run, Unknown))
+			return run
+		},
+		"the start waits for its answer": func(har *harness, first ServerID) RunID {
+			for rid := range har.ldr.servers[first].runs {
+				return rid
+			}
+			return RunID{}
+		},
+	}
+	for name, begin := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := newHarness(t, serverEntry("s1", 32000), serverEntry("s2", 32000))
+			first := har.place(0, "j.0")["j.0"]
+			run := begin(har, first)
+			unanswered(har, first, run)
+			chk.Equal(har.starts()["j.0"], first)
+			chk.Equal(har.reports(NotRun), 1)
+
+			har.acts = nil
+			har.answerRenewal(first, RenewResult{Clock: time.Hour})
+			har.advance(50 * time.Millisecond)
+			chk.True(har.stops() > 0)
+			extended := har.count(func(act Action) bool {
+				rnw, ok := act.(Renew)
+				return ok && rnw.Server.ID == first && rnw.LeaseUntil > 0
+			})
+			chk.Equal(extended, 0)
+			started := har.place(0, "j.1", "j.2", "j.3", "j.4")
+			chk.True(!slices.Contains(slices.Collect(maps.Values(started)), first))
+
+			har.record(har.ldr.HandleStopResult(har.now, first, run, Accepted))
+			har.advance(10 * time.Millisecond)
+			har.answerRenewal(first, RenewResult{Clock: time.Hour})
+			chk.True(slices.Contains(slices.Collect(maps.Values(har.starts())), first))
+		})
+	}
+}
+
 // Guards against a task that runs twice as its leader forgets a start without an answer: the server is cut off with the start in its sockets,
 // its entry expires, and the task starts elsewhere. Once the server is back it must get no lease, with which it would carry the start out,
 // before it has accepted a stop of that run.
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -144,12 +144,6 @@
 	return ldr.takeActions()
 }
 
-// ListingComplete reports whether a complete listing was read after every server had confirmed the leader, so that it has every server that
-// a former leader may use.
-func (ldr *Leader) ListingComplete() bool {
-	return !ldr.allConfirmedAt.IsZero() && ldr.listReadAt.After(ldr.allConfirmedAt)
-}
-
 // dropUnlisted drops an unlisted server that does not answer, once the leases of its runs have expired; its orders go back to their owners. A
 // confirmed server stays, because live servers go missing from the list while the store is unavailable.
 func (ldr *Leader) dropUnlisted(now time.Time, srv *server) {
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -68,6 +68,12 @@
 	return true
 }
 
+// ListingComplete reports whether a complete listing was read after every server had confirmed the leader, so that it has every server that
+// a former leader may use.
+func (ldr *Leader) ListingComplete() bool {
+	return !ldr.allConfirmedAt.IsZero() && ldr.listReadAt.After(ldr.allConfirmedAt)
+}
+
 // knowsAllServers reports whether the leader knows every server on which an order's task may run. A leader without servers does not: those
 // of another leader may have expired from the list. Nor does one that dropped a server unheard or to another shard, as it can't ask it.
 func (ldr *Leader) knowsAllServers(ord *order) bool {
