Read the list of servers to its end, however long it has grown

Cause: the store returns at most 1 MB of a topic at once. A reader that was cut off for some seconds got a part of the list and took it for all of it up to the time of the read: a leader could prove by it that a task runs nowhere while it runs on a server that was listed in the rest. 2,500 servers write 1 MB of heartbeats in some 5 s. Change: Store.Read tells the end of the topic; the list is read on until that is reached, and only then counts as read.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -25,7 +25,7 @@
 type Store interface {
 	Append(ctx context.Context, tpc platform.Topic, rec platform.Record) (offset int64, err error)
 	Newest(ctx context.Context, tpc platform.Topic) (recs []platform.Record, next int64, err error)
-	Read(ctx context.Context, tpc platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error)
+	Read(ctx context.Context, tpc platform.Topic, from int64, wait time.Duration) (platform.Chunk, error)
 }
 
 // Servers is the part of the backend servers' interface that a daemon calls.
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -116,12 +116,12 @@
 		rdr.handle(batch{recs: recs, from: from, next: next})
 		return next, nil
 	}
-	recs, next, err := dmn.prm.Store.Read(ctx, rdr.topic, from, rdr.wait)
+	chk, err := dmn.prm.Store.Read(ctx, rdr.topic, from, rdr.wait)
 	if err != nil {
 		return from, err
 	}
-	rdr.handle(batch{recs: recs, from: from, next: next})
-	return next, nil
+	rdr.handle(batch{recs: chk.Records, from: from, next: chk.Next})
+	return chk.Next, nil
 }
 
 // applyConfiguration decodes a configuration and puts it in force if it is newer than the present one.
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -81,16 +81,23 @@
 		}
 		return err
 	}
-	recs, next, err := dmn.prm.Store.Read(ctx, platform.ServersTopic, from, 0)
-	if err == nil {
-		dmn.applyListChanges(began, recs, from, next)
-	}
-	if errors.Is(err, platform.ErrCompacted) {
-		dmn.mu.Lock()
-		dmn.follower.Reset()
-		dmn.mu.Unlock()
+	for {
+		chk, err := dmn.prm.Store.Read(ctx, platform.ServersTopic, from, 0)
+		if errors.Is(err, platform.ErrCompacted) {
+			dmn.mu.Lock()
+			dmn.follower.Reset()
+			dmn.mu.Unlock()
+		}
+		if err != nil {
+			return err
+		}
+		dmn.applyListChanges(began, from, &chk)
+		if chk.Complete() || chk.Next == from {
+			return nil
+		}
+		from = chk.Next // The store returns at most 1 MB at once.
+		dmn.cnt.storeReads.Add(1)
 	}
-	return err
 }
 
 // applyFullListing replaces the known list by a full read that began at a time; entries that the read doesn't have are removed.
@@ -109,16 +116,18 @@
 	dmn.updateShards(now)
 }
 
-// applyListChanges applies the records from one offset of the list to another, of a read that began at a time, and keeps the changes for
-// the next digest. Records that are known from a digest are skipped.
-func (dmn *Daemon) applyListChanges(began time.Time, recs []platform.Record, from, next int64) {
+// applyListChanges applies the records of the list from an offset on, of a read that began at a time, and keeps the changes for the next
+// digest. Records that are known from a digest are skipped. The list counts as read at that time once the end that it had then is reached.
+func (dmn *Daemon) applyListChanges(began time.Time, from int64, chk *platform.Chunk) {
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
-	dmn.listReadAt = began
-	dmn.coverage.HandleRead(now)
-	known := dmn.follower.HandleRead(from, next)
+	if chk.Complete() {
+		dmn.listReadAt = began
+		dmn.coverage.HandleRead(now)
+	}
+	known := dmn.follower.HandleRead(from, chk.Next)
 	changed := false
-	for num, rec := range recs {
+	for num, rec := range chk.Records {
 		if num < known || !dmn.applyServerRecord(now, rec) {
 			continue
 		}
