Keep starts without an answer beyond the entry of their server

Cause: a server that is cut off with a start in its sockets, and whose entry expires, was dropped together with that start. Back in the list it got a lease and tasks, and could carry the old start out beside the task's next run. Change: the leader remembers such starts by server and stops them before the server gets anything.

--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -24,7 +24,9 @@
 	noStartsUntil time.Time
 	// unclaimedEnds holds, by task, ends listed during the takeover for which no order has come yet.
 	unclaimedEnds map[string]foundEnd
-	acts          []Action
+	// unansweredStarts holds the starts without an answer of servers that were dropped.
+	unansweredStarts map[ServerID][]*run
+	acts             []Action
 	// steps holds the run times of each step's tasks; old steps were last removed at stepsPrunedAt.
 	steps map[string]*siblings
 	rates drainRates
@@ -64,8 +66,8 @@
 	return &Leader{
 		cfg: cfg, link: link, name: name, token: token, takeoverAt: now, heardAt: now,
 		servers: map[ServerID]*server{}, orders: map[string]*order{}, unclaimedEnds: map[string]foundEnd{},
-		ownersHeard: map[InstanceID]time.Time{},
-		steps:       map[string]*siblings{}, meanRun: initialMeanRun, stepsPrunedAt: now,
+		ownersHeard: map[InstanceID]time.Time{}, unansweredStarts: map[ServerID][]*run{},
+		steps: map[string]*siblings{}, meanRun: initialMeanRun, stepsPrunedAt: now,
 	}
 }
 
@@ -113,9 +115,9 @@
 			srv.ent, srv.unlisted = ent, false
 			continue
 		}
-		ldr.servers[ent.ID] = newServer(ent, now)
+		srv := ldr.addServer(now, ent)
 		if ldr.takeoverComplete {
-			ldr.servers[ent.ID].addedAt = now
+			srv.addedAt = now
 			ldr.added++
 		}
 	}
@@ -154,10 +156,26 @@
 		return
 	}
 	ldr.expireLeases(now, srv)
+	for _, rn := range srv.runs {
+		ldr.unansweredStarts[srv.ent.ID] = append(ldr.unansweredStarts[srv.ent.ID], rn)
+	}
 	delete(ldr.servers, srv.ent.ID)
 	ldr.droppedUnproven = true
 }
 
+// addServer adds a server that is not known. Starts that it left unanswered before it was dropped may still be carried out there: it gets no
+// lease and no task before it has accepted stops of them.
+func (ldr *Leader) addServer(now time.Time, ent ServerEntry) *server {
+	srv := newServer(ent, now)
+	for _, rn := range ldr.unansweredStarts[ent.ID] {
+		rn.stopInProgress = false // Its result came to nobody.
+		srv.add(rn)
+	}
+	delete(ldr.unansweredStarts, ent.ID)
+	ldr.servers[ent.ID] = srv
+	return srv
+}
+
 // HandleOrder queues a new order, connects it to a run found at the takeover, or treats it as a repetition or recall of a known one.
 func (ldr *Leader) HandleOrder(now time.Time, req Order) []Action {
 	if old := ldr.orders[req.Task]; old != nil {
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -6,8 +6,7 @@
 func (ldr *Leader) claimMissing(now time.Time, ents []ServerEntry) {
 	for _, ent := range ents {
 		if ldr.servers[ent.ID] == nil {
-			ldr.servers[ent.ID] = newServer(ent, now)
-			ldr.servers[ent.ID].unlisted = true
+			ldr.addServer(now, ent).unlisted = true
 		}
 	}
 }
