Treat a backend server that starts again under its ID as another incarnation

It then runs nothing, has seen no token, and numbers its ends and counts its clock anew. born was decoded nowhere, so that ends of the new incarnation with small numbers were never handled, an acknowledgement of the former one's ends could forget them unread, leases were reckoned on a clock that went back (up to HoldMaxMs, 15 s on the fleet), runs of the former one counted as running, and a leader that was succeeded could be obeyed again.

Change: the adapter decodes the start from entries and answers to renewals. What the former one ran is over; starts without an answer stay and are stopped until that is accepted, and stops sent to the former one prove nothing. The server is treated like one that was just listed: token first, the other servers' word, and an entry of the same start, as it may be smaller. Ends are acknowledged once, by a fresh answer. Idle servers get no lease. An answer to a start whose clock went back stops the run.

--- a/internal/process/cli/soak.go
+++ b/internal/process/cli/soak.go
@@ -15,18 +15,19 @@
 
 // soakCommand plays daemons under troubles.
 type soakCommand struct {
-	Daemon      string        `help:"The binary of chestnutstackd." default:"target/chestnutstackd" type:"existingfile"`
-	First       uint64        `help:"The first seed; 0 takes the time of day, to play fresh ones." default:"1"`
-	Seeds       int           `help:"How many seeds to play." default:"3"`
-	Regressions bool          `help:"Play the seeds that ever broke a promise instead."`
-	Parallel    int           `help:"How many at the same time." default:"2"`
-	Domains     int           `help:"Failure domains." default:"3"`
-	Entries     int           `help:"Entry instances of each failure domain." default:"2"`
-	Servers     int           `help:"Backend servers of each failure domain." default:"4"`
-	Troubles    int           `help:"Troubles of each seed." default:"10"`
-	Closings    int           `help:"How often a failure domain is closed to new work in each seed."`
-	For         time.Duration `help:"How long callers send." default:"14s"`
-	Logs        string        `help:"Directory for the processes' logs; those of seeds that broke nothing are removed." default:"target/soak"`
+	Daemon         string        `help:"The binary of chestnutstackd." default:"target/chestnutstackd" type:"existingfile"`
+	First          uint64        `help:"The first seed; 0 takes the time of day, to play fresh ones." default:"1"`
+	Seeds          int           `help:"How many seeds to play." default:"3"`
+	Regressions    bool          `help:"Play the seeds that ever broke a promise instead."`
+	Parallel       int           `help:"How many at the same time." default:"2"`
+	Domains        int           `help:"Failure domains." default:"3"`
+	Entries        int           `help:"Entry instances of each failure domain." default:"2"`
+	Servers        int           `help:"Backend servers of each failure domain." default:"4"`
+	Troubles       int           `help:"Troubles of each seed." default:"10"`
+	Closings       int           `help:"How often a failure domain is closed to new work in each seed."`
+	ServerRestarts int           `help:"How often a backend server crashes and starts again under its ID in each seed."`
+	For            time.Duration `help:"How long callers send." default:"14s"`
+	Logs           string        `help:"Directory for the processes' logs; those of seeds that broke nothing are removed." default:"target/soak"`
 }
 
 // Help implements kong.HelpProvider.
@@ -49,7 +50,7 @@
 	}
 	shp := soak.DefaultShape()
 	shp.Domains, shp.Entries, shp.Servers = cmd.Domains, cmd.Entries, cmd.Servers
-	shp.Troubles, shp.Closings, shp.For = cmd.Troubles, cmd.Closings, cmd.For
+	shp.Troubles, shp.Closings, shp.ServerRestarts, shp.For = cmd.Troubles, cmd.Closings, cmd.ServerRestarts, cmd.For
 	cfg := soak.Config{Program: program, Dir: cmd.Logs, Shape: shp}
 	if err := cfg.Check(); err != nil {
 		return &usageError{cause: err}
--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -95,6 +95,9 @@
 		case shard.QuarantineServer:
 			dmn.log.Info().Str("server", string(act.Server)).Float64("measure", act.Measure).Dur("pause", act.Duration).
 				Msg(act.Reason)
+		case shard.NoteIncarnation:
+			dmn.log.Info().Str("server", string(act.Server)).Str("shard", string(name)).Int64("known-incarnation", int64(act.Known)).
+				Int64("incarnation", int64(act.Told)).Int("runs-carried", act.Carried).Msg(act.Reason)
 		case shard.ReadList:
 			dmn.requestListRead()
 		case shard.NoteReturn:
@@ -154,7 +157,7 @@
 	dmn.log.Info().Err(err).Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server.ID)).
 		Stringer("verdict", clr).Msg("stop")
 	if ldr := dmn.leaderWithToken(name, act.Token); ldr != nil {
-		dmn.runLeaderActions(name, ldr.HandleStopResult(now, act.Server.ID, act.Run, clr))
+		dmn.runLeaderActions(name, ldr.HandleStopResult(now, act, clr))
 	}
 	return nil
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -383,7 +383,7 @@
 func (dmn *Daemon) shardConfig() shard.Config {
 	cfg := shard.DefaultConfig()
 	if most := dmn.prm.Settings.LongestLease; most > 0 {
-		cfg.Lease = min(cfg.Lease, most)
+		cfg.LongestLease, cfg.Lease = most, min(cfg.Lease, most)
 		cfg.RenewWait = min(cfg.RenewWait, cfg.Lease/leaseRenewals)
 	}
 	return cfg
--- a/internal/process/daemon/list_test.go
+++ b/internal/process/daemon/list_test.go
@@ -197,3 +197,38 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// Guards against leaders and other instances that go on with the former size, labels, service, failure domain or incarnation of a server:
+// its entry has changed, and the change is taken for a heartbeat.
+func TestChangedEntryIsAChange(t *testing.T) {
+	const entry = `"Address":"10.0.0.1:80","State":"ready","Capacity":{"Cpu":%s,"MemMb":64},"Zone":%q,"Labels":[%q],"Service":%q,"SeqNo":%d,"born":%d}`
+	record := func(cpu, domain, label, service string, number, born int) platform.Record {
+		return platform.Record{Key: "s", Value: fmt.Appendf(nil, "{"+entry, cpu, domain, label, service, number, born)}
+	}
+	first := record("32000", "domain-1", "a", "render", 1, 1000)
+	cases := map[string]struct {
+		next   platform.Record
+		change bool
+	}{
+		"a heartbeat":         {next: record("32000", "domain-1", "a", "render", 2, 1000)},
+		"size":                {next: record("16000", "domain-1", "a", "render", 2, 1000), change: true},
+		"failure domain":      {next: record("32000", "domain-2", "a", "render", 2, 1000), change: true},
+		"label":               {next: record("32000", "domain-1", "b", "render", 2, 1000), change: true},
+		"service":             {next: record("32000", "domain-1", "a", "other", 2, 1000), change: true},
+		"incarnation":         {next: record("32000", "domain-1", "a", "render", 1, 2000), change: true},
+		"former incarnation":  {next: record("16000", "domain-1", "a", "render", 1, 500)},
+		"entry is unreadable": {next: platform.Record{Key: "s", Value: []byte("{")}, change: true},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			inTestSystem(t, 1, 1, 1, func(sys *system) {
+				chk := is.New(t)
+				dmn := sys.instances["entry-1-1"].dmn
+				dmn.mu.Lock()
+				defer dmn.mu.Unlock()
+				chk.True(dmn.applyServerRecord(dmn.now(), first))
+				chk.Equal(dmn.applyServerRecord(dmn.now(), cse.next), cse.change)
+			})
+		})
+	}
+}
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -97,9 +97,14 @@
 		dmn.removeServer(now, id)
 		return known
 	}
+	if known && ent.Incarnation < old.Incarnation {
+		dmn.log.Error().Str("server", rec.Key).Int64("known-incarnation", int64(old.Incarnation)).Int64("incarnation", int64(ent.Incarnation)).
+			Msg("entry of a former incarnation of a backend server is not used")
+		return false
+	}
 	dmn.entries[id] = ent
 	delete(dmn.missing, id)
-	if known && old.Leaving == ent.Leaving && old.Address == ent.Address {
+	if known && ent.Equal(&old) {
 		return false
 	}
 	dmn.unloggedChanges.updated = append(dmn.unloggedChanges.updated, rec.Key)
--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -44,6 +44,8 @@
 	domains []string
 	// serverSizes are the capacities of the backend servers, assigned round robin, in thousandths of a core; serverProcessor if empty.
 	serverSizes []int64
+	// hidesIncarnations is set if the backend servers don't tell their incarnations.
+	hidesIncarnations bool
 	// services are the services of backend servers whose tasks are not of the usual one.
 	services map[string]string
 
@@ -188,6 +190,9 @@
 			Processor: pld.processor(), Memory: 64,
 		}
 	})
+	if sys.hidesIncarnations {
+		srv.HideIncarnation()
+	}
 	sys.servers[id] = srv
 	sys.serve(id+":1", srv)
 	sys.listServer(id, domain, "ready")
--- a/internal/process/soak/faults.go
+++ b/internal/process/soak/faults.go
@@ -44,7 +44,7 @@
 		ply.injectLinks(ctx, inj)
 	case storeDown, storeSlow, storeLoses, storeForgets, configuration, closeDomain:
 		ply.injectStore(ctx, inj)
-	case serverLate, serverCrash, serverLeaves, serverFails, serverStands, serverSlow:
+	case serverLate, serverCrash, serverRestart, serverLeaves, serverFails, serverStands, serverSlow:
 		ply.injectServer(ctx, inj)
 	}
 	return nil
@@ -165,6 +165,9 @@
 	case serverCrash:
 		ply.crash(ctx, inj.srv, inj.lasts)
 		return
+	case serverRestart:
+		ply.restartServer(ctx, inj)
+		return
 	case serverLeaves:
 		ply.leave(ctx, inj.srv)
 		return
@@ -239,6 +242,23 @@
 	sys.each(to, (*link).heal)
 }
 
+// restartServer crashes a backend server, which starts again under its ID after a time for which it refuses connections, or half of the time
+// answers nothing.
+func (ply *play) restartServer(ctx context.Context, inj *injection) {
+	inj.srv.changes.Lock()
+	defer inj.srv.changes.Unlock()
+	srv, to := inj.srv.now.Load(), func(lnk *link) bool { return lnk.to == inj.srv.name }
+	if inj.one%2 == 0 {
+		ply.sys.each(to, (*link).cutBoth)
+	}
+	ply.sys.each(to, (*link).reset)
+	srv.Close()
+	sleep(ctx, inj.lasts)
+	srv.Restart()
+	ply.sys.sto.List(srv, service, inj.srv.address, inj.srv.domain, false)
+	ply.sys.each(to, (*link).heal)
+}
+
 // leave has a backend server announce that it leaves, finish what runs and go; a new one comes in its place.
 func (ply *play) leave(ctx context.Context, srv *server) {
 	srv.changes.Lock()
--- a/internal/process/soak/plan.go
+++ b/internal/process/soak/plan.go
@@ -36,6 +36,7 @@
 	configuration kind = "configuration"
 	reload        kind = "reload"
 	closeDomain   kind = "close-domain"
+	serverRestart kind = "server-restart"
 )
 
 // planned troubles are an operator's work: they alone may cut nothing off.
@@ -66,6 +67,8 @@
 	Troubles int
 	// Closings is how many times a failure domain is closed to new work and opened again.
 	Closings int
+	// ServerRestarts is how many times a backend server crashes and starts again under its ID.
+	ServerRestarts int
 }
 
 // DefaultShape returns a system of six instances and twelve backend servers: a few dozen processes and ways.
@@ -93,6 +96,7 @@
 		trbs[idx] = trb
 	}
 	trbs = append(trbs, drawClosings(seed, shp.Closings)...)
+	trbs = append(trbs, drawServerRestarts(seed, shp)...)
 	slices.SortFunc(trbs, func(one, two trouble) int { return int(one.at - two.at) })
 	return trbs
 }
@@ -115,3 +119,21 @@
 	}
 	return trbs
 }
+
+// drawServerRestarts draws crashes of backend servers that start again under their IDs, most of them within the time of a few calls. They are drawn
+// by themselves, as the closings are.
+func drawServerRestarts(seed uint64, shp Shape) []trouble {
+	rnd := rand.New(rand.NewPCG(seed, 4))
+	trbs := make([]trouble, shp.ServerRestarts)
+	for idx := range trbs {
+		lasts := upTo(rnd, 300*time.Millisecond)
+		if rnd.IntN(3) == 0 {
+			lasts = upTo(rnd, 4*time.Second)
+		}
+		trbs[idx] = trouble{
+			kind: serverRestart, at: time.Second + upTo(rnd, shp.For-quietTail-time.Second), lasts: lasts,
+			one: rnd.IntN(1 << 16), two: rnd.IntN(1 << 16),
+		}
+	}
+	return trbs
+}
--- a/internal/process/succession/explore_action_test.go
+++ b/internal/process/succession/explore_action_test.go
@@ -95,6 +95,8 @@
 		switch act := act.(type) {
 		case shard.SendReport:
 			nod.localActions = append(nod.localActions, func() { nod.report(act.Owner, act.Report) })
+		case shard.NoteIncarnation:
+			nod.sim.note("%s: %s of %s: known %d, told %d, %d runs carried", nod.id, act.Reason, act.Server, act.Known, act.Told, act.Carried)
 		case shard.StartRun:
 			nod.startRun(name, act, timeout)
 		case shard.StopRun:
@@ -104,7 +106,7 @@
 			}, func(_ shard.RenewResult, clr shard.CallResult) {
 				nod.handle(func(now time.Time) {
 					if ldr := nod.leaderWithToken(name, act.Token); ldr != nil {
-						nod.runLeaderActions(name, ldr.HandleStopResult(now, act.Server.ID, act.Run, clr))
+						nod.runLeaderActions(name, ldr.HandleStopResult(now, act, clr))
 					}
 				})
 			})
@@ -169,10 +171,23 @@
 	}
 	if srv.lostAnswers > 0 {
 		srv.lostAnswers--
-		sim.after(sim.within(3*time.Second), func() { carryOut(srv, func(shard.RenewResult, shard.CallResult) {}) })
+		inc := srv.incarnation
+		sim.after(sim.within(3*time.Second), func() {
+			if srv.incarnation == inc && !srv.down() {
+				carryOut(srv, func(shard.RenewResult, shard.CallResult) {})
+			}
+		})
 		return
 	}
-	sim.after(sim.delay(), func() {
+	wait := max(0, srv.downUntil.Sub(sim.now)) // The connection is made once the server listens again.
+	if wait > timeout {
+		return
+	}
+	inc := srv.incarnation
+	sim.after(wait+sim.delay(), func() {
+		if wait == 0 && (srv.incarnation != inc || srv.down()) {
+			return // The connection ended with the incarnation.
+		}
 		carryOut(srv, func(res shard.RenewResult, clr shard.CallResult) {
 			if sim.up(string(to), nod.name) {
 				sim.after(sim.delay(), func() { finish(res, clr) })
--- a/internal/process/succession/explore_fault_test.go
+++ b/internal/process/succession/explore_fault_test.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"math/rand/v2"
 	"time"
 )
 
@@ -51,6 +52,19 @@
 	}
 }
 
+// injectRestarts crashes random servers at random times, most for less than the time of a few calls. Jobs come around the restarts.
+func (sim *simRun) injectRestarts(rnd *rand.Rand) {
+	for range 1 + rnd.IntN(5) {
+		down := 5*time.Millisecond + time.Duration(rnd.Int64N(int64(200*time.Millisecond)))
+		if rnd.IntN(4) == 0 {
+			down = time.Duration(rnd.Int64N(int64(3 * time.Second)))
+		}
+		srv, at := sim.servers[rnd.IntN(len(sim.servers))], time.Duration(rnd.Int64N(int64(activeTime)))
+		sim.after(at, func() { srv.restart(down) })
+		sim.after(at+down/2, sim.submit)
+	}
+}
+
 // partitionWithTakeovers partitions a failure domain whose entries expire meanwhile, and has a random node on either side take a shard
 // over; new jobs come around the end of the partition.
 func (sim *simRun) partitionWithTakeovers(domain string) {
--- a/internal/process/succession/explore_server_test.go
+++ b/internal/process/succession/explore_server_test.go
@@ -16,6 +16,9 @@
 	domain string
 	// clockRate is the speed of the server's clock relative to true time.
 	clockRate float64
+	// incarnation is the start of the incarnation, startedAt the same in the simulation's time. Between two incarnations the server is down, until downUntil.
+	incarnation          shard.Incarnation
+	startedAt, downUntil time.Time
 	// token is the highest token seen, lease until when the runs may go on by the server's clock; highestRun has the highest run number of each
 	// task; ended are the ends that no renewal has acknowledged, endSeq the number of the last; waiting are the renewals that wait for an end.
 	token      int64
@@ -45,15 +48,37 @@
 
 func (srv *fakeServer) entry() shard.ServerEntry {
 	return shard.ServerEntry{
-		ID: srv.id, FailureDomain: srv.domain, Service: "render", Processor: serverSize, Memory: 1 << 20,
+		ID: srv.id, Incarnation: srv.incarnation, FailureDomain: srv.domain, Service: "render", Processor: serverSize, Memory: 1 << 20,
 	}
 }
 
 // clock returns the reading of the server's clock.
 func (srv *fakeServer) clock() time.Duration {
-	return time.Duration(float64(srv.sim.now.Sub(srv.sim.began))*srv.clockRate) + time.Minute
+	return time.Duration(float64(srv.sim.now.Sub(srv.startedAt))*srv.clockRate) + time.Minute
 }
 
+// restart crashes the server, which starts again under its ID after a time: calls that wait are never answered.
+func (srv *fakeServer) restart(down time.Duration) {
+	if srv.down() {
+		return
+	}
+	srv.sim.note("%s crashes and starts again after %v", srv.id, down)
+	srv.downUntil = srv.sim.now.Add(down)
+	for _, task := range sortedKeys(srv.running) {
+		srv.endRun(srv.running[task], shard.EndedStopped)
+	}
+	srv.waiting, srv.lostAnswers = nil, 0
+	srv.sim.after(down, func() {
+		srv.incarnation, srv.startedAt = srv.incarnation+1, srv.sim.now
+		srv.token, srv.lease, srv.endSeq, srv.ended = 0, 0, 0, nil
+		clear(srv.highestRun)
+		srv.sim.setListed(srv, srv.sim.listed[srv.id]) // The changed entry is a record of the list.
+	})
+}
+
+// down reports whether the server is down between two incarnations.
+func (srv *fakeServer) down() bool { return srv.sim.now.Before(srv.downUntil) }
+
 // start handles a StartRun.
 func (srv *fakeServer) start(act shard.StartRun, runTime time.Duration) shard.CallResult {
 	switch {
@@ -126,7 +151,7 @@
 
 // renewResult returns the runs and the ends that the server lists.
 func (srv *fakeServer) renewResult() shard.RenewResult {
-	res := shard.RenewResult{Clock: srv.clock(), Ended: slices.Clone(srv.ended)}
+	res := shard.RenewResult{Incarnation: srv.incarnation, Clock: srv.clock(), Ended: slices.Clone(srv.ended)}
 	for _, task := range sortedKeys(srv.running) {
 		rn := srv.running[task]
 		pct := int(min(99, srv.sim.now.Sub(rn.began)*100/max(rn.runTime, 1)))
--- a/internal/process/succession/explore_test.go
+++ b/internal/process/succession/explore_test.go
@@ -27,7 +27,19 @@
 // TestExploreOrders guards against tasks that run twice, servers over their capacity and false "not run" answers: random interleavings of
 // message deliveries, message losses, process pauses, expired entries, process ends and takeovers of pure leaders and owners of jobs.
 func TestExploreOrders(t *testing.T) {
-	seeds := slices.Clone(regressionSeeds)
+	explore(t, regressionSeeds, func(seed uint64) *simRun { return simulate(seed, false) })
+}
+
+// TestExploreRestartedServers guards against the same where servers crash and start again under their IDs: a new incarnation has forgotten the
+// fencing token, its runs and the numbers of its ends.
+func TestExploreRestartedServers(t *testing.T) {
+	explore(t, []uint64{1505, 1743, 2468}, func(seed uint64) *simRun { return simulate(seed, true) })
+}
+
+// explore plays the listed seeds and the range of seeds that the flags name.
+func explore(t *testing.T, listed []uint64, simulate func(seed uint64) *simRun) {
+	t.Helper()
+	seeds := slices.Clone(listed)
 	for seed := *exploreFirst; seed < *exploreFirst+*exploreSeeds; seed++ {
 		seeds = append(seeds, seed)
 	}
@@ -159,8 +171,9 @@
 	settleTime = 5 * time.Second
 )
 
-// simulate returns the simulation of a seed after it has run: jobs and faults at random times, and time to settle.
-func simulate(seed uint64) *simRun {
+// simulate returns the simulation of a seed after it has run: jobs and faults at random times, with restarts of servers among them if
+// restarts is set, and time to settle.
+func simulate(seed uint64, restarts bool) *simRun {
 	rnd := rand.New(rand.NewPCG(seed, 12))
 	domains := []string{"a", "a", "b"}
 	if rnd.IntN(2) == 0 {
@@ -179,6 +192,9 @@
 	for range 2 + sim.rnd.IntN(9) {
 		sim.after(sim.within(activeTime), sim.injectFault)
 	}
+	if restarts {
+		sim.injectRestarts(rand.New(rand.NewPCG(seed, 13))) // Drawn by themselves: the rest of a seed stays what it is without them.
+	}
 	sim.runUntil(sim.began.Add(warmUp + activeTime + settleTime))
 	sim.checkRefused()
 	return sim
@@ -196,7 +212,7 @@
 	}
 	for num, dom := range servers {
 		srv := &fakeServer{
-			sim: sim, id: shard.ServerID(fmt.Sprint("s", num+1, dom)), domain: dom, clockRate: 1,
+			sim: sim, id: shard.ServerID(fmt.Sprint("s", num+1, dom)), domain: dom, clockRate: 1, incarnation: 1, startedAt: sim.now,
 			running: map[string]*fakeRun{}, highestRun: map[string]int64{},
 		}
 		sim.servers = append(sim.servers, srv)
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -5,7 +5,8 @@
 // Name identifies a shard: a part of a failure domain's backend servers.
 type Name string
 
-// Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, ReadList, QuarantineServer, NoteReturn or SendReport.
+// Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, ReadList, QuarantineServer, NoteReturn,
+// NoteIncarnation or SendReport.
 type Action interface{ action() }
 
 // StartRun asks a backend server to start a run; its result goes to Uplink.HandleStartResult, then to Leader.HandleStartResult.
@@ -21,8 +22,10 @@
 // StopRun asks a backend server to stop a run; its result goes to Leader.HandleStopResult.
 type StopRun struct {
 	Server ServerEntry
-	Run    RunID
-	Token  int64
+	// Incarnation is the server's one that the run was known to belong to.
+	Incarnation Incarnation
+	Run         RunID
+	Token       int64
 }
 
 // Renew asks a server for its runs and ends and, if LeaseUntil is positive, extends its leases; its result goes to
@@ -30,7 +33,7 @@
 type Renew struct {
 	Server ServerEntry
 	Token  int64
-	// AckedSeq is the highest sequence number of an end that the leader has handled.
+	// AckedSeq is the highest sequence number of an end in the server's last answer; 0 acknowledges nothing.
 	AckedSeq int64
 	// LeaseUntil is the end of the extended leases on the server's clock; 0 extends none.
 	LeaseUntil time.Duration
@@ -57,6 +60,17 @@
 	Duration time.Duration
 }
 
+// NoteIncarnation describes an incarnation of a server that isn't the one known so far.
+type NoteIncarnation struct {
+	Server ServerID
+	// Known is the incarnation that was known, Told the one that the server or its entry told.
+	Known, Told Incarnation
+	// Reason says what follows from it.
+	Reason string
+	// Carried is the number of runs that the new incarnation has carried out or may still carry out.
+	Carried int
+}
+
 // ReadList asks for a read of the list of servers that begins now.
 type ReadList struct{}
 
@@ -73,6 +87,7 @@
 }
 
 func (ReadList) action()         {}
+func (NoteIncarnation) action()  {}
 func (NoteReturn) action()       {}
 func (QuarantineServer) action() {}
 func (StartRun) action()         {}
@@ -96,6 +111,8 @@
 	OrphanExpiry time.Duration
 	// ConfirmTimeout is how long the leader may go without a server that confirms its token; an idle server is called once a second.
 	ConfirmTimeout time.Duration
+	// LongestLease is the longest lease that a backend server grants, as the platform's settings say.
+	LongestLease time.Duration
 	// OwnerTimeout is how long after its owner was last heard an order may start. It must not exceed the time until other instances take
 	// the owner for lost, as the task is started elsewhere some time after that.
 	OwnerTimeout time.Duration
@@ -119,6 +136,7 @@
 		StopTimeout:       100 * time.Millisecond,
 		OrphanExpiry:      850 * time.Millisecond,
 		ConfirmTimeout:    2 * time.Second,
+		LongestLease:      time.Second,
 		OwnerTimeout:      450 * time.Millisecond,
 		StallTimeout:      350 * time.Millisecond,
 		InitialQuarantine: time.Second,
--- a/internal/request/shard/adopted_end_test.go
+++ b/internal/request/shard/adopted_end_test.go
@@ -23,7 +23,7 @@
 	stopUnclaimed := func(har *harness) {
 		har.answerRenewal("s1", listed)
 		har.advance(DefaultConfig().AdoptWait)
-		har.record(har.ldr.HandleStopResult(har.now, "s1", run, Accepted))
+		har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s1", run), Accepted))
 		har.now = har.now.Add(time.Millisecond)
 	}
 	cases := map[string]struct {
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -9,10 +9,16 @@
 // HandleStartResult handles the result of a StartRun; clock is the server's clock, or 0 if it did not answer.
 func (ldr *Leader) HandleStartResult(now time.Time, id ServerID, rid RunID, res CallResult, clock time.Duration) []Action {
 	srv, rn := ldr.find(id, rid)
-	if srv != nil {
-		if clock > 0 {
-			srv.setClock(now, clock)
+	sameIncarnation := rn != nil && rn.incarnation == srv.incarnation
+	if sameIncarnation && clock > 0 {
+		if clock < rn.clock && res != Fenced {
+			ldr.handleStartInNewIncarnation(now, srv, rn)
+			ldr.advance(now, srv)
+			return ldr.takeActions()
 		}
+		srv.setClock(now, clock)
+	}
+	if sameIncarnation || srv != nil && rn == nil {
 		ldr.noteAnswer(srv, res)
 	}
 	if rn == nil || !rn.acceptedAt.IsZero() {
@@ -88,13 +94,16 @@
 	ldr.report(rn.ord, Started, 0)
 }
 
-// HandleStopResult handles the result of a StopRun.
-func (ldr *Leader) HandleStopResult(now time.Time, id ServerID, rid RunID, res CallResult) []Action {
-	srv, rn := ldr.find(id, rid)
+// HandleStopResult handles the result of a StopRun. A stop that was sent to a former incarnation of the server proves nothing.
+func (ldr *Leader) HandleStopResult(now time.Time, act StopRun, res CallResult) []Action {
+	srv, rn := ldr.find(act.Server.ID, act.Run)
 	if rn == nil {
 		return ldr.takeActions()
 	}
 	rn.stopInProgress = false
+	if act.Incarnation != srv.incarnation {
+		res = Unknown
+	}
 	switch res {
 	case Accepted:
 		rn.stopAcceptedAt = now
@@ -111,68 +120,6 @@
 	return ldr.takeActions()
 }
 
-// HandleRenewResult handles the result of the renewal act that was sent at sent.
-func (ldr *Leader) HandleRenewResult(now, sent time.Time, act Renew, ans RenewResult, res CallResult) []Action {
-	srv := ldr.servers[act.Server.ID]
-	if srv == nil {
-		return ldr.takeActions()
-	}
-	if act.Number != srv.renewals {
-		// A newer renewal was sent meanwhile. Only that one schedules the next, or the number of renewals would grow.
-		if res == Accepted {
-			ldr.applyRenewal(now, srv, sent, ans)
-			ldr.advance(now, nil)
-		}
-		return ldr.takeActions()
-	}
-	ldr.noteAnswer(srv, res)
-	srv.renewing, srv.proofPending = false, false
-	srv.renewAt = now
-	srv.delayNext = len(ans.Ended) > 0
-	switch res {
-	case Accepted:
-		ldr.applyRenewal(now, srv, sent, ans)
-		if ldr.takeoverComplete && srv.idle() {
-			srv.renewAt = now.Add(idleRenewDelay)
-		}
-	case Fenced:
-		ldr.dropFenced(srv)
-	case Replaced:
-		ldr.dropReplaced(now, srv)
-	default:
-		ldr.noteMissedRenewal(now, srv)
-	}
-	ldr.advance(now, srv)
-	return ldr.takeActions()
-}
-
-// idleRenewDelay is the delay between calls to a server without runs: it has no lease to renew, and they only show that the server is
-// there and what its clock says.
-const idleRenewDelay = time.Second
-
-// noteMissedRenewal records a renewal without an answer. On some days 5% are lost, so a confirmed server is called again at once, without
-// waiting for an end. Taken for unreachable after one loss, it would idle for 0.5 s and its leases would expire, which took 40% of the
-// pool's capacity on such days.
-func (ldr *Leader) noteMissedRenewal(now time.Time, srv *server) {
-	srv.missed++
-	if srv.state == confirmed && srv.missed < ldr.missedUntilUnreachable() {
-		return
-	}
-	if srv.state == confirmed {
-		srv.state = unreachable
-	}
-	srv.renewAt = now.Add(unreachableRenewDelay)
-}
-
-// renewDelay is the delay of a renewal after one that listed ends: the tasks of a submission end together, and ends within the delay are
-// listed by one renewal. For jobs of 8 tasks of 60 ms it saves a quarter of the renewals, at 0.1 ms of the leader's processor time each,
-// and makes answers 2 ms later.
-const renewDelay = 4 * time.Millisecond
-
-// unreachableRenewDelay is the delay before an unreachable server is called again. Each call costs a new connection, but a server that is
-// back must not stay idle for long.
-const unreachableRenewDelay = 250 * time.Millisecond
-
 // find returns a server and a run on it; each is nil if not known.
 func (ldr *Leader) find(id ServerID, rid RunID) (*server, *run) {
 	srv := ldr.servers[id]
@@ -182,64 +129,6 @@
 	return srv, srv.runs[rid]
 }
 
-// applyRenewal applies what a server listed in answer to a renewal that was sent at sent.
-func (ldr *Leader) applyRenewal(now time.Time, srv *server, sent time.Time, ans RenewResult) {
-	first := srv.state == claiming
-	srv.state = confirmed
-	srv.missed = 0
-	srv.confirmedAt, ldr.heardAt = sent, now
-	srv.setClock(now, ans.Clock)
-	for _, end := range ans.Ended {
-		if end.Seq > srv.ackedSeq {
-			srv.ackedSeq = end.Seq
-			ldr.handleEnd(now, srv, end)
-		}
-	}
-	listed := make(map[RunID]bool, len(ans.Running))
-	for _, prg := range ans.Running {
-		listed[prg.Run] = true
-		ldr.noteProgress(now, srv, prg)
-	}
-	for rid, rn := range srv.runs {
-		if listed[rid] || !rn.provenGone(sent) {
-			continue
-		}
-		ldr.requeue(now, srv, rn)
-	}
-	if first || ldr.que.anyReassigned() {
-		ldr.adoptWaiting(now)
-	}
-	if ldr.takeoverComplete {
-		ldr.stopUnclaimed(now, srv)
-	}
-}
-
-// provenGone reports whether a listing without the run, requested at sent, proves that the run is over: it does if the start was accepted
-// before, or a stop, after which the run can't start any more.
-func (rn *run) provenGone(sent time.Time) bool {
-	if !rn.stopAcceptedAt.IsZero() {
-		return sent.After(rn.stopAcceptedAt)
-	}
-	return !rn.acceptedAt.IsZero() && sent.After(rn.acceptedAt)
-}
-
-// noteProgress records a listed run. One that is not known here is added as unclaimed.
-func (ldr *Leader) noteProgress(now time.Time, srv *server, prg Progress) {
-	rn := srv.runs[prg.Run]
-	if rn == nil {
-		rn = &run{id: prg.Run, state: running, acceptedAt: now, sentAt: now, progressAt: now, percent: prg.Percent}
-		srv.add(rn)
-		return
-	}
-	if rn.state == starting {
-		ldr.noteAccepted(now, srv, rn)
-	}
-	if prg.Percent > rn.percent {
-		rn.percent, rn.progressAt = prg.Percent, now
-	}
-	ldr.checkProgress(now, srv, rn)
-}
-
 // restartElsewhere stops a run that is suspect because of its server; its task avoids that server from then on.
 func (ldr *Leader) restartElsewhere(now time.Time, srv *server, rn *run) {
 	rn.ord.Avoid = append(rn.ord.Avoid, srv.ent.ID)
@@ -369,7 +258,7 @@
 	}
 }
 
-// dropReplaced drops a server whose address another incarnation has: all runs of the old one are over.
+// dropReplaced drops a server whose address another server has: all its runs are over.
 func (ldr *Leader) dropReplaced(now time.Time, srv *server) {
 	for _, rn := range srv.runs {
 		ldr.requeue(now, srv, rn)
--- a/internal/request/shard/handover_test.go
+++ b/internal/request/shard/handover_test.go
@@ -25,7 +25,7 @@
 		for range 20 {
 			har.answerRenewalSentAt(first, har.now, RenewResult{}, Unknown)
 			har.advance(100 * time.Millisecond)
-			har.record(har.ldr.HandleStopResult(har.now, first, run, Unknown))
+			har.record(har.ldr.HandleStopResult(har.now, har.stopOf(first, run), Unknown))
 		}
 	}
 	cases := map[string]func(har *harness, first ServerID) RunID{
@@ -34,7 +34,7 @@
 			for range startRepeats {
 				har.answerStart("j.0", Unknown)
 			}
-			har.record(har.ldr.HandleStopResult(har.now, first, run, Unknown))
+			har.record(har.ldr.HandleStopResult(har.now, har.stopOf(first, run), Unknown))
 			return run
 		},
 		"the start waits for its answer": func(har *harness, first ServerID) RunID {
@@ -66,7 +66,7 @@
 			started := har.place(0, "j.1", "j.2", "j.3", "j.4")
 			chk.True(!slices.Contains(slices.Collect(maps.Values(started)), first))
 
-			har.record(har.ldr.HandleStopResult(har.now, first, run, Accepted))
+			har.record(har.ldr.HandleStopResult(har.now, har.stopOf(first, run), Accepted))
 			har.advance(10 * time.Millisecond)
 			har.answerRenewal(first, RenewResult{Clock: time.Hour})
 			chk.True(slices.Contains(slices.Collect(maps.Values(har.starts())), first))
@@ -96,7 +96,7 @@
 			har.answerRenewalSentAt(first, har.now, RenewResult{}, Unknown)
 		}
 		har.advance(100 * time.Millisecond)
-		har.record(har.ldr.HandleStopResult(har.now, first, run, Unknown))
+		har.record(har.ldr.HandleStopResult(har.now, har.stopOf(first, run), Unknown))
 	}
 	chk.Equal(har.reports(NotRun), 1) // The order goes back to its owner, who has the task started elsewhere.
 
@@ -145,7 +145,7 @@
 			har.record(har.ldr.HandleOrder(har.now, ord))
 			if cse.begun {
 				har.now = har.now.Add(10 * time.Millisecond)
-				har.record(har.ldr.HandleStopResult(har.now, at, run, Accepted))
+				har.record(har.ldr.HandleStopResult(har.now, har.stopOf(at, run), Accepted))
 				har.answerRenewal(at, RenewResult{Clock: time.Hour, Ended: []End{{Seq: 1, Run: run, Kind: EndedStopped}}})
 			}
 			har.advance(10 * time.Millisecond)
--- a/internal/request/shard/harness_test.go
+++ b/internal/request/shard/harness_test.go
@@ -140,3 +140,12 @@
 		return ok
 	})
 }
+
+// stopOf returns the stop of a run that is sent to the present incarnation of a server.
+func (har *harness) stopOf(id ServerID, run RunID) StopRun {
+	act := StopRun{Server: ServerEntry{ID: id}, Run: run}
+	if srv := har.ldr.servers[id]; srv != nil {
+		act.Server, act.Incarnation = srv.ent, srv.incarnation
+	}
+	return act
+}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -112,7 +112,7 @@
 	for _, ent := range lst.Listed {
 		listed[ent.ID] = true
 		if srv := ldr.servers[ent.ID]; srv != nil {
-			srv.ent, srv.unlisted = ent, false
+			ldr.updateEntry(now, srv, ent)
 			continue
 		}
 		srv := ldr.addServer(now, ent)
@@ -275,7 +275,7 @@
 
 func (ldr *Leader) sendStop(srv *server, rn *run) {
 	rn.stopInProgress = true
-	ldr.emit(StopRun{Server: srv.ent, Run: rn.id, Token: ldr.token})
+	ldr.emit(StopRun{Server: srv.ent, Incarnation: srv.incarnation, Run: rn.id, Token: ldr.token})
 }
 
 // report sends the outcome of an order to its owner.
@@ -338,77 +338,3 @@
 		ldr.place(now)
 	}
 }
-
-// maintain repeats the stops that are due on a server, restarts stalled runs elsewhere, expires leases and sends the next renewal.
-func (ldr *Leader) maintain(now time.Time, srv *server) {
-	for _, rn := range srv.runs {
-		if rn.state == ending && rn.stopAcceptedAt.IsZero() && !rn.stopInProgress && !now.Before(rn.stopDue) {
-			ldr.sendStop(srv, rn)
-		}
-		if ldr.stalled(now, srv, rn) {
-			ldr.restartElsewhere(now, srv, rn)
-		}
-	}
-	if srv.state != confirmed && len(srv.runs) > 0 && !now.Before(srv.renewedAt.Add(ldr.cfg.Expiry())) {
-		ldr.expireLeases(now, srv)
-	}
-	// Before the takeover is complete, a confirmed server is not called again: without a lease to extend, the call returns at once and
-	// would be repeated in a tight loop.
-	due := srv.state != confirmed || ldr.takeoverComplete
-	if due && !srv.renewing && !now.Before(srv.renewAt) {
-		ldr.renew(now, srv)
-	}
-}
-
-// stalled reports whether a run made no progress for Config.StallTimeout. The server must have answered a renewal that was sent more than
-// StallTimeout-RenewWait after the last progress: a paused leader, or one that got no answers, has seen no progress either.
-func (ldr *Leader) stalled(now time.Time, srv *server, rn *run) bool {
-	if rn.state != running || rn.ord == nil || rn.percent >= percentDone || now.Sub(rn.progressAt) <= ldr.cfg.StallTimeout {
-		return false
-	}
-	return srv.confirmedAt.Sub(rn.progressAt) > ldr.cfg.StallTimeout-ldr.cfg.RenewWait
-}
-
-// renew sends a renewal. It extends leases only after the takeover, on a confirmed server without an overdue stop.
-func (ldr *Leader) renew(now time.Time, srv *server) {
-	act := Renew{Server: srv.ent, Token: ldr.token, AckedSeq: srv.ackedSeq}
-	if srv.state == confirmed && ldr.takeoverComplete {
-		switch {
-		case srv.proofPending:
-			// The call returns at once: an order waits for it.
-		case srv.idle():
-			// No run can end.
-		case srv.hasAcceptedStop():
-			srv.delayNext = true // The stopped run takes a moment to end.
-		case srv.missed == 0:
-			act.WaitForEnd = ldr.renewWait(now, srv)
-		}
-		if !srv.hasOverdueStop(now, ldr.cfg.StopTimeout) {
-			act.LeaseUntil = srv.leaseUntil(now, ldr.cfg.Lease)
-			srv.renewedAt = now
-		}
-	}
-	if srv.delayNext && !srv.proofPending {
-		act.Delay, srv.delayNext = renewDelay, false
-	}
-	srv.renewals++
-	act.Number = srv.renewals
-	srv.renewing, srv.renewAt = true, now
-	ldr.emit(act)
-}
-
-// renewWait returns how long a renewal waits on the server for a run to end. A lost renewal is noticed only after this wait, and the next
-// one reports the runs that ended meanwhile: so the wait is shorter at a high loss rate. It ends when a run becomes suspect of being slow.
-func (ldr *Leader) renewWait(now time.Time, srv *server) time.Duration {
-	wait := ldr.cfg.RenewWait
-	if ldr.lossy() {
-		wait = min(wait, lossyRenewWait)
-	}
-	if due, found := ldr.nextSuspicion(now, srv); found {
-		wait = min(wait, max(due, minSuspicionWait))
-	}
-	return wait
-}
-
-// lossyRenewWait is the time after which a call is taken for lost: a shorter wait would notice no loss sooner.
-const lossyRenewWait = 40 * time.Millisecond
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -15,11 +15,11 @@
 		"running": func(*harness, RunID) {},
 		"being stopped": func(har *harness, run RunID) {
 			har.record(har.ldr.Cancel(har.now, owner, run.Task))
-			har.record(har.ldr.HandleStopResult(har.now, "s", run, Accepted))
+			har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Accepted))
 		},
 		"stop without answer": func(har *harness, run RunID) {
 			har.record(har.ldr.Cancel(har.now, owner, run.Task))
-			har.record(har.ldr.HandleStopResult(har.now, "s", run, Unknown))
+			har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Unknown))
 		},
 	}
 	for name, story := range cases {
@@ -47,14 +47,14 @@
 		chk.Equal(har.answerStart("j.0", Unknown), run) // The same run, on the same server.
 	}
 	chk.Equal(har.stops(), 1)
-	har.record(har.ldr.HandleStopResult(har.now, first, run, Unknown))
+	har.record(har.ldr.HandleStopResult(har.now, har.stopOf(first, run), Unknown))
 	har.acts = nil
 	har.advance(100 * time.Millisecond)
 	chk.Equal(har.stops(), 1) // The stop is repeated.
 	chk.Equal(len(har.starts()), 0)
 	before := har.now
 	har.advance(10 * time.Millisecond)
-	har.record(har.ldr.HandleStopResult(har.now, first, run, Accepted))
+	har.record(har.ldr.HandleStopResult(har.now, har.stopOf(first, run), Accepted))
 	har.answerRenewalSentAt(first, before, RenewResult{}, Accepted) // A renewal sent before the stop proves nothing.
 	chk.Equal(len(har.starts()), 0)
 	har.advance(10 * time.Millisecond)
@@ -123,7 +123,7 @@
 	har.place(0, "j.0")
 	run := har.answerStart("j.0", Accepted)
 	har.record(har.ldr.HandleOwnerLost(har.now, owner))
-	har.record(har.ldr.HandleStopResult(har.now, "s", run, Unknown))
+	har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Unknown))
 	har.advance(DefaultConfig().StopTimeout + 20*time.Millisecond)
 	har.acts = nil
 	har.answerRenewal("s", RenewResult{Running: []Progress{{Run: run}}})
@@ -359,7 +359,7 @@
 	har.place(0, "j1.0")
 	run := har.answerStart("j1.0", Unknown)
 	har.record(har.ldr.Cancel(har.now, owner, "j1.0"))
-	har.record(har.ldr.HandleStopResult(har.now, "s", run, Accepted))
+	har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Accepted))
 	har.record(har.ldr.HandleStartResult(har.now, "s", run, Refused, time.Minute))
 	har.acts = nil
 	chk.Equal(len(har.place(0, "j2.0")), 0)
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -175,6 +175,7 @@
 // sendStart sends the start of a run, with a new lease.
 func (ldr *Leader) sendStart(now time.Time, srv *server, rn *run) {
 	srv.renewedAt = now
+	rn.incarnation, rn.clock = srv.incarnation, srv.clock
 	ldr.link.noteStart(rn.ord.Payload)
 	ldr.emit(StartRun{
 		Server: srv.ent, Run: rn.id, Payload: rn.ord.Payload, Token: ldr.token,
--- a/internal/request/shard/renew_test.go
+++ b/internal/request/shard/renew_test.go
@@ -21,7 +21,7 @@
 		run := har.answerStart(tsk, Accepted)
 		was := har.newestRenewal("s")
 		har.record(har.ldr.Cancel(har.now, owner, tsk))
-		har.record(har.ldr.HandleStopResult(har.now, "s", run, Accepted))
+		har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Accepted))
 		har.acts = nil
 		har.record(har.ldr.HandleRenewResult(har.now, har.now, was, kept, Accepted))
 		har.now = har.now.Add(time.Millisecond) // The next renewal is sent after the stop.
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -21,6 +21,8 @@
 type server struct {
 	ent   ServerEntry
 	state serverState
+	// incarnation is the newest one that has answered or, before any has, that of the entry; all below is about it.
+	incarnation Incarnation
 	// unlisted servers have no entry in the list now.
 	unlisted bool
 	// addedAt is when a server was listed that is to get no task yet (see admitAdded); zero for the others.
@@ -29,8 +31,11 @@
 	runs                      map[RunID]*run
 	usedProcessor, usedMemory int64
 	unclaimed                 int
-	// ackedSeq is the highest sequence number of an end that was handled.
-	ackedSeq int64
+	// handledSeq is the highest sequence number of an end that was handled. ackDue is the highest one in the last answer: each is
+	// acknowledged once, as a later incarnation would take the number for its own and forget ends that nobody has read.
+	handledSeq, ackDue int64
+	// noStartsUntil is when leases have ended that the incarnation took from calls meant for the one before it, whose clock was ahead.
+	noStartsUntil time.Time
 	// clock is the server's clock as read at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -61,6 +66,9 @@
 type run struct {
 	id    RunID
 	state runState
+	// incarnation is the server's one that the start was sent to, clock the last reading of its clock before.
+	incarnation Incarnation
+	clock       time.Duration
 	// ord is nil for an unclaimed run, whose size is not known.
 	ord    *order
 	sentAt time.Time
@@ -94,7 +102,7 @@
 )
 
 func newServer(ent ServerEntry, now time.Time) *server {
-	return &server{ent: ent, runs: map[RunID]*run{}, renewAt: now}
+	return &server{ent: ent, incarnation: ent.Incarnation, runs: map[RunID]*run{}, renewAt: now}
 }
 
 // add adds a run to the server and counts its size.
@@ -143,6 +151,8 @@
 	switch {
 	case srv.state != confirmed || srv.missed > tolerated || srv.ent.Leaving || !srv.addedAt.IsZero():
 		return false
+	case srv.ent.Incarnation != srv.incarnation || now.Before(srv.noStartsUntil):
+		return false // The size of a new incarnation is known from its entry only.
 	case now.Before(srv.quarantinedUntil) || now.Before(srv.spd.quarantinedUntil):
 		return false
 	}
@@ -188,6 +198,21 @@
 	return srv.clock + time.Duration(float64(now.Sub(srv.clockAt))/clockSkew) + lease
 }
 
+// takeAck returns the sequence number to acknowledge with the next renewal. If that is lost, or none is due now, the server lists the ends
+// again. With runs on the server, ends of an answer that is not fresh are left to the next one: those of a new incarnation may have the same
+// numbers, and would be forgotten unread.
+func (srv *server) takeAck(now time.Time) int64 {
+	ack := srv.ackDue
+	srv.ackDue = 0
+	if len(srv.runs) > 0 && now.Sub(srv.clockAt) > maxAckAge {
+		return 0
+	}
+	return ack
+}
+
+// maxAckAge is shorter than a server takes to start again, and longer than the delay of a renewal after ends.
+const maxAckAge = 50 * time.Millisecond
+
 // idle reports whether nothing runs or may start on the server.
 func (srv *server) idle() bool { return srv.state == confirmed && len(srv.runs) == 0 }
 
--- a/internal/request/shard/speed_test.go
+++ b/internal/request/shard/speed_test.go
@@ -25,7 +25,7 @@
 		srv := har.ldr.servers[at[task]]
 		for rid := range srv.runs {
 			if rid.Task == task {
-				har.answerRenewal(at[task], RenewResult{Ended: []End{{Seq: srv.ackedSeq + 1, Run: rid}}})
+				har.answerRenewal(at[task], RenewResult{Ended: []End{{Seq: srv.handledSeq + 1, Run: rid}}})
 			}
 		}
 	}
--- a/internal/request/shard/takeover_test.go
+++ b/internal/request/shard/takeover_test.go
@@ -289,7 +289,7 @@
 				for range 1 + startRepeats {
 					run = har.answerStart("j.0", Unknown)
 				}
-				har.record(har.ldr.HandleStopResult(har.now, "s1", run, Accepted))
+				har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s1", run), Accepted))
 				har.advance(10 * time.Millisecond)
 				har.ldr.HandlePause(har.now.Add(time.Second)) // It waits, and does not start again.
 				har.answerRenewal("s1", RenewResult{})
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -1,10 +1,17 @@
 package shard
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// ServerID identifies one incarnation of a backend server.
+// ServerID identifies a backend server in the platform's list. A server that crashes may start again under its ID, as another incarnation.
 type ServerID string
 
+// Incarnation identifies an incarnation of a backend server by its start, in milliseconds since 1970 by the server's clock; 0 means that the
+// server does not tell it.
+type Incarnation int64
+
 // InstanceID identifies one incarnation of an instance.
 type InstanceID string
 
@@ -42,6 +49,8 @@
 
 // RenewResult is a backend server's answer to a renewal.
 type RenewResult struct {
+	// Incarnation is the one that has answered.
+	Incarnation Incarnation
 	// Clock is the server's monotonic clock, on which its leases are measured.
 	Clock   time.Duration
 	Running []Progress
@@ -61,7 +70,7 @@
 	Refused
 	// Fenced means that the server refused the call because it has seen a higher fencing token.
 	Fenced
-	// Replaced means that another incarnation of the server answered: all runs of the one that was called are over.
+	// Replaced means that another server has the address of the one that was called, whose runs are all over.
 	Replaced
 	// OverCapacity means that the server refused the call for lack of free capacity.
 	OverCapacity
@@ -78,7 +87,9 @@
 
 // ServerEntry is a backend server as the platform lists it.
 type ServerEntry struct {
-	ID            ServerID
+	ID ServerID
+	// Incarnation is the one that wrote the entry.
+	Incarnation   Incarnation
 	Address       string
 	FailureDomain string
 	Service       string
@@ -88,6 +99,13 @@
 	Leaving           bool
 }
 
+// Equal reports whether two entries are the same in all fields.
+func (ent *ServerEntry) Equal(oth *ServerEntry) bool {
+	return ent.ID == oth.ID && ent.Incarnation == oth.Incarnation && ent.Address == oth.Address && ent.FailureDomain == oth.FailureDomain &&
+		ent.Service == oth.Service && ent.Processor == oth.Processor && ent.Memory == oth.Memory && ent.Leaving == oth.Leaving &&
+		slices.Equal(ent.Labels, oth.Labels)
+}
+
 // Listing is what an instance knows about the backend servers of a shard.
 type Listing struct {
 	// Listed has the servers that the platform lists, Missing those that it listed a while ago: a live server's entry may expire, and what
