Follow the store's topics at the pace of the platform's bounds

Cause: each instance reads digests of the list (1.4 a second, 2.5 while servers change) and configurations (1 a second) for itself, at a pace that the tightest bound of the first installations (2 s) asks for. Weighed: digests passed on between the instances in place of the store's topic (calls would not grow at all; a new way for the list, with its own proofs of completeness), or paces that follow the bounds that the settings state (built: one place, nothing new on the wire). TestReaderOfTheListIsLost now plays all its cases with both bounds and requires the word of a draining server within the bound.

--- a/internal/process/cli/platform.go
+++ b/internal/process/cli/platform.go
@@ -63,6 +63,8 @@
 		{"link", fmt.Sprintf("%d bytes a second", set.LinkBytes), "what starts and orders on their way are bounded by; 0 for no bound"},
 		{"memory", fmt.Sprintf("%d MB", set.MemoryBytes>>20), "limit of the process"},
 		{"longest-lease", set.LongestLease.String(), "that a backend server grants"},
+		{"configuration-bound", set.ConfigurationBound.String(), "until a configuration is in force everywhere; 0s for 2s"},
+		{"drain-bound", set.DrainBound.String(), "until a leaving backend server gets no new task; 0s for 2s"},
 		{"resend-after", set.ResendAfter.String(), "when a client that lost its connection sends its job again"},
 		{"stop-timeout", set.StopTimeout.Round(time.Millisecond).String(), "from the request to stop to the kill"},
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -62,10 +62,11 @@
 
 // Daemon is the process of one instance: it passes events to the decision types and executes the actions that they return.
 type Daemon struct {
-	prm Params
-	log zerolog.Logger
-	now func() time.Time
-	cnt *counters
+	prm   Params
+	log   zerolog.Logger
+	now   func() time.Time
+	cnt   *counters
+	paces storePaces
 
 	// cfg is the configuration in force; cfgData is its encoded record, for sending it to instances with an older one.
 	cfg     atomic.Pointer[config.Configuration]
@@ -147,16 +148,17 @@
 	if prm.Counters == nil {
 		prm.Counters = &counters{}
 	}
+	pcs := newStorePaces(&prm.Settings)
 	return &Daemon{
-		prm: prm, log: prm.Log, now: prm.Now, cnt: prm.Counters,
+		prm: prm, log: prm.Log, now: prm.Now, cnt: prm.Counters, paces: pcs,
 		leaders: map[shard.Name]*shard.Leader{}, uplink: shard.NewUplink(prm.Settings.LinkBytes), divisions: succession.Divisions{},
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{},
 		services: map[string]bool{}, closedDomains: domainlist.New(prm.Settings.FailureDomains),
 		callers:      map[submission.CallID]chan submission.Answer{},
 		configSentAt: map[shard.InstanceID]time.Time{}, firstHeardAt: map[shard.InstanceID]time.Time{},
 		reachability: map[shard.Name]*succession.Reachability{}, openOrdersWith: map[shard.InstanceID]bool{},
-		follower:          serverlist.NewFollower(serverlist.DefaultConfig(prm.Settings.Instance), prm.Now()),
-		coverage:          serverlist.NewCoverage(serverlist.CoverageConfig{RecoveryTime: recoveryTime, MaxUnlisted: maxUnlisted}),
+		follower:          serverlist.NewFollower(pcs.list, prm.Now()),
+		coverage:          serverlist.NewCoverage(serverlist.CoverageConfig{RecoveryTime: recoveryTime + pcs.list.ReadInterval, MaxUnlisted: maxUnlisted}),
 		listReadRequested: make(chan struct{}, 1),
 		joined:            make(chan struct{}), configured: make(chan struct{}),
 	}
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -39,11 +39,10 @@
 	from, next int64
 }
 
-// configurations is the subscription to configurations and closings of failure domains. A read waits 1 s: an operator's change has to
-// be in force within 2 s, and a connection that went dead is only noticed after the wait.
+// configurations is the subscription to configurations and closings of failure domains.
 func (dmn *Daemon) configurations() topicSubscription {
 	return topicSubscription{
-		topic: platform.ConfigurationTopic, wait: time.Second,
+		topic: platform.ConfigurationTopic, wait: dmn.paces.configurationWait,
 		handle: func(bat batch) {
 			// Before the configuration, so that an instance with its first one knows in which failure domains to start nothing.
 			dmn.handleClosings(bat)
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -11,9 +11,6 @@
 	"chestnutstack/platform"
 )
 
-// listReadPause is the pause between two reads of the list: a server may get tasks for at most 2 s after it is marked as leaving.
-const listReadPause = 400 * time.Millisecond
-
 // followServerList reads the list of backend servers until ctx ends, whenever no other instance is known to read it. It polls, as each
 // server's heartbeat is a record and a waiting read would return for each of them.
 func (dmn *Daemon) followServerList(ctx context.Context) error {
@@ -37,7 +34,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(listReadPause):
+		case <-time.After(dmn.paces.list.ReadInterval):
 			asked = false
 		case <-dmn.listReadRequested:
 			asked = true
@@ -142,7 +139,7 @@
 
 // serverDigests is the subscription to digests: the changes of the list that another instance has read.
 func (dmn *Daemon) serverDigests() topicSubscription {
-	return topicSubscription{topic: platform.ServerDigestsTopic, wait: time.Second, handle: dmn.handleDigests}
+	return topicSubscription{topic: platform.ServerDigestsTopic, wait: dmn.paces.digestWait, handle: dmn.handleDigests}
 }
 
 // handleDigests decodes digests and applies them; it logs and counts those that are invalid.
--- a/internal/process/daemon/list_test.go
+++ b/internal/process/daemon/list_test.go
@@ -27,7 +27,7 @@
 	return ""
 }
 
-// Guards against instances that don't learn within two seconds that a server is draining, because the instance that reads the list of servers
+// Guards against instances that don't learn within the platform's bound that a server is draining, because the instance that reads the list of servers
 // for them is lost, or because the digests that it publishes are missing or invalid.
 func TestReaderOfTheListIsLost(t *testing.T) {
 	cases := map[string]func(sys *system, reader string){
@@ -42,33 +42,42 @@
 			sys.sto.Put(string(platform.ServerDigestsTopic), platform.ServerDigestsKey, map[string]any{"by": "x", "from": 0, "to": 1 << 19})
 		},
 	}
-	for name, fault := range cases {
-		t.Run(name, func(t *testing.T) {
-			inTestSystem(t, 2, 3, 3, func(sys *system) {
-				chk := is.NewRelaxed(t)
-				sys.sendHeartbeats(3 * time.Second)
-				fault(sys, sys.listReader())
-				sys.sendHeartbeats(100 * time.Millisecond)
-				sys.listServer("server-1-1", "domain-1", "draining")
-				sys.sendHeartbeatsExcept("server-1-1", 2*time.Second)
-				for _, prc := range sys.runningProcesses() {
-					prc.dmn.mu.Lock()
-					ent := prc.dmn.entries["server-1-1"]
-					prc.dmn.mu.Unlock()
-					chk.True(ent.Leaving || !sys.reachesStore(prc))
-				}
-				sys.net.Heal()
-				sys.sendHeartbeatsExcept("server-1-1", 4*time.Second)
-				before := sys.listReadCount()
-				sys.sendHeartbeatsExcept("server-1-1", 4*time.Second)
-				chk.True(sys.listReadCount()-before <= 2*10) // One or two instances read the list each 0.4 s, for 4 s.
-				job := jobSpec{id: jobID(1), tasks: 8, payload: payload{Millis: 100}}
-				chk.Equal(sys.send(sys.ctx, sys.runningProcesses()[0].name, job), http.StatusOK)
+	for _, bound := range []time.Duration{usualBound, 5 * time.Second} {
+		for name, fault := range cases {
+			t.Run(fmt.Sprintf("%s, bound %v", name, bound), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					runTestSystemWith(t, &system{bound: bound}, 2, 3, 3, func(sys *system) { sys.loseListReader(bound, fault) })
+					time.Sleep(20 * time.Second) // As in inTestSystem.
+				})
 			})
-		})
+		}
 	}
 }
 
+// loseListReader checks that all instances that reach the store learn within a bound of a server that is draining, after a fault that concerns
+// the reader of the list, and that afterwards one or two instances read it.
+func (sys *system) loseListReader(bound time.Duration, fault func(sys *system, reader string)) {
+	chk := is.NewRelaxed(sys.t)
+	sys.sendHeartbeats(3 * time.Second)
+	fault(sys, sys.listReader())
+	sys.sendHeartbeats(100 * time.Millisecond)
+	sys.listServer("server-1-1", "domain-1", "draining")
+	sys.sendHeartbeatsExcept("server-1-1", bound)
+	for _, prc := range sys.runningProcesses() {
+		prc.dmn.mu.Lock()
+		ent := prc.dmn.entries["server-1-1"]
+		prc.dmn.mu.Unlock()
+		chk.True(ent.Leaving || !sys.reachesStore(prc))
+	}
+	sys.net.Heal()
+	sys.sendHeartbeatsExcept("server-1-1", 4*time.Second)
+	before := sys.listReadCount()
+	sys.sendHeartbeatsExcept("server-1-1", 4*time.Second)
+	chk.True(sys.listReadCount()-before <= 2*10) // One or two instances read the list each 0.4 s at the most, for 4 s.
+	job := jobSpec{id: jobID(1), tasks: 8, payload: payload{Millis: 100}}
+	chk.Equal(sys.send(sys.ctx, sys.runningProcesses()[0].name, job), http.StatusOK)
+}
+
 // writeInvalidDigests publishes digests that are unreadable or whose offsets are impossible.
 func (sys *system) writeInvalidDigests() {
 	for _, val := range []any{"x", map[string]any{"by": "", "from": 9, "to": 3}, map[string]any{"by": "x", "from": -4, "to": 1 << 60}} {
@@ -232,3 +241,41 @@
 		})
 	}
 }
+
+// Guards against calls to the store that each instance makes more often than the platform's bounds ask for: they add up over all instances.
+func TestStoreCallsFollowTheBounds(t *testing.T) {
+	sizes := []int{20, 40}
+	if *measure {
+		sizes = []int{30, 100, 300}
+	}
+	calls := func(instances int, bound time.Duration) float64 {
+		var got float64
+		synctest.Test(t, func(t *testing.T) {
+			runTestSystemWith(t, &system{bound: bound}, 5, instances/5, 2*instances/5, func(sys *system) {
+				const length = 10 * time.Second
+				sys.sendHeartbeats(6 * time.Second)
+				before := sys.storeCalls()
+				sys.sendHeartbeats(length)
+				got = float64(sys.storeCalls()-before) / float64(instances) / length.Seconds()
+			})
+			time.Sleep(20 * time.Second) // As in inTestSystem.
+		})
+		t.Logf("%d instances, bound %v: %.2f calls to the store an instance and second", instances, bound, got)
+		return got
+	}
+	chk := is.NewRelaxed(t)
+	first := calls(sizes[0], usualBound)
+	for _, num := range sizes {
+		chk.True(calls(num, usualBound) <= 1.1*first)
+		chk.True(calls(num, 5*time.Second) <= 0.5*first)
+	}
+}
+
+// storeCalls returns how many calls to the store the instances have made.
+func (sys *system) storeCalls() int64 {
+	num := int64(0)
+	for _, prc := range sys.instances {
+		num += prc.dmn.cnt.storeReads.Load() + prc.dmn.cnt.digests.Load()
+	}
+	return num
+}
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -17,8 +17,8 @@
 
 const (
 	// recoveryTime is the time after which, once the store is back, the entries of live servers are back too (2 s, the platform's
-	// documentation) and were read.
-	recoveryTime = 2500 * time.Millisecond
+	// documentation), without the read that follows.
+	recoveryTime = 2100 * time.Millisecond
 	// maxUnlisted is how long a server without an entry may still be led by some instance: longer than the longest known outage on the
 	// platform, 11.5 s.
 	maxUnlisted = 30 * time.Second
--- a/internal/version/serverlist/follower.go
+++ b/internal/version/serverlist/follower.go
@@ -9,6 +9,8 @@
 type Config struct {
 	// Self is the name of the own instance in the digests that it writes.
 	Self string
+	// ReadInterval is the time between two reads of the list by its reader.
+	ReadInterval time.Duration
 	// DigestTimeout is how long no digest may come before the instance reads the list itself.
 	DigestTimeout time.Duration
 	// SubstituteDelay is how much longer each further instance waits than the one before it, until it writes digests in place of the
@@ -18,11 +20,12 @@
 	IdleInterval time.Duration
 }
 
-// DefaultConfig returns times with which a leaving server is known to all instances within two seconds, also if the reader is lost:
-// DigestTimeout and a read of the list.
-func DefaultConfig(self string) Config {
+// NewConfig returns times with which a leaving server is known to all instances within bound, also if the reader is lost: DigestTimeout and a
+// read of the list take four fifths of it. The rest is left for the calls. Faster reads and digests would only add calls to the store, which
+// every instance makes.
+func NewConfig(self string, bound time.Duration) Config {
 	return Config{
-		Self: self, DigestTimeout: 1200 * time.Millisecond, SubstituteDelay: 400 * time.Millisecond, IdleInterval: 700 * time.Millisecond,
+		Self: self, ReadInterval: bound / 5, DigestTimeout: bound * 3 / 5, SubstituteDelay: bound / 5, IdleInterval: bound * 7 / 20,
 	}
 }
 
--- a/internal/version/serverlist/follower_test.go
+++ b/internal/version/serverlist/follower_test.go
@@ -13,7 +13,10 @@
 
 var began = time.Unix(1000, 0)
 
-func newTestFollower() *Follower { return NewFollower(DefaultConfig("self"), began) }
+// testBound gives reads each 0.4 s and a timeout of 1.2 s.
+const testBound = 2 * time.Second
+
+func newTestFollower() *Follower { return NewFollower(NewConfig("self", testBound), began) }
 
 func TestHandleDigest(t *testing.T) {
 	cases := map[string]struct {
@@ -225,7 +228,7 @@
 		const instances = 3
 		cls := &cluster{consumed: make([]int, instances)}
 		for num := range instances {
-			cls.fols = append(cls.fols, NewFollower(DefaultConfig(fmt.Sprint("instance-", num)), began))
+			cls.fols = append(cls.fols, NewFollower(NewConfig(fmt.Sprint("instance-", num), testBound), began))
 			cls.known = append(cls.known, map[string]string{})
 		}
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(rpd, "seed"), 1))
