--- a/internal/process/succession/explore_action_test.go
+++ b/internal/process/succession/explore_action_test.go
@@ -184,8 +184,11 @@
 		return
 	}
 	inc := srv.incarnation
+	if wait > 0 {
+		inc++
+	}
 	sim.after(wait+sim.delay(), func() {
-		if wait == 0 && (srv.incarnation != inc || srv.down()) {
+		if srv.incarnation != inc || srv.down() {
 			return // The connection ended with the incarnation.
 		}
 		carryOut(srv, func(res shard.RenewResult, clr shard.CallResult) {
