Tell a start that is refused as old from one that the server won't carry out

Cause: a start without an answer is sent again as the same run. If that was refused, the next listing without the run counted as proof that it is over. That holds only where the server refuses it as old, as it then has or had the run; a server that is out of order for a moment (429, 503, no room, late) says nothing of the first attempt, which may still be carried out beside the task's next run. Change: the adapter tells the two apart (Outdated). After another refusal the run is stopped until that is accepted.

--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -44,7 +44,7 @@
 	// each job admitted to wait, the expected wait in the last rank that was tried.
 	admittedWithCapacity, admittedToWait, notAdmitted atomic.Int64
 	waits                                             histogram
-	starts                                            [shard.OverCapacity + 1]atomic.Int64
+	starts                                            [shard.Outdated + 1]atomic.Int64
 	answers                                           [submission.Unfinished + 1]atomic.Int64
 	startTimes, answerTimes                           histogram
 	traffic                                           traffic
--- a/internal/process/succession/explore_server_test.go
+++ b/internal/process/succession/explore_server_test.go
@@ -84,13 +84,15 @@
 	switch {
 	case act.Token < srv.token:
 		return shard.Fenced
-	case act.Run.Number < srv.highestRun[act.Run.Task], act.LeaseUntil <= srv.clock():
+	case act.Run.Number < srv.highestRun[act.Run.Task]:
+		return shard.Outdated
+	case act.LeaseUntil <= srv.clock():
 		return shard.Refused
 	case act.Run.Number == srv.highestRun[act.Run.Task]:
 		if rn := srv.running[act.Run.Task]; rn != nil && rn.id == act.Run && !rn.stopping {
 			return shard.Accepted
 		}
-		return shard.Refused
+		return shard.Outdated
 	}
 	srv.token = act.Token
 	srv.extendLease(act.LeaseUntil)
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -34,13 +34,19 @@
 		ldr.dropFenced(srv)
 	case Replaced:
 		ldr.dropReplaced(now, srv)
-	case Refused, OverCapacity:
+	case Outdated:
 		if rn.repeats > 0 {
-			// An earlier attempt may have run, and may have ended since or still be on its way: the next renewal shows it.
+			// An earlier attempt was carried out, and may have ended since: the next renewal shows it.
 			ldr.noteAccepted(now, srv, rn)
 			break
 		}
 		ldr.requeueRefused(now, srv, rn)
+	case Refused, OverCapacity:
+		if rn.repeats > 0 {
+			ldr.stopRun(now, srv, rn) // An earlier attempt may still be carried out.
+			break
+		}
+		ldr.requeueRefused(now, srv, rn)
 	}
 	ldr.advance(now, srv)
 	return ldr.takeActions()
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -74,10 +74,10 @@
 			answer: Accepted, renewal: func(run RunID) RenewResult { return RenewResult{Running: []Progress{{Run: run}}} },
 		},
 		"has ended there": {
-			answer: Refused, renewal: func(run RunID) RenewResult { return RenewResult{Ended: []End{{Seq: 1, Run: run, Kind: EndedDone}}} }, done: 1,
+			answer: Outdated, renewal: func(run RunID) RenewResult { return RenewResult{Ended: []End{{Seq: 1, Run: run, Kind: EndedDone}}} }, done: 1,
 		},
 		"never came there": {
-			answer: Refused, renewal: func(RunID) RenewResult { return RenewResult{} }, new: 1,
+			answer: Outdated, renewal: func(RunID) RenewResult { return RenewResult{} }, new: 1,
 		},
 	}
 	for name, cse := range cases {
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -74,11 +74,13 @@
 	Replaced
 	// OverCapacity means that the server refused the call for lack of free capacity.
 	OverCapacity
+	// Outdated means that the server refused a start because it has, or had, that run or a higher one of the task.
+	Outdated
 )
 
 // String returns the result's name in logs.
 func (res CallResult) String() string {
-	names := [...]string{"accepted", "unknown", "refused", "fenced", "replaced", "overfull"}
+	names := [...]string{"accepted", "unknown", "refused", "fenced", "replaced", "overfull", "old"}
 	if res < 0 || int(res) >= len(names) {
 		return "invalid"
 	}
