--- a/internal/request/shard/incarnation_test.go
+++ b/internal/request/shard/incarnation_test.go
@@ -111,8 +111,10 @@
 			har.place(0, "j.0")
 			har.answerStart("j.0", Accepted)
 			har.advance(10 * time.Millisecond)
+			renewals := har.renewals()
 			har.list(secondIncarnation, "s")
-			chk.Equal(har.startsOf("j.0"), 1) // The token is brought before a start.
+			chk.Equal(har.renewals(), renewals+1) // It is called at once, beside the renewal that waits for the former one's runs.
+			chk.Equal(har.startsOf("j.0"), 1)     // The token is brought before a start.
 			har.answer("s", secondIncarnation, RenewResult{})
 			chk.Equal(har.startsOf("j.0"), 2)
 		},
@@ -195,6 +197,20 @@
 	}
 }
 
+// Guards against a task that runs twice: a new incarnation has carried out a start that was meant for the former one, and the task is started on
+// another server as the former one is over.
+func TestRunOfANewIncarnationIsNotStartedElsewhere(t *testing.T) {
+	chk := is.New(t)
+	har := newIncarnationHarness(t, "s1", "s2")
+	at := har.place(0, "j.0")["j.0"]
+	run := har.answerStart("j.0", Accepted)
+	har.advance(10 * time.Millisecond)
+	har.answer(at, secondIncarnation, RenewResult{Running: []Progress{{Run: run}}})
+	har.advance(10 * time.Millisecond)
+	chk.Equal(har.startsOf("j.0"), 1)
+	chk.Equal(har.stops(), 1)
+}
+
 // Guards against a leader that was succeeded without knowing it: a server that starts again between the two has not seen the newer token and
 // would obey the older one. The other servers refuse it.
 func TestRestartedServerWaitsForTheOthers(t *testing.T) {
