Log the room that each start went by, and how old the list was that told it

The record of the incident could not tell its hypotheses apart: no line had a server's size, what was counted in use, or the age of the list.

No decision changed.

--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -88,6 +88,7 @@
 // shard if a backend server has obeyed a newer token.
 func (dmn *Daemon) runLeaderActions(name shard.Name, acts []shard.Action) {
 	timeout := dmn.uplink.AnswerTimeout()
+	lst := dmn.listState(dmn.now())
 	for _, act := range acts {
 		switch act := act.(type) {
 		case shard.SendReport:
@@ -105,7 +106,7 @@
 				Int("servers", act.Servers).Dur("oldest-confirmed", act.OldestConfirmed).Dur("waited", act.Waited).
 				Msg("order that followed runs nowhere")
 		case shard.StartRun:
-			dmn.group.Go(func() error { return dmn.startRun(name, act, timeout) })
+			dmn.group.Go(func() error { return dmn.startRun(name, act, lst, timeout) })
 		case shard.StopRun:
 			dmn.group.Go(func() error { return dmn.stopRun(name, act, timeout) })
 		case shard.Renew:
@@ -126,8 +127,9 @@
 	return nil
 }
 
-// startRun starts a run on a backend server, with a timeout for the answer, and passes the result to the leader that ordered it.
-func (dmn *Daemon) startRun(name shard.Name, act shard.StartRun, timeout time.Duration) error {
+// startRun starts a run on a backend server, with a timeout for the answer, and passes the result to the leader that ordered it by a state of
+// the list of servers.
+func (dmn *Daemon) startRun(name shard.Name, act shard.StartRun, lst listState, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(dmn.ctx, timeout)
 	defer cancel()
 	srv := platform.Server{ID: act.Server.ID, Address: act.Server.Address}
@@ -138,7 +140,10 @@
 	dmn.cnt.countStart(clr, now.Sub(sent))
 	dmn.uplink.HandleStartResult(act.Payload, now.Sub(sent), clr)
 	dmn.log.Info().Err(err).Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server.ID)).
-		Int64("token", act.Token).Dur("took", now.Sub(sent)).Stringer("verdict", clr).Msg("start")
+		Int64("token", act.Token).Dur("took", now.Sub(sent)).Stringer("verdict", clr).
+		Int64("processor-used", act.UsedProcessor).Int64("processor-room", act.Server.Processor).
+		Int64("memory-used", act.UsedMemory).Int64("memory-room", act.Server.Memory).
+		Int64("list-offset", lst.offset).Dur("list-age", lst.age).Msg("start")
 	if ldr := dmn.leaderWithToken(name, act.Token); ldr != nil {
 		dmn.runLeaderActions(name, ldr.HandleStartResult(now, act.Server.ID, act.Run, clr, clk))
 	}
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -37,9 +37,12 @@
 // counters are the metrics of a daemon: monotonic counters, except those that are described as gauges.
 type counters struct {
 	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses,
-	configsSent atomic.Int64
+	configsSent, roomChanges atomic.Int64
 	// closedDomains and closedRuns are gauges: the failure domains that are closed to new work, and the runs that this instance leads there.
 	closedDomains, closedRuns atomic.Int64
+	// overfullServers and listAge are gauges: the servers led here whose runs need more than their room, and how old the known list of
+	// servers is, in nanoseconds.
+	overfullServers, listAge atomic.Int64
 	// admittedWithCapacity, admittedToWait and notAdmitted count the decisions on submissions; waits has, for
 	// each job admitted to wait, the expected wait in the last rank that was tried.
 	admittedWithCapacity, admittedToWait, notAdmitted atomic.Int64
@@ -94,6 +97,9 @@
 		line("closings-refused", cnt.badClosings.Load())
 		line("closed-failure-domains", cnt.closedDomains.Load())
 		line("runs-in-closed-domains", cnt.closedRuns.Load())
+		line("server-room-changes", cnt.roomChanges.Load())
+		line("servers-over-their-room", cnt.overfullServers.Load())
+		line("list-age-millis", cnt.listAge.Load()/int64(time.Millisecond))
 		line("late-batches", cnt.lateBatches.Load())
 		line("held-up", cnt.pauses.Load())
 		line("log-lines-dropped", cnt.logsDropped.Load())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -102,14 +102,14 @@
 	refusedClosings int64
 	// services are all services that a configuration has named since the start; servers of other services are never called.
 	services map[string]bool
-	// The last read of the list of backend servers began at listReadAt. coverage tells whether every server that may live is in the list,
-	// follower keeps the offset up to which it is read, unloggedChanges are changes of it that are not logged yet, and a value in
-	// listReadRequested has it read at once.
-	listReadAt        time.Time
-	coverage          *serverlist.Coverage
-	follower          *serverlist.Follower
-	unloggedChanges   serverChanges
-	listReadRequested chan struct{}
+	// The last read of the list of backend servers began at listReadAt; listKnownAt is when the list was last as it is known here, by a read or
+	// by a digest. coverage tells whether every server that may live is in the list, follower keeps the offset up to which it is read,
+	// unloggedChanges are changes of it that are not logged yet, and a value in listReadRequested has it read at once.
+	listReadAt, listKnownAt time.Time
+	coverage                *serverlist.Coverage
+	follower                *serverlist.Follower
+	unloggedChanges         serverChanges
+	listReadRequested       chan struct{}
 	// callers are the channels on which calls of Submit wait for their answers.
 	callers  map[submission.CallID]chan submission.Answer
 	lastCall submission.CallID
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -129,12 +129,15 @@
 		dmn.updateSchedule()
 	}
 	dmn.updateOpenOrders(now)
-	closedRuns := 0
+	closedRuns, overfull := 0, 0
 	for name, ldr := range dmn.leaders {
 		dmn.runLeaderActions(name, ldr.Tick(now))
 		closedRuns += ldr.RunsWhileClosed()
+		overfull += ldr.OverfullServers()
 	}
 	dmn.cnt.closedRuns.Store(int64(closedRuns))
+	dmn.cnt.overfullServers.Store(int64(overfull))
+	dmn.cnt.listAge.Store(int64(dmn.listState(now).age))
 	dmn.runCoordinatorActions(dmn.coordinator.HandleTick(now))
 }
 
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -101,7 +101,7 @@
 func (dmn *Daemon) applyFullListing(began time.Time, recs []platform.Record, next int64) {
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
-	dmn.listReadAt = began
+	dmn.listReadAt, dmn.listKnownAt = began, began
 	dmn.coverage.HandleFullRead(now, next)
 	continued := dmn.follower.HandleRereading(next)
 	note := func(chg serverlist.Change) {
@@ -117,6 +117,7 @@
 			note(serverlist.Change{Offset: rec.Offset, Key: rec.Key, Value: rec.Value})
 		}
 	}
+	dmn.logRoomChanges(fromStore, dmn.unloggedChanges.rooms)
 	dmn.unloggedChanges = serverChanges{}
 	dmn.log.Info().Int("servers", len(dmn.entries)).Int64("offset", next).Msg("backend servers read")
 	dmn.updateShards(now)
@@ -128,7 +129,7 @@
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
 	if chk.Complete() {
-		dmn.listReadAt = began
+		dmn.listReadAt, dmn.listKnownAt = began, began
 		dmn.coverage.HandleRead(now)
 	}
 	known := dmn.follower.HandleRead(from, chk.Next)
@@ -178,6 +179,9 @@
 		dmn.requestListRead()
 		return
 	}
+	if dig.To > known {
+		dmn.listKnownAt = now
+	}
 	changed := false
 	for _, chg := range chgs {
 		changed = dmn.applyServerRecord(now, platform.Record{Key: chg.Key, Value: chg.Value}) || changed
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -24,13 +24,18 @@
 	maxUnlisted = 30 * time.Second
 )
 
-// serverChanges has the names of the servers whose entries one read or digest of the list has added or changed, and removed.
-type serverChanges struct{ updated, removed []string }
+// serverChanges has the names of the servers whose entries one read or digest of the list has added or changed, and removed, and the changes
+// of rooms.
+type serverChanges struct {
+	updated, removed []string
+	rooms            []roomChange
+}
 
-// logServerChanges logs the changes of the list since its last call in one line, with at most maxLoggedNames names each.
+// logServerChanges logs the changes of the list since its last call in one line, with at most maxLoggedNames names each, and those of rooms.
 func (dmn *Daemon) logServerChanges(from string) {
 	lst := dmn.unloggedChanges
 	dmn.unloggedChanges = serverChanges{}
+	dmn.logRoomChanges(from, lst.rooms)
 	if len(lst.updated)+len(lst.removed) == 0 {
 		return
 	}
@@ -110,6 +115,9 @@
 	if known && ent.Equal(&old) {
 		return false
 	}
+	if known && (ent.Processor != old.Processor || ent.Memory != old.Memory) {
+		dmn.unloggedChanges.rooms = append(dmn.unloggedChanges.rooms, roomChange{former: old, now: ent})
+	}
 	dmn.unloggedChanges.updated = append(dmn.unloggedChanges.updated, rec.Key)
 	return true
 }
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -17,6 +17,8 @@
 	Token   int64
 	// LeaseUntil is the end of the lease on the server's clock.
 	LeaseUntil time.Duration
+	// UsedProcessor and UsedMemory are what counts as in use on the server with this run, in thousandths of a core and in MB.
+	UsedProcessor, UsedMemory int64
 }
 
 // StopRun asks a backend server to stop a run; its result goes to Leader.HandleStopResult.
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -90,6 +90,17 @@
 // LostServers returns how many servers were dropped because they accepted another leader's token.
 func (ldr *Leader) LostServers() int { return ldr.lostServers }
 
+// OverfullServers returns how many servers have runs that need more than their room, because it has shrunk.
+func (ldr *Leader) OverfullServers() int {
+	num := 0
+	for _, srv := range ldr.servers {
+		if srv.overfull() {
+			num++
+		}
+	}
+	return num
+}
+
 // Isolated reports whether no server has confirmed the leader's token for Config.ConfirmTimeout.
 func (ldr *Leader) Isolated(now time.Time) bool { return now.Sub(ldr.heardAt) > ldr.cfg.ConfirmTimeout }
 
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -182,7 +182,7 @@
 	ldr.link.noteStart(rn.ord.Payload)
 	ldr.emit(StartRun{
 		Server: srv.ent, Run: rn.id, Payload: rn.ord.Payload, Token: ldr.token,
-		LeaseUntil: srv.leaseUntil(now, ldr.cfg.Lease),
+		LeaseUntil: srv.leaseUntil(now, ldr.cfg.Lease), UsedProcessor: srv.usedProcessor, UsedMemory: srv.usedMemory,
 	})
 }
 
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -145,6 +145,11 @@
 	return srv.ent.Processor - srv.usedProcessor, srv.ent.Memory - srv.usedMemory
 }
 
+// overfull reports whether the runs whose sizes are known need more than the server's room, which may have shrunk since they started.
+func (srv *server) overfull() bool {
+	return srv.usedProcessor > srv.ent.Processor || srv.usedMemory > srv.ent.Memory
+}
+
 // acceptsTasks reports whether a new task may start on the server, which may have missed up to tolerated renewals in a row. After a
 // quarantine it is on trial, with one task at a time.
 func (srv *server) acceptsTasks(now time.Time, tolerated int) bool {
