--- a/internal/process/soak/faults.go
+++ b/internal/process/soak/faults.go
@@ -46,6 +46,8 @@
 		ply.injectStore(ctx, inj)
 	case serverLate, serverCrash, serverRestart, serverLeaves, serverFails, serverStands, serverSlow:
 		ply.injectServer(ctx, inj)
+	case roomShrinks, roomShrinksUnseen:
+		ply.shrinkRoom(ctx, inj)
 	}
 	return nil
 }
--- a/internal/process/soak/plan.go
+++ b/internal/process/soak/plan.go
@@ -37,6 +37,9 @@
 	reload        kind = "reload"
 	closeDomain   kind = "close-domain"
 	serverRestart kind = "server-restart"
+	roomShrinks   kind = "room-shrinks"
+	// roomShrinksUnseen is roomShrinks while the instances of the server's failure domain, one of which leads it, are out of the store's reach.
+	roomShrinksUnseen kind = "room-shrinks-unseen"
 )
 
 // planned troubles are an operator's work: they alone may cut nothing off.
@@ -69,6 +72,8 @@
 	Closings int
 	// ServerRestarts is how many times a backend server crashes and starts again under its ID.
 	ServerRestarts int
+	// RoomChanges is how many times the room of a backend server shrinks and grows again while it runs.
+	RoomChanges int
 }
 
 // DefaultShape returns a system of six instances and twelve backend servers: a few dozen processes and ways.
@@ -97,6 +102,7 @@
 	}
 	trbs = append(trbs, drawClosings(seed, shp.Closings)...)
 	trbs = append(trbs, drawServerRestarts(seed, shp)...)
+	trbs = append(trbs, drawRoomChanges(seed, shp)...)
 	slices.SortFunc(trbs, func(one, two trouble) int { return int(one.at - two.at) })
 	return trbs
 }
@@ -137,3 +143,17 @@
 	}
 	return trbs
 }
+
+// drawRoomChanges draws rooms that shrink early and grow again before the quiet tail, most of them long enough for starts over the smaller room to
+// count. They are drawn by themselves, as the closings are.
+func drawRoomChanges(seed uint64, shp Shape) []trouble {
+	rnd := rand.New(rand.NewPCG(seed, 5))
+	trbs := make([]trouble, shp.RoomChanges)
+	for idx := range trbs {
+		at := 500*time.Millisecond + upTo(rnd, time.Second)
+		trbs[idx] = trouble{
+			kind: []kind{roomShrinks, roomShrinksUnseen}[rnd.IntN(2)], at: at, lasts: shp.For - quietTail - at - upTo(rnd, time.Second), one: rnd.IntN(1 << 16), two: rnd.IntN(1 << 16),
+		}
+	}
+	return trbs
+}
