--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -136,13 +136,14 @@
 	srv.count(rn, 1)
 }
 
-// free returns the processor and memory that are certainly free: every run that may exist counts, and an unclaimed one, whose size is
-// not known, takes up the whole server.
+// free returns the processor and memory that are certainly free, both 0 if one of them is used up: every run that may exist counts, and an
+// unclaimed one, whose size is not known, takes up the whole server.
 func (srv *server) free() (processor, memory int64) {
-	if srv.unclaimed > 0 {
+	processor, memory = srv.ent.Processor-srv.usedProcessor, srv.ent.Memory-srv.usedMemory
+	if srv.unclaimed > 0 || processor <= 0 || memory <= 0 {
 		return 0, 0
 	}
-	return srv.ent.Processor - srv.usedProcessor, srv.ent.Memory - srv.usedMemory
+	return processor, memory
 }
 
 // overfull reports whether the runs whose sizes are known need more than the server's room, which may have shrunk since they started.
@@ -170,7 +171,7 @@
 }
 
 // inService reports whether the server counts for the shard's capacity; a quarantined one does.
-func (srv *server) inService() bool { return srv.state == confirmed && !srv.ent.Leaving }
+func (srv *server) inService() bool { return srv.state == confirmed && !srv.ent.Leaving && srv.ent.Memory > 0 }
 
 // onTrial reports whether the next end decides if a server that was quarantined is sound.
 func (srv *server) onTrial() bool { return srv.failures >= failuresToQuarantine || srv.spd.onTrial() }
