Start nothing on a server whose entry can't be read any more

A listed server whose entry is replaced by one that can't be read gets tasks by its former size for as long as it answers its leader, though the comment there promised none ("It gets no new task").

Cause: the list told the leader only that the server is missing, as it does for a server whose entry has expired. Those must go on, as live servers go missing while the store is down; of a server with an unreadable entry nothing is known.

Change: the listing tells the two apart; the leader starts nothing on the latter until its entry is readable, and its room counts for nothing. Runs there go on.

Evidence: TestServerWithUnreadableEntryGetsNoWork, red before in both cases: 30 starts on the server in 4 s, where its entry is replaced at once and where it has lapsed first.

--- a/internal/process/daemon/room_test.go
+++ b/internal/process/daemon/room_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"chestnutstack/platform"
+	"chestnutstack/platform/standin"
 )
 
 // shrunkRoomCounts is how long after a room has shrunk a start may still go by the former one: the platform's bound for contact and a heartbeat
@@ -131,3 +132,28 @@
 		t.Run(name, func(t *testing.T) { playShrinkingRooms(t, rm.processor, rm.memory) })
 	}
 }
+
+// Guards against starts on a server whose entry can no longer be read, so that nothing is known of its room.
+func TestServerWithUnreadableEntryGetsNoWork(t *testing.T) {
+	cases := map[string]func(sys *system, srv *standin.Server){
+		"at once":             func(*system, *standin.Server) {},
+		"after it has lapsed": func(sys *system, srv *standin.Server) { sys.sto.Unlist(srv); time.Sleep(time.Second) },
+	}
+	for name, before := range cases {
+		t.Run(name, func(t *testing.T) {
+			inTestSystem(t, 1, 2, 2, func(sys *system) {
+				chk := is.NewRelaxed(t)
+				before(sys, sys.servers["server-1-1"])
+				sys.sto.Put(string(platform.ServersTopic), "server-1-1", "?")
+				sys.ldg.Close("server-1-1", time.Now().Add(time.Second))
+				countStatuses(sys.sendLoad(1, 100*time.Millisecond, 4*time.Second))
+				sys.ldg.Open("server-1-1")
+				sys.listServer("server-1-1", "domain-1", "ready")
+				time.Sleep(time.Second)
+				began := time.Now()
+				chk.Equal(sys.send(sys.ctx, "entry-1-1", jobSpec{id: jobID(900), tasks: 4, payload: payload{Millis: 100}}), http.StatusOK)
+				chk.True(time.Since(began) < 150*time.Millisecond) // Both servers take tasks.
+			})
+		})
+	}
+}
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -13,6 +13,8 @@
 type missingServer struct {
 	ent   shard.ServerEntry
 	since time.Time
+	// unreadable is set if there is an entry that can't be read.
+	unreadable bool
 }
 
 const (
@@ -103,7 +105,7 @@
 		// Another program may have written it. If a server has that key, it gets no new task until its entry is readable again.
 		dmn.log.Error().Err(err).Msg("entry of the list of backend servers is unreadable")
 		dmn.removeServer(now, id)
-		return known
+		return dmn.noteUnreadable(id) || known
 	}
 	if known && ent.Incarnation < old.Incarnation {
 		dmn.log.Error().Str("server", rec.Key).Int64("known-incarnation", int64(old.Incarnation)).Int64("incarnation", int64(ent.Incarnation)).
@@ -122,6 +124,17 @@
 	return true
 }
 
+// noteUnreadable takes note that a missing server has an entry that can't be read, and reports whether that is news.
+func (dmn *Daemon) noteUnreadable(id shard.ServerID) bool {
+	mis, missing := dmn.missing[id]
+	if !missing || mis.unreadable {
+		return false
+	}
+	mis.unreadable = true
+	dmn.missing[id] = mis
+	return true
+}
+
 // completeListOffset returns the offset of the list up to which all servers that may live are known and have entries; 0 if unknown.
 func (dmn *Daemon) completeListOffset(now time.Time) int64 {
 	if !dmn.coverage.Complete(now) {
@@ -168,6 +181,9 @@
 	for _, mis := range dmn.missing {
 		if now.Sub(mis.since) <= maxUnlisted && dmn.divisions.ShardOf(mis.ent) == shd {
 			lst.Missing = append(lst.Missing, mis.ent)
+			if mis.unreadable {
+				lst.Unreadable = append(lst.Unreadable, mis.ent.ID)
+			}
 		}
 	}
 	return lst
--- a/internal/request/shard/incarnation.go
+++ b/internal/request/shard/incarnation.go
@@ -11,7 +11,7 @@
 
 // updateEntry applies a listed entry to a known server. One of a new incarnation has it called at once, and it gets no task before it answers.
 func (ldr *Leader) updateEntry(now time.Time, srv *server, ent ServerEntry) {
-	srv.ent, srv.unlisted = ent, false
+	srv.ent, srv.unlisted, srv.unreadable = ent, false, false
 	switch {
 	case srv.incarnation == 0:
 		srv.incarnation = ent.Incarnation
@@ -60,7 +60,7 @@
 // The new incarnation obeys any token until it has seen this leader's, so it is treated like a server that was just listed (see admitAdded).
 func (ldr *Leader) beginIncarnation(now, sent time.Time, old *server, ans *RenewResult) *server {
 	srv := newServer(old.ent, now)
-	srv.incarnation, srv.unlisted = ans.Incarnation, old.unlisted
+	srv.incarnation, srv.unlisted, srv.unreadable = ans.Incarnation, old.unlisted, old.unreadable
 	// Answers to earlier renewals are told from those to the next ones by the number.
 	srv.renewals = old.renewals
 	srv.renewedAt, srv.noStartsUntil = old.renewedAt, old.noStartsUntil
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 )
 
@@ -145,6 +146,7 @@
 			continue
 		}
 		srv.unlisted = true
+		srv.unreadable = srv.unreadable || slices.Contains(lst.Unreadable, id)
 	}
 	if !ldr.takeoverComplete {
 		ldr.claimMissing(now, lst.Missing)
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -23,8 +23,8 @@
 	state serverState
 	// incarnation is the newest one that has answered or, before any has, that of the entry; all below is about it.
 	incarnation Incarnation
-	// unlisted servers have no entry in the list now.
-	unlisted bool
+	// unlisted servers have no entry in the list now. Those that are unreadable have one that can't be read: nothing is known of their room.
+	unlisted, unreadable bool
 	// addedAt is when a server was listed that is to get no task yet (see admitAdded); zero for the others.
 	addedAt time.Time
 	// runs is changed only by add and drop, which keep the used and unclaimed counts right.
@@ -155,7 +155,7 @@
 // quarantine it is on trial, with one task at a time.
 func (srv *server) acceptsTasks(now time.Time, tolerated int) bool {
 	switch {
-	case srv.state != confirmed || srv.missed > tolerated || srv.ent.Leaving || !srv.addedAt.IsZero():
+	case srv.state != confirmed || srv.missed > tolerated || srv.ent.Leaving || srv.unreadable || !srv.addedAt.IsZero():
 		return false
 	case srv.ent.Incarnation != srv.incarnation || now.Before(srv.noStartsUntil):
 		return false // The size of a new incarnation is known from its entry only.
@@ -171,7 +171,9 @@
 }
 
 // inService reports whether the server counts for the shard's capacity; a quarantined one does.
-func (srv *server) inService() bool { return srv.state == confirmed && !srv.ent.Leaving && srv.ent.Memory > 0 }
+func (srv *server) inService() bool {
+	return srv.state == confirmed && !srv.ent.Leaving && !srv.unreadable && srv.ent.Memory > 0
+}
 
 // onTrial reports whether the next end decides if a server that was quarantined is sound.
 func (srv *server) onTrial() bool { return srv.failures >= failuresToQuarantine || srv.spd.onTrial() }
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -113,6 +113,8 @@
 	// Listed has the servers that the platform lists, Missing those that it listed a while ago: a live server's entry may expire, and what
 	// a former leader started there runs on.
 	Listed, Missing []ServerEntry
+	// Unreadable has those missing servers that have an entry which can't be read. Unlike servers whose entries have expired, they get no task.
+	Unreadable []ServerID
 	// All has the listed servers of all shards.
 	All map[ServerID]ServerEntry
 	// ReadAt is when the read of the list began. It is zero while there may be live servers that this instance has never seen listed.
