Send an instance the changes of the list of servers that it lacks

What callers saw: tasks on servers over the room that they had told, for as long as their leader was out of the store's reach (LIMIT).

Cause: only the store brought the list to an instance. A leader that is cut off from it, or turned away by it, went by the sizes that it had read last, however old, while all other instances knew better. Configurations and closed failure domains went round between instances; the list did not.

Change: heartbeats tell up to which offset an instance knows the list. One that has lacked a change for 0.5 s is sent what it lacks, by one instance at a time in the order in which configurations are sent. Each instance keeps the changes of the last minute (4,096 at most) with their offsets; what can't be told exactly, as changes known from a full read to one that knows a part of them, is not sent. The receiver takes the changes for read by itself, so that its digests have them.

Weighed: handing shards over to an instance that reaches the store (moves a third of the shards whenever the store turns a third of the instances away); starting nothing by an old list (a cut or an outage of 5 s would stop all work, and nobody would know better).

Failed try: taking what a peer sends for a digest from the store; the receiver's own digests would then lack it.

What remains: a server that is itself out of the store's reach can tell nobody that its room shrank; nor can anybody learn it while the store is down for all.

--- a/internal/connection/mesh/types.go
+++ b/internal/connection/mesh/types.go
@@ -33,9 +33,11 @@
 	// CompleteUpTo is the offset in the list of backend servers up to which the instance knows all servers that may be running,
 	// each with an entry; 0 if it isn't sure of that.
 	CompleteUpTo int64
+	// ListOffset is the offset before which the instance knows that list; 0 if it never read it.
+	ListOffset int64
 }
 
-// Message is sent from one instance to another: Order, Cancellation, Report, Configuration or LossNotice.
+// Message is sent from one instance to another: Order, Cancellation, Report, Configuration, ServerChanges or LossNotice.
 type Message interface{ message() }
 
 // Order asks the leader of a shard to run a task.
@@ -59,6 +61,9 @@
 // Configuration passes on the record of a configuration, as the platform publishes it.
 type Configuration struct{ Data []byte }
 
+// ServerChanges passes on changes of the list of backend servers that the receiver lacks, encoded as a digest.
+type ServerChanges struct{ Data []byte }
+
 // LossNotice says that the sender has lost an instance.
 type LossNotice struct{ Instance shard.InstanceID }
 
@@ -67,6 +72,7 @@
 func (Cancellation) message()  {}
 func (Report) message()        {}
 func (Configuration) message() {}
+func (ServerChanges) message() {}
 
 // Handler handles what arrives from other instances. Its methods are called one at a time for each instance.
 type Handler interface {
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -41,7 +41,7 @@
 func encodeHeartbeat(hbt Heartbeat) *meshpb.Beat {
 	msg := &meshpb.Beat{
 		Domain: hbt.Domain, Processor: int64(hbt.Processor * milli), Ready: hbt.Ready, Leaving: hbt.Leaving,
-		Version: hbt.ConfigVersion, Round: hbt.TokenRound, ListedTo: hbt.CompleteUpTo,
+		Version: hbt.ConfigVersion, Round: hbt.TokenRound, ListedTo: hbt.CompleteUpTo, ListOffset: hbt.ListOffset,
 	}
 	for dom, dvn := range hbt.Divisions {
 		msg.Divisions = append(msg.Divisions, &meshpb.Division{Domain: dom, Count: int64(dvn.Count), Stamp: dvn.Stamp})
@@ -65,7 +65,7 @@
 		Domain: msg.GetDomain(), Processor: float64(msg.GetProcessor()) / milli, Ready: msg.GetReady(),
 		Leaving: msg.GetLeaving(), ConfigVersion: msg.GetVersion(), TokenRound: msg.GetRound(),
 		Divisions:     make(map[string]shard.Division, len(msg.GetDivisions())),
-		ClosedDomains: domainlist.View{End: domainlist.Unread}, CompleteUpTo: msg.GetListedTo(),
+		ClosedDomains: domainlist.View{End: domainlist.Unread}, CompleteUpTo: msg.GetListedTo(), ListOffset: msg.GetListOffset(),
 	}
 	if cld := msg.GetClosedDomains(); cld != nil {
 		hbt.ClosedDomains = domainlist.View{End: cld.GetEnd(), Closed: cld.GetNames()}
@@ -116,6 +116,8 @@
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Missed{Missed: &meshpb.Missed{
 			Name: name, Life: incarnation,
 		}}})
+	case ServerChanges:
+		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_ServerChanges{ServerChanges: msg.Data}})
 	case Configuration:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Configuration{Configuration: msg.Data}})
 	}
@@ -172,6 +174,8 @@
 			}})
 		case *meshpb.Message_Missed:
 			msgs = append(msgs, LossNotice{Instance: ID(bdy.Missed.GetName(), bdy.Missed.GetLife())})
+		case *meshpb.Message_ServerChanges:
+			msgs = append(msgs, ServerChanges{Data: bdy.ServerChanges})
 		case *meshpb.Message_Configuration:
 			msgs = append(msgs, Configuration{Data: bdy.Configuration})
 		}
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -37,7 +37,7 @@
 // counters are the metrics of a daemon: monotonic counters, except those that are described as gauges.
 type counters struct {
 	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses,
-	configsSent, roomChanges atomic.Int64
+	configsSent, changesSent, roomChanges atomic.Int64
 	// closedDomains and closedRuns are gauges: the failure domains that are closed to new work, and the runs that this instance leads there.
 	closedDomains, closedRuns atomic.Int64
 	// overfullServers and listAge are gauges: the servers led here whose runs need more than their room, and how old the known list of
@@ -94,6 +94,7 @@
 		line("list-digests-written", cnt.digests.Load())
 		line("list-digests-refused", cnt.badDigests.Load())
 		line("configurations-sent", cnt.configsSent.Load())
+		line("server-changes-sent", cnt.changesSent.Load())
 		line("closings-refused", cnt.badClosings.Load())
 		line("closed-failure-domains", cnt.closedDomains.Load())
 		line("runs-in-closed-domains", cnt.closedRuns.Load())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -24,7 +24,7 @@
 // Store is the part of the platform's metadata store that a daemon uses: topics of keyed records, addressed by offset.
 type Store interface {
 	Append(ctx context.Context, tpc platform.Topic, rec platform.Record) (offset int64, err error)
-	Newest(ctx context.Context, tpc platform.Topic) (recs []platform.Record, next int64, err error)
+	Newest(ctx context.Context, tpc platform.Topic) (platform.Snapshot, error)
 	Read(ctx context.Context, tpc platform.Topic, from int64, wait time.Duration) (platform.Chunk, error)
 }
 
@@ -102,14 +102,12 @@
 	refusedClosings int64
 	// services are all services that a configuration has named since the start; servers of other services are never called.
 	services map[string]bool
-	// The last read of the list of backend servers began at listReadAt; listKnownAt is when the list was last as it is known here, by a read or
-	// by a digest. coverage tells whether every server that may live is in the list, follower keeps the offset up to which it is read,
-	// unloggedChanges are changes of it that are not logged yet, and a value in listReadRequested has it read at once.
-	listReadAt, listKnownAt time.Time
-	coverage                *serverlist.Coverage
-	follower                *serverlist.Follower
-	unloggedChanges         serverChanges
-	listReadRequested       chan struct{}
+	// The last read of the list of backend servers began at listReadAt. coverage tells whether every server that may live is in the list,
+	// follower keeps the offset up to which it is read, and a value in listReadRequested has it read at once.
+	listReadAt        time.Time
+	coverage          *serverlist.Coverage
+	follower          *serverlist.Follower
+	listReadRequested chan struct{}
 	// callers are the channels on which calls of Submit wait for their answers.
 	callers  map[submission.CallID]chan submission.Answer
 	lastCall submission.CallID
@@ -135,6 +133,7 @@
 	cfgFromPeer bool
 	// configSentAt is when a configuration was last sent to each instance that is heard, firstHeardAt since when that one has been heard.
 	configSentAt, firstHeardAt map[shard.InstanceID]time.Time
+	listNews
 	// localActions are pending actions addressed to this instance itself.
 	localActions []func(now time.Time)
 
@@ -156,6 +155,7 @@
 		services: map[string]bool{}, closedDomains: domainlist.New(prm.Settings.FailureDomains),
 		callers:      map[submission.CallID]chan submission.Answer{},
 		configSentAt: map[shard.InstanceID]time.Time{}, firstHeardAt: map[shard.InstanceID]time.Time{},
+		listNews:     newListNews(),
 		reachability: map[shard.Name]*succession.Reachability{}, openOrdersWith: map[shard.InstanceID]bool{},
 		follower:          serverlist.NewFollower(pcs.list, prm.Now()),
 		coverage:          serverlist.NewCoverage(serverlist.CoverageConfig{RecoveryTime: recoveryTime + pcs.list.ReadInterval, MaxUnlisted: maxUnlisted}),
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -108,12 +108,12 @@
 	defer cancel()
 	dmn.cnt.storeReads.Add(1)
 	if from < 0 {
-		recs, next, err := dmn.prm.Store.Newest(ctx, rdr.topic)
+		snp, err := dmn.prm.Store.Newest(ctx, rdr.topic)
 		if err != nil {
 			return from, err
 		}
-		rdr.handle(batch{recs: recs, from: from, next: next})
-		return next, nil
+		rdr.handle(batch{recs: snp.Records, from: from, next: snp.Next})
+		return snp.Next, nil
 	}
 	chk, err := dmn.prm.Store.Read(ctx, rdr.topic, from, rdr.wait)
 	if err != nil {
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -22,7 +22,7 @@
 		bet.ConfigVersion = cfg.Version()
 	}
 	now := dmn.now()
-	bet.CompleteUpTo = dmn.completeListOffset(now)
+	bet.CompleteUpTo, bet.ListOffset = dmn.completeListOffset(now), max(0, dmn.follower.KnownTo())
 	for name, ldr := range dmn.leaders {
 		// Capacity that has just become free is also in the report of the run's end, as the next heartbeat may be 400 ms away.
 		bet.Leaderships = append(bet.Leaderships, mesh.Leadership{Shard: name, Token: ldr.Token(), Load: ldr.Load(now)})
@@ -79,6 +79,7 @@
 	if data := dmn.cfgData.Load(); data != nil && bet.ConfigVersion < dmn.cfg.Load().Version() {
 		dmn.sendConfiguration(now, from, *data)
 	}
+	dmn.sendServerChanges(now, from, bet.ListOffset)
 }
 
 // sendConfiguration sends a configuration to an instance with an older one, as the store may be out of its reach.
@@ -129,6 +130,8 @@
 		dmn.runCoordinatorActions(dmn.coordinator.HandleReport(now, from, msg.Report))
 	case mesh.LossNotice:
 		dmn.suspectPeer(from, msg.Instance)
+	case mesh.ServerChanges:
+		dmn.handleServerChanges(now, from, msg.Data)
 	case mesh.Configuration:
 		// In the background, as it takes the lock that is held here.
 		dmn.group.Go(func() error {
@@ -174,6 +177,7 @@
 	dmn.announceLoss(id, cau)
 	delete(dmn.firstHeardAt, id)
 	delete(dmn.configSentAt, id)
+	delete(dmn.changesSentAt, id)
 	dmn.elector.HandleInstanceLost(now, id, cau.IsSilence())
 	for name, ldr := range dmn.leaders {
 		dmn.runLeaderActions(name, ldr.HandleOwnerLost(now, id))
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -72,9 +72,9 @@
 	dmn.cnt.listReads.Add(1)
 	began := dmn.now()
 	if from < 0 {
-		recs, next, err := dmn.prm.Store.Newest(ctx, platform.ServersTopic)
+		snp, err := dmn.prm.Store.Newest(ctx, platform.ServersTopic)
 		if err == nil {
-			dmn.applyFullListing(began, recs, next)
+			dmn.applyFullListing(began, snp)
 		}
 		return err
 	}
@@ -98,28 +98,37 @@
 }
 
 // applyFullListing replaces the known list by a full read that began at a time; entries that the read doesn't have are removed.
-func (dmn *Daemon) applyFullListing(began time.Time, recs []platform.Record, next int64) {
+func (dmn *Daemon) applyFullListing(began time.Time, snp platform.Snapshot) {
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
-	dmn.listReadAt, dmn.listKnownAt = began, began
-	dmn.coverage.HandleFullRead(now, next)
-	continued := dmn.follower.HandleRereading(next)
+	dmn.listReadAt, dmn.knownAt = began, began
+	dmn.coverage.HandleFullRead(now, snp.Next)
+	known, before := dmn.follower.Known(), dmn.follower.KnownTo()
+	continued := dmn.follower.HandleRereading(snp.Next)
+	var chgs []serverlist.Change
 	note := func(chg serverlist.Change) {
+		chgs = append(chgs, chg)
 		if continued {
 			dmn.follower.HandleRereadChange(chg)
 		}
 	}
-	for _, id := range dmn.removeUnlisted(now, recs) {
+	for _, id := range dmn.removeUnlisted(now, snp.Records) {
 		note(serverlist.Change{Offset: -1, Key: string(id)})
 	}
-	for _, rec := range recs {
+	for _, rec := range snp.Records {
 		if dmn.applyServerRecord(now, rec) {
 			note(serverlist.Change{Offset: rec.Offset, Key: rec.Key, Value: rec.Value})
 		}
 	}
+	if known {
+		dmn.recent.HandleReread(now, before, snp.End, chgs)
+	} else {
+		dmn.recent.HandleFullRead(snp.End)
+	}
+	dmn.changesFromPeer = false
 	dmn.logRoomChanges(fromStore, dmn.unloggedChanges.rooms)
 	dmn.unloggedChanges = serverChanges{}
-	dmn.log.Info().Int("servers", len(dmn.entries)).Int64("offset", next).Msg("backend servers read")
+	dmn.log.Info().Int("servers", len(dmn.entries)).Int64("offset", snp.Next).Msg("backend servers read")
 	dmn.updateShards(now)
 }
 
@@ -129,7 +138,7 @@
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
 	if chk.Complete() {
-		dmn.listReadAt, dmn.listKnownAt = began, began
+		dmn.listReadAt, dmn.knownAt = began, began
 		dmn.coverage.HandleRead(now)
 	}
 	known := dmn.follower.HandleRead(from, chk.Next)
@@ -139,7 +148,9 @@
 			continue
 		}
 		changed = true
-		dmn.follower.HandleChange(serverlist.Change{Offset: from + int64(num), Key: rec.Key, Value: rec.Value})
+		chg := serverlist.Change{Offset: from + int64(num), Key: rec.Key, Value: rec.Value}
+		dmn.follower.HandleChange(chg)
+		dmn.noteChange(now, chg, fromStore)
 	}
 	dmn.logServerChanges(fromStore)
 	if changed || dmn.anyListingIncomplete() {
@@ -180,11 +191,17 @@
 		return
 	}
 	if dig.To > known {
-		dmn.listKnownAt = now
+		dmn.knownAt = now
+	}
+	if dig.Reread && dig.To > known {
+		dmn.recent.HandleReread(now, known, dig.To, chgs)
 	}
 	changed := false
 	for _, chg := range chgs {
 		changed = dmn.applyServerRecord(now, platform.Record{Key: chg.Key, Value: chg.Value}) || changed
+		if !dig.Reread {
+			dmn.noteChange(now, chg, fromStore)
+		}
 	}
 	dmn.logServerChanges(dig.Reader)
 	if changed {
--- a/internal/process/daemon/rooms.go
+++ b/internal/process/daemon/rooms.go
@@ -31,8 +31,8 @@
 // listState returns the present state of the list of servers.
 func (dmn *Daemon) listState(now time.Time) listState {
 	stt := listState{offset: dmn.follower.NextOffset()}
-	if !dmn.listKnownAt.IsZero() {
-		stt.age = now.Sub(dmn.listKnownAt)
+	if !dmn.knownAt.IsZero() {
+		stt.age = now.Sub(dmn.knownAt)
 	}
 	return stt
 }
--- a/internal/version/serverlist/follower.go
+++ b/internal/version/serverlist/follower.go
@@ -71,6 +71,9 @@
 	return fol.next
 }
 
+// KnownTo returns the offset before which the list is known, negative if it was never read.
+func (fol *Follower) KnownTo() int64 { return fol.next }
+
 // Known reports whether the list was read once, so that digests may continue what is known.
 func (fol *Follower) Known() bool { return fol.next != unknown }
 
@@ -149,15 +152,41 @@
 // HandleDigest takes in a digest and returns those of its changes that are new. If ok is false, the list was never read or a digest
 // before this one is missing, and the list is to be read.
 func (fol *Follower) HandleDigest(now time.Time, dig *Digest) (chgs []Change, ok bool) {
-	if fol.next == unknown || dig.From > fol.next {
+	if !fol.continues(dig) {
 		return nil, false
 	}
-	if dig.Reread && dig.From < fol.next && dig.To > fol.next {
+	fol.noteOtherReader(now, dig)
+	before := fol.next
+	chgs = fol.takeIn(dig)
+	if fol.next > before && fol.digestedTo != unknown {
+		fol.noteDigested(dig.To)
+	}
+	return chgs, true
+}
+
+// HandlePeerChanges takes in what another instance has sent of the list and returns the changes that are new. They count as read by this instance:
+// perhaps no digest has them. If ok is false, they don't continue what is known.
+func (fol *Follower) HandlePeerChanges(dig *Digest) (chgs []Change, ok bool) {
+	if !fol.continues(dig) {
 		return nil, false
 	}
-	fol.noteOtherReader(now, dig)
+	before := fol.next
+	chgs = fol.takeIn(dig)
+	if dig.Reread && fol.next > before {
+		fol.stopDigests()
+	}
+	return chgs, true
+}
+
+// continues reports whether a digest continues what is known of the list.
+func (fol *Follower) continues(dig *Digest) bool {
+	return fol.next != unknown && dig.From <= fol.next && (!dig.Reread || dig.From == fol.next || dig.To <= fol.next)
+}
+
+// takeIn moves the next offset to the end of a digest that continues what is known, and returns those of its changes that are new.
+func (fol *Follower) takeIn(dig *Digest) (chgs []Change) {
 	if dig.To <= fol.next {
-		return nil, true
+		return nil
 	}
 	for _, chg := range dig.Changes {
 		if chg.Offset >= fol.next {
@@ -165,10 +194,7 @@
 		}
 	}
 	fol.next, fol.compacted = dig.To, false
-	if fol.digestedTo != unknown {
-		fol.noteDigested(dig.To)
-	}
-	return chgs, true
+	return chgs
 }
 
 // noteDigested takes note that all records before an offset are in digests.
--- a/internal/version/serverlist/follower_test.go
+++ b/internal/version/serverlist/follower_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -172,11 +173,22 @@
 type cluster struct {
 	log  []Change
 	fols []*Follower
-	// known has what each instance knows of the list.
+	// known has what each instance knows of the list, recent its recent changes.
 	known   []map[string]string
+	recent  []*RecentChanges
 	digests []Digest
 	// consumed is how many of the digests each instance has read.
 	consumed []int
+	// sent are changes that instances have sent others and that have not come there yet.
+	sent []sentChanges
+	// received counts the changes that have come so.
+	received int
+}
+
+// sentChanges are changes on their way to an instance.
+type sentChanges struct {
+	to  int
+	dig Digest
 }
 
 // apply has an instance take in a record and reports whether that changed what it knew.
@@ -191,32 +203,39 @@
 }
 
 // read has an instance read the list from its next offset on, or in full.
-func (cls *cluster) read(num int) {
+func (cls *cluster) read(num int, now time.Time) {
 	fol := cls.fols[num]
 	from, end := fol.NextOffset(), int64(len(cls.log))
 	if from < 0 {
 		// The pages of a full read are read at different times: their content may be newer than the offset.
-		cls.readInFull(num, max(0, end-2))
+		cls.readInFull(num, max(0, end-2), now)
 		return
 	}
 	known := fol.HandleRead(from, end)
 	for idx := from + int64(known); idx < end; idx++ {
 		if cls.apply(num, &cls.log[idx]) {
 			fol.HandleChange(cls.log[idx])
+			cls.recent[num].Add(now, cls.log[idx])
 		}
 	}
 }
 
 // readInFull has an instance read the newest record of each server, after which the list goes on at offset next.
-func (cls *cluster) readInFull(num int, next int64) {
+func (cls *cluster) readInFull(num int, next int64, now time.Time) {
 	fol, was := cls.fols[num], cls.known[num]
 	cls.known[num] = state(cls.log)
-	if !fol.HandleRereading(next) {
-		return
+	known, before := fol.Known(), fol.KnownTo()
+	continued := fol.HandleRereading(next)
+	var chgs []Change
+	note := func(chg Change) {
+		chgs = append(chgs, chg)
+		if continued {
+			fol.HandleRereadChange(chg)
+		}
 	}
 	for key := range was {
 		if _, listed := cls.known[num][key]; !listed {
-			fol.HandleRereadChange(Change{Offset: -1, Key: key})
+			note(Change{Offset: -1, Key: key})
 		}
 	}
 	newest := map[string]Change{}
@@ -225,9 +244,14 @@
 	}
 	for key, value := range cls.known[num] {
 		if old, had := was[key]; !had || old != value {
-			fol.HandleRereadChange(newest[key])
+			note(newest[key])
 		}
 	}
+	if end := int64(len(cls.log)); known {
+		cls.recent[num].HandleReread(now, before, end, chgs)
+	} else {
+		cls.recent[num].HandleFullRead(end)
+	}
 }
 
 // state returns the servers that are listed after all records of the log.
@@ -243,8 +267,8 @@
 	return stt
 }
 
-// Guards against an instance that has read the list to its end but knows something else than its content, whichever instances read it
-// and publish digests, and whichever digests are missed or read late.
+// Guards against an instance that has read the list to its end but knows something else than its content, whichever instances read it,
+// publish digests and send each other what they lack, and whichever of that is missed or read late.
 func TestFollowersAgreeWithTheList(t *testing.T) {
 	rapid.Check(t, func(rpd *rapid.T) {
 		const instances = 3
@@ -252,6 +276,7 @@
 		for num := range instances {
 			cls.fols = append(cls.fols, NewFollower(NewConfig(fmt.Sprint("instance-", num), testBound), began))
 			cls.known = append(cls.known, map[string]string{})
+			cls.recent = append(cls.recent, NewRecentChanges())
 		}
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(rpd, "seed"), 1))
 		now := began
@@ -262,7 +287,7 @@
 		end := int64(len(cls.log))
 		for num, fol := range cls.fols {
 			for fol.NextOffset() < end {
-				cls.read(num)
+				cls.read(num, now)
 			}
 			if !maps.Equal(cls.known[num], state(cls.log)) {
 				rpd.Fatalf("instance %d knows %v, the content of the list is %v", num, cls.known[num], state(cls.log))
@@ -275,7 +300,7 @@
 func (cls *cluster) step(rnd *rand.Rand, now time.Time) {
 	num := rnd.IntN(len(cls.fols))
 	fol := cls.fols[num]
-	switch rnd.IntN(5) {
+	switch rnd.IntN(7) {
 	case 0, 1:
 		chg := Change{Offset: int64(len(cls.log)), Key: fmt.Sprint("server-", rnd.IntN(4))}
 		if rnd.IntN(4) > 0 {
@@ -283,7 +308,7 @@
 		}
 		cls.log = append(cls.log, chg)
 	case 2:
-		cls.read(num)
+		cls.read(num, now)
 	case 3:
 		for _, dig := range fol.PendingDigests(now, rnd.IntN(3)) {
 			if prb := dig.Problem(); prb != "" {
@@ -296,6 +321,50 @@
 		}
 	case 4:
 		cls.consume(num, now, rnd)
+	case 5:
+		cls.send(num, rnd.IntN(len(cls.fols)))
+	case 6:
+		cls.receive(now, rnd)
+	}
+}
+
+// send has an instance send another one what that one lacks.
+func (cls *cluster) send(from, to int) {
+	offset, end := cls.fols[to].KnownTo(), cls.fols[from].KnownTo()
+	if offset == unknown || end == unknown {
+		return
+	}
+	if _, lacking := cls.recent[from].LackingSince(offset, end); lacking {
+		cls.sent = append(cls.sent, sentChanges{to: to, dig: cls.recent[from].Since(fmt.Sprint("instance-", from), offset, end)})
+	}
+}
+
+// receive has an instance take in some changes that were sent to it.
+func (cls *cluster) receive(now time.Time, rnd *rand.Rand) {
+	if len(cls.sent) == 0 {
+		return
+	}
+	idx := rnd.IntN(len(cls.sent))
+	snt := cls.sent[idx]
+	cls.sent = slices.Delete(cls.sent, idx, idx+1)
+	if prb := snt.dig.Problem(); prb != "" {
+		panic(prb) // The test fails with the seed.
+	}
+	fol, known := cls.fols[snt.to], cls.fols[snt.to].KnownTo()
+	chgs, follow := fol.HandlePeerChanges(&snt.dig)
+	if !follow || snt.dig.To <= known {
+		return
+	}
+	cls.received += len(chgs)
+	if snt.dig.Reread {
+		cls.recent[snt.to].HandleReread(now, known, snt.dig.To, chgs)
+	}
+	for idx := range chgs {
+		cls.apply(snt.to, &chgs[idx])
+		if !snt.dig.Reread {
+			fol.HandleChange(chgs[idx])
+			cls.recent[snt.to].Add(now, chgs[idx])
+		}
 	}
 }
 
@@ -315,8 +384,15 @@
 	}
 	dig := cls.digests[cls.consumed[num]]
 	cls.consumed[num]++
-	chgs, _ := cls.fols[num].HandleDigest(now, &dig)
+	known := cls.fols[num].KnownTo()
+	chgs, follows := cls.fols[num].HandleDigest(now, &dig)
+	if follows && dig.Reread && dig.To > known {
+		cls.recent[num].HandleReread(now, known, dig.To, chgs)
+	}
 	for idx := range chgs {
 		cls.apply(num, &chgs[idx])
+		if !dig.Reread {
+			cls.recent[num].Add(now, chgs[idx])
+		}
 	}
 }
