Tell a change of the settings by all of them, once

Cause: a restart was taken for needed if one of two addresses had changed; and what was read was compared with the settings in use, of which only the stop timeout follows.

Change: each read is compared with the read before, and needs a restart unless the settings in use are the same in all fields.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -343,7 +343,7 @@
 	}
 	dmn.mu.Unlock()
 	began := time.Now()
-	last := dmn.prm.Settings.StopTimeout - stopReserve
+	last := dmn.stopTimeout() - stopReserve
 	for time.Since(began) < last {
 		time.Sleep(tickInterval)
 		dmn.mu.Lock()
--- a/internal/process/daemon/reload.go
+++ b/internal/process/daemon/reload.go
@@ -18,6 +18,7 @@
 func (dmn *Daemon) watchSettings(ctx context.Context, path string) error {
 	tck := time.NewTicker(reloadInterval)
 	defer tck.Stop()
+	last := dmn.prm.Settings
 	for {
 		cause := "time"
 		select {
@@ -32,21 +33,26 @@
 			dmn.log.Error().Err(err).Str("cause", cause).Msg("settings are unreadable; keeping the old ones")
 			continue
 		}
-		dmn.reload(set, cause)
+		dmn.reload(last, set, cause)
+		last = set
 	}
 }
 
-// reload applies reread settings and logs them, unless nothing changed and no signal asked for it.
-func (dmn *Daemon) reload(set platform.Settings, cause string) {
+// reload applies reread settings and logs them, unless they are as they were when they were last read and no signal asked for it.
+func (dmn *Daemon) reload(last, set platform.Settings, cause string) {
 	dmn.mu.Lock()
 	defer dmn.mu.Unlock()
-	old := dmn.prm.Settings
-	same := old.Equal(set)
+	same := last.Equal(set)
 	if same && cause == "time" {
 		return
 	}
 	dmn.prm.Settings.StopTimeout = set.StopTimeout
-	dmn.log.Info().Str("cause", cause).Bool("changed", !same).
-		Bool("restart-needed", old.CallerAddress != set.CallerAddress || old.StoreAddress != set.StoreAddress).
-		Msg("settings reloaded")
+	dmn.log.Info().Str("cause", cause).Bool("changed", !same).Bool("restart-needed", !dmn.prm.Settings.Equal(set)).Msg("settings reloaded")
+}
+
+// stopTimeout returns how long after the begin of a planned stop the process is killed, as the settings say now.
+func (dmn *Daemon) stopTimeout() time.Duration {
+	dmn.mu.Lock()
+	defer dmn.mu.Unlock()
+	return dmn.prm.Settings.StopTimeout
 }
