--- a/internal/process/daemon/room_test.go
+++ b/internal/process/daemon/room_test.go
@@ -154,3 +154,35 @@
 		})
 	}
 }
+
+// Guards against a smaller room that doesn't reach instances which are cut off from the store within the platform's bound for contact, though they are
+// many or a whole failure domain, and though most instances of a large system exchange messages seldom.
+func TestSmallerRoomReachesInstancesCutOffFromStore(t *testing.T) {
+	cases := map[string]func(num int, prc *process) bool{
+		"a third of all":         func(num int, _ *process) bool { return num%3 == 0 },
+		"a whole failure domain": func(_ int, prc *process) bool { return prc.domain == "domain-2" },
+		"all but one domain":     func(_ int, prc *process) bool { return prc.domain != "domain-1" },
+	}
+	for name, away := range cases {
+		t.Run(name, func(t *testing.T) {
+			inTestSystem(t, 3, 12, 2, func(sys *system) {
+				chk := is.NewRelaxed(t)
+				sys.sendHeartbeats(2 * time.Second)
+				for num, prc := range sys.runningProcesses() {
+					if away(num, prc) {
+						sys.net.Separate(prc.host, storeHost)
+					}
+				}
+				sys.sendHeartbeats(time.Second)
+				sys.servers["server-2-1"].SetRoom(0, serverMemory, 0)
+				sys.listServer("server-2-1", "domain-2", "ready")
+				sys.sendHeartbeats(shrunkRoomCounts - 1500*time.Millisecond)
+				for _, prc := range sys.runningProcesses() {
+					prc.dmn.mu.Lock()
+					chk.Equal(prc.dmn.entries["server-2-1"].Processor, int64(0))
+					prc.dmn.mu.Unlock()
+				}
+			})
+		})
+	}
+}
