Tell the free memory of servers beside their free processor

A room that shrinks in memory brings that about.

Cause: a leader's load lists the free processor of each server. Owners chose shards, admitted jobs and recalled waiting tasks by it, and leaders returned at once what the memory did not hold.

Change: the load lists the free memory of the same servers; what would start at once is counted by both, and both are taken when a task is sent. A leader of an earlier version tells none, and its servers count as having enough.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -49,7 +49,7 @@
 	for _, led := range hbt.Leaderships {
 		msg.Leads = append(msg.Leads, &meshpb.Lead{
 			Shard: string(led.Shard), Token: led.Token,
-			Number: led.Load.Number, Free: led.Load.Free, Turnover: led.Load.ServiceRate, WaitsMicros: encodeWaits(led.Load.RankWaits),
+			Number: led.Load.Number, Free: led.Load.Free, FreeMemory: led.Load.FreeMemory, Turnover: led.Load.ServiceRate, WaitsMicros: encodeWaits(led.Load.RankWaits),
 			LinkWindow: led.Load.LinkWindow, LinkBusy: led.Load.LinkBusy, Closed: led.Load.Closed,
 		})
 	}
@@ -77,7 +77,7 @@
 	}
 	for _, led := range msg.GetLeads() {
 		lod := shard.Load{
-			Number: led.GetNumber(), Free: led.GetFree(), ServiceRate: led.GetTurnover(),
+			Number: led.GetNumber(), Free: led.GetFree(), FreeMemory: led.GetFreeMemory(), ServiceRate: led.GetTurnover(),
 			LinkWindow: led.GetLinkWindow(), LinkBusy: led.GetLinkBusy(), Closed: led.GetClosed(),
 		}
 		for rnk, num := range led.GetWaitsMicros()[:min(len(led.GetWaitsMicros()), shard.Ranks)] {
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -265,8 +265,9 @@
 type Load struct {
 	// Number rises with each Load that a leader returns; Loads with the same number are the same.
 	Number int64
-	// Free lists the free processor of each server that has some, in thousandths of a core.
-	Free []int64
+	// Free lists the free processor of each server that has some, in thousandths of a core, FreeMemory the free memory of the same servers, in MB.
+	// Leaders of earlier versions don't tell the latter.
+	Free, FreeMemory []int64
 	// ServiceRate is how much processor comes free per second while all servers are busy, in thousandths of a core. RankWaits is how long
 	// one more task of each rank would wait for free capacity.
 	ServiceRate int64
@@ -277,6 +278,24 @@
 	Closed bool
 }
 
+// Startable returns how many tasks of a size would start at once on the server at an index of Free; processor is in thousandths of a core, memory in
+// MB.
+func (lod *Load) Startable(idx int, processor, memory int64) int64 {
+	num := lod.Free[idx] / max(processor, 1)
+	if idx < len(lod.FreeMemory) {
+		num = min(num, lod.FreeMemory[idx]/max(memory, 1))
+	}
+	return num
+}
+
+// Take reduces the free capacity of the server at an index of Free by a task of a size.
+func (lod *Load) Take(idx int, processor, memory int64) {
+	lod.Free[idx] -= processor
+	if idx < len(lod.FreeMemory) {
+		lod.FreeMemory[idx] -= memory
+	}
+}
+
 // CapacityWait estimates how long a task of a rank waits for free capacity, behind others that need behind thousandths of a core.
 func (lod *Load) CapacityWait(rnk Rank, behind int64) time.Duration {
 	return lod.RankWaits[rnk] + time.Duration(float64(behind)/float64(max(lod.ServiceRate, 1))*float64(time.Second))
@@ -301,8 +320,8 @@
 		if ldr.closed || !srv.acceptsTasks(now, ldr.missedTolerated()) {
 			continue
 		}
-		if prc, _ := srv.free(); prc > 0 {
-			lod.Free = append(lod.Free, prc)
+		if prc, mem := srv.free(); prc > 0 {
+			lod.Free, lod.FreeMemory = append(lod.Free, prc), append(lod.FreeMemory, mem)
 		}
 	}
 	lod.RankWaits = ldr.rates.waits(rate, ldr.waitingProcessor(now))
--- a/internal/request/submission/admit.go
+++ b/internal/request/submission/admit.go
@@ -140,7 +140,7 @@
 func (crd *Coordinator) anyFreeCapacity(jb *job) bool {
 	byt := shard.StartBytes(jb.sub.Payload)
 	for _, viw := range crd.shards {
-		if viw.acceptsWork() && viw.load.LinkWait(byt) == 0 && viw.startableTasks(jb.sub.Steps[0].Processor) > 0 {
+		if viw.acceptsWork() && viw.load.LinkWait(byt) == 0 && viw.startableTasks(&jb.sub.Steps[0]) > 0 {
 			return true
 		}
 	}
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -39,11 +39,11 @@
 // domainClosed reports whether a shard's failure domain is closed to new work, by what this instance or the leader knows.
 func (viw *shardView) domainClosed() bool { return viw.closed || viw.load.Closed }
 
-// startableTasks returns how many tasks with a processor need would start at once.
-func (viw *shardView) startableTasks(processor int64) int64 {
+// startableTasks returns how many tasks of a step would start at once.
+func (viw *shardView) startableTasks(stp *Step) int64 {
 	num := int64(0)
-	for _, fre := range viw.load.Free {
-		num += fre / max(processor, 1)
+	for idx := range viw.load.Free {
+		num += viw.load.Startable(idx, stp.Processor, stp.Memory)
 	}
 	return num
 }
@@ -55,9 +55,9 @@
 		viw.sentSinceLoad += stp.Processor
 		return
 	}
-	for idx, fre := range viw.load.Free {
-		if fre >= stp.Processor {
-			viw.load.Free[idx] -= stp.Processor
+	for idx := range viw.load.Free {
+		if viw.load.Startable(idx, stp.Processor, stp.Memory) > 0 {
+			viw.load.Take(idx, stp.Processor, stp.Memory)
 			return
 		}
 	}
@@ -76,7 +76,7 @@
 		if !viw.acceptsWork() {
 			continue
 		}
-		num := viw.startableTasks(stp.Processor)
+		num := viw.startableTasks(stp)
 		delay := crd.startDelay(viw, tsk.job)
 		if num == 0 {
 			delay += minWaitWhenFull + viw.load.CapacityWait(crd.rank(tsk.job), viw.sentSinceLoad)
@@ -152,7 +152,7 @@
 // markFull records that a shard which returned an order has no free capacity until its next load report.
 func (crd *Coordinator) markFull(name shard.Name) {
 	if viw := crd.shards[name]; viw != nil {
-		viw.load.Free = nil
+		viw.load.Free, viw.load.FreeMemory = nil, nil
 	}
 }
 
@@ -254,7 +254,7 @@
 	}
 	opened := viw.load.Closed && !lod.Closed
 	viw.load, viw.sentSinceLoad = lod, 0
-	viw.load.Free = slices.Clone(lod.Free)
+	viw.load.Free, viw.load.FreeMemory = slices.Clone(lod.Free), slices.Clone(lod.FreeMemory)
 	if opened {
 		crd.orderAllReady()
 	}
@@ -290,8 +290,7 @@
 				if !tsk.inLeaderQueue() || tsk.shard == viw.name || !crd.worthRecalling(tsk) {
 					continue
 				}
-				need := jb.sub.Steps[tsk.step].Processor
-				if viw.startableTasks(need) <= recalled {
+				if viw.startableTasks(&jb.sub.Steps[tsk.step]) <= recalled {
 					return
 				}
 				recalled++
