Keep copies of recent changes of the list, not the reads that they came with

Found by reading the diff: the value of a change is a part of the read that brought it, up to 1 MB.

Evidence: TestRecentChangesAreCopies, both cases red before.

--- a/internal/version/serverlist/recent.go
+++ b/internal/version/serverlist/recent.go
@@ -1,6 +1,7 @@
 package serverlist
 
 import (
+	"bytes"
 	"slices"
 	"time"
 )
@@ -22,6 +23,12 @@
 	at time.Time
 }
 
+// newRecentChange returns a change with a copy of its value, which may be a part of a whole read.
+func newRecentChange(now time.Time, chg Change) recentChange {
+	chg.Value = bytes.Clone(chg.Value)
+	return recentChange{Change: chg, at: now}
+}
+
 const (
 	// recentTime is how long changes are kept: longer than the longest known outage on the platform, 11.5 s.
 	recentTime = time.Minute
@@ -49,7 +56,7 @@
 	rct.rereadFrom, rct.rereadTo = from, to
 	for idx, chg := range chgs {
 		chg.Offset = from + int64(idx)
-		rct.changes = append(rct.changes, recentChange{Change: chg, at: now})
+		rct.changes = append(rct.changes, newRecentChange(now, chg))
 	}
 }
 
@@ -62,7 +69,7 @@
 	if known {
 		return
 	}
-	rct.changes = slices.Insert(rct.changes, idx, recentChange{Change: chg, at: now})
+	rct.changes = slices.Insert(rct.changes, idx, newRecentChange(now, chg))
 	old := max(0, len(rct.changes)-maxRecent)
 	for old < len(rct.changes) && now.Sub(rct.changes[old].at) > recentTime {
 		old++
--- a/internal/version/serverlist/recent_test.go
+++ b/internal/version/serverlist/recent_test.go
@@ -104,3 +104,24 @@
 		})
 	}
 }
+
+// Guards against recent changes that keep the whole read of the list in memory that they came with.
+func TestRecentChangesAreCopies(t *testing.T) {
+	cases := map[string]func(rct *RecentChanges, chg Change){
+		"a change": func(rct *RecentChanges, chg Change) { rct.Add(began, chg) },
+		"a change of a full read": func(rct *RecentChanges, chg Change) {
+			rct.HandleReread(began, 20, 30, []Change{chg})
+		},
+	}
+	for name, add := range cases {
+		t.Run(name, func(t *testing.T) {
+			rct := NewRecentChanges()
+			rct.HandleFullRead(10)
+			body := []byte("value")
+			add(rct, Change{Offset: 20, Key: "s", Value: body})
+			body[0] = '?'
+			dig := rct.Since("self", 15, 40)
+			is.New(t).Equal(string(dig.Changes[0].Value), "value")
+		})
+	}
+}
