--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -150,7 +150,8 @@
 		changed = true
 		chg := serverlist.Change{Offset: from + int64(num), Key: rec.Key, Value: rec.Value}
 		dmn.follower.HandleChange(chg)
-		dmn.noteChange(now, chg, fromStore)
+		dmn.recent.Add(now, chg)
+		dmn.changesFromPeer = false
 	}
 	dmn.logServerChanges(fromStore)
 	if changed || dmn.anyListingIncomplete() {
@@ -191,16 +192,22 @@
 		return
 	}
 	if dig.To > known {
-		dmn.knownAt = now
+		dmn.changesFromPeer = dmn.changesFromPeer && len(chgs) == 0
+		dmn.applyChanges(now, dig, known, chgs)
 	}
-	if dig.Reread && dig.To > known {
+}
+
+// applyChanges applies the new changes of a digest that has moved the known end of the list from an offset.
+func (dmn *Daemon) applyChanges(now time.Time, dig *serverlist.Digest, known int64, chgs []serverlist.Change) {
+	dmn.knownAt = now
+	if dig.Reread {
 		dmn.recent.HandleReread(now, known, dig.To, chgs)
 	}
 	changed := false
 	for _, chg := range chgs {
 		changed = dmn.applyServerRecord(now, platform.Record{Key: chg.Key, Value: chg.Value}) || changed
 		if !dig.Reread {
-			dmn.noteChange(now, chg, fromStore)
+			dmn.recent.Add(now, chg)
 		}
 	}
 	dmn.logServerChanges(dig.Reader)
--- a/internal/process/daemon/listnews.go
+++ b/internal/process/daemon/listnews.go
@@ -36,12 +36,6 @@
 	changesSendPause = time.Second
 )
 
-// noteChange keeps a change of the list that this instance has just learned of.
-func (dmn *Daemon) noteChange(now time.Time, chg serverlist.Change, from string) {
-	dmn.recent.Add(now, chg)
-	dmn.changesFromPeer = from != fromStore
-}
-
 // sendServerChanges sends the changes of the list of servers to an instance that knows the list before an offset only, as the store may be out of its
 // reach. Leaders there would go on with rooms that have shrunk, and with servers that are leaving. As with configurations, the instance first gets
 // the time to learn of them by itself, and senders take turns.
@@ -93,18 +87,9 @@
 			Msg("changes of the list of servers are not used: they are known or don't continue what is")
 		return
 	}
-	dmn.knownAt = now
-	if dig.Reread {
-		dmn.recent.HandleReread(now, known, dig.To, chgs)
-	}
 	for _, chg := range chgs {
-		dmn.applyServerRecord(now, platform.Record{Key: chg.Key, Value: chg.Value})
-		if !dig.Reread {
-			dmn.follower.HandleChange(chg)
-			dmn.noteChange(now, chg, string(from))
-		}
+		dmn.follower.HandleChange(chg) // Ignored after a full read, of which no digest is written here.
 	}
 	dmn.changesFromPeer = true
-	dmn.logServerChanges(string(from))
-	dmn.updateShards(now)
+	dmn.applyChanges(now, dig, known, chgs)
 }
