Keep recent changes of the list when an old digest comes after its history is gone

Found by reading the diff. What callers saw: nothing yet. handleDigest took the offset at which to read on for the one before which the list is known; after a dropped history that is negative. An old digest of a full read then reset the recent changes to its own end, and the instance told others a part of what they lack as if it were all.

Change: it goes by KnownTo, as the handling of changes from other instances and the property test do already. Evidence: TestOldDigestKeepsRecentChanges, of its two cases the one with a digest of a full read is red before.

--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -184,7 +184,7 @@
 	if !dmn.follower.Known() {
 		return // The next read is a full one.
 	}
-	known := dmn.follower.NextOffset()
+	known := dmn.follower.KnownTo()
 	chgs, follows := dmn.follower.HandleDigest(now, dig)
 	if !follows {
 		dmn.log.Info().Str("by", dig.Reader).Int64("from", dig.From).Int64("known", known).Msg("digest of the list of servers is missing")
--- /dev/null
+++ b/internal/process/daemon/listnews_test.go
@@ -0,0 +1,27 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/version/serverlist"
+)
+
+// Guards against an instance that finds the history of the list gone, gets an old digest of a full read, and then tells others a part of what they lack.
+func TestOldDigestKeepsRecentChanges(t *testing.T) {
+	for name, reread := range map[string]bool{"of records": false, "of a full read": true} {
+		t.Run(name, func(t *testing.T) {
+			inTestSystem(t, 1, 1, 1, func(sys *system) {
+				chk := is.New(t)
+				dmn := sys.instances["entry-1-1"].dmn
+				known := dmn.follower.KnownTo()
+				dmn.handleDigest(&serverlist.Digest{Reader: "one", From: known, To: known + 2, Changes: []serverlist.Change{{Offset: known, Key: "s"}}})
+				dmn.follower.HandleCompaction()
+				dmn.handleDigest(&serverlist.Digest{Reader: "one", From: 0, To: known + 1, Reread: reread})
+				_, lacking := dmn.recent.LackingSince(known, known+2)
+				chk.True(lacking)
+			})
+		})
+	}
+}
