--- a/internal/version/serverlist/follower_test.go
+++ b/internal/version/serverlist/follower_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -346,45 +345,6 @@
 	}
 }
 
-// send has an instance send another one what that one lacks.
-func (cls *cluster) send(from, to int) {
-	offset, end := cls.fols[to].KnownTo(), cls.fols[from].KnownTo()
-	if !cls.fols[to].Exact() || end == unknown {
-		return
-	}
-	if _, lacking := cls.recent[from].LackingSince(offset, end); lacking {
-		cls.sent = append(cls.sent, sentChanges{to: to, dig: cls.recent[from].Since(fmt.Sprint("instance-", from), offset, end)})
-	}
-}
-
-// receive has an instance take in some changes that were sent to it.
-func (cls *cluster) receive(now time.Time, rnd *rand.Rand) {
-	if len(cls.sent) == 0 {
-		return
-	}
-	idx := rnd.IntN(len(cls.sent))
-	snt := cls.sent[idx]
-	cls.sent = slices.Delete(cls.sent, idx, idx+1)
-	if prb := snt.dig.Problem(); prb != "" {
-		panic(prb) // The test fails with the seed.
-	}
-	fol, known := cls.fols[snt.to], cls.fols[snt.to].KnownTo()
-	chgs, follow := fol.HandlePeerChanges(&snt.dig)
-	if !follow || snt.dig.To <= known {
-		return
-	}
-	if snt.dig.Reread {
-		cls.recent[snt.to].HandleReread(now, known, snt.dig.To, chgs)
-	}
-	for idx := range chgs {
-		cls.apply(snt.to, &chgs[idx])
-		if !snt.dig.Reread {
-			fol.HandleChange(chgs[idx])
-			cls.recent[snt.to].Add(now, chgs[idx])
-		}
-	}
-}
-
 // consume has an instance read the next digest; one time in 20 it discards what it knows of the list instead, and two times in 20 it finds the
 // history of the list gone.
 func (cls *cluster) consume(num int, now time.Time, rnd *rand.Rand) {
--- a/internal/version/serverlist/recent.go
+++ b/internal/version/serverlist/recent.go
@@ -65,8 +65,8 @@
 	if rct.from == unknown || chg.Offset < rct.from {
 		return
 	}
-	idx, known := slices.BinarySearchFunc(rct.changes, chg.Offset, func(oth recentChange, off int64) int { return int(oth.Offset - off) })
-	if known {
+	idx := rct.first(chg.Offset)
+	if idx < len(rct.changes) && rct.changes[idx].Offset == chg.Offset {
 		return
 	}
 	rct.changes = slices.Insert(rct.changes, idx, newRecentChange(now, chg))
--- a/internal/version/serverlist/recent_test.go
+++ b/internal/version/serverlist/recent_test.go
@@ -75,7 +75,7 @@
 		dig     Digest
 		follows bool
 		next    int64
-		// published is the number of digests that are due after it, and after one more change.
+		// published is the number of digests that are due after it.
 		published int
 	}{
 		"continues what is known":          {dig: Digest{Reader: "one", From: 20, To: 30, Changes: []Change{{22, "s", nil}}}, follows: true, next: 30, published: 1},
