Read the list in TestOldDigestKeepsRecentChanges within an event

Cause: the test read the list of an instance, and wrote to it, without the instance's lock, beside the goroutines that start there; it was run without the race detector only. Product code always holds the lock there.

Change: handleDigest is applyDigest as an event, and the test makes one event of all its steps.

--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -177,10 +177,15 @@
 	}
 }
 
-// handleDigest applies a digest if it continues the known list. If one before it is missing, the list is read at once.
+// handleDigest is applyDigest as an event of its own.
 func (dmn *Daemon) handleDigest(dig *serverlist.Digest) {
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
+	dmn.applyDigest(now, dig)
+}
+
+// applyDigest applies a digest if it continues the known list. If one before it is missing, the list is read at once.
+func (dmn *Daemon) applyDigest(now time.Time, dig *serverlist.Digest) {
 	if !dmn.follower.Known() {
 		return // The next read is a full one.
 	}
--- a/internal/process/daemon/listnews_test.go
+++ b/internal/process/daemon/listnews_test.go
@@ -15,10 +15,12 @@
 			inTestSystem(t, 1, 1, 1, func(sys *system) {
 				chk := is.New(t)
 				dmn := sys.instances["entry-1-1"].dmn
+				now := dmn.beginEvent()
+				defer dmn.endEvent(now)
 				known := dmn.follower.KnownTo()
-				dmn.handleDigest(&serverlist.Digest{Reader: "one", From: known, To: known + 2, Changes: []serverlist.Change{{Offset: known, Key: "s"}}})
+				dmn.applyDigest(now, &serverlist.Digest{Reader: "one", From: known, To: known + 2, Changes: []serverlist.Change{{Offset: known, Key: "s"}}})
 				dmn.follower.HandleCompaction()
-				dmn.handleDigest(&serverlist.Digest{Reader: "one", From: 0, To: known + 1, Reread: reread})
+				dmn.applyDigest(now, &serverlist.Digest{Reader: "one", From: 0, To: known + 1, Reread: reread})
 				_, lacking := dmn.recent.LackingSince(known, known+2)
 				chk.True(lacking)
 			})
