Publish a full read of the list in one digest or in none

Cause: a digest of a full read with over 200 changes was cut into parts. The offsets of such changes are made up, so an instance that knows the list up to a cut by its own reads took the second part and counted the list as known to its end, without the states that the first part had: a smaller room or a leaving server among them.

Change: with more changes than a digest has, none is published; the next digest doesn't continue what the others know, so they read the list themselves. Weighed against one digest of any length: the bytes that all read are the same, and a record has a bound.

--- a/internal/version/serverlist/follower.go
+++ b/internal/version/serverlist/follower.go
@@ -251,6 +251,10 @@
 			dig.Changes = append(dig.Changes, chg)
 		}
 	}
+	if dig.Reread && len(dig.Changes) > maxChanges {
+		fol.stopDigests() // A part of a full read is of no use: its offsets don't tell what the parts before it have.
+		return nil
+	}
 	return dig.split(maxChanges)
 }
 
