Bound how often a task moves between leaders, whatever their loads say

What callers saw: jobs that wait until they are too late while their tasks go from leader to leader (the users' trace of restarts under load: through six leaders in 1.8 s), and instances busy with that. Cause: an owner sends and recalls a task by what loads tell; these tell too little (no service, label or bound on a step) or are late, and a leader returns at once what it can't place. Each recall gave the task all its tries again, and an order that was returned from a queue went out again at once; nothing remembered that it had come back.

Change: each return of a task's order since its last start makes the pause longer before it may be recalled, and a leader that keeps no orders gets none again before the pause has passed. The first two returns have none, as an owner may just know less than two leaders.

--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -287,7 +287,7 @@
 	for _, jb := range crd.jobsByArrival() {
 		for _, tks := range jb.tasks {
 			for _, tsk := range tks {
-				if !tsk.inLeaderQueue() || tsk.shard == viw.name || !crd.worthRecalling(tsk) {
+				if !tsk.inLeaderQueue() || tsk.shard == viw.name || crd.now.Before(tsk.movableAt) || !crd.worthRecalling(tsk) {
 					continue
 				}
 				if viw.startableTasks(&jb.sub.Steps[tsk.step]) <= recalled {
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -142,6 +142,11 @@
 	// returns is the number of NotRun reports on its orders since a recall for free capacity elsewhere last reset it; those on reassigned
 	// orders are not counted.
 	returns int
+	// moves is the number of such reports since the task last started. The task is not recalled before movableAt.
+	moves     int
+	movableAt time.Time
+	// heldUntil is set while the task is not ordered, as leaders returned it again and again.
+	heldUntil time.Time
 	// avoid has the servers where the task failed.
 	avoid []shard.ServerID
 	// server is where the task was last reported to run.
@@ -252,6 +257,9 @@
 // orderTask sends a task to the shard where it is expected to start first. It sends nothing if no shard has a leader, or if the link to
 // other instances is full.
 func (crd *Coordinator) orderTask(tsk *task) {
+	if !tsk.heldUntil.IsZero() {
+		return
+	}
 	stp := &tsk.job.sub.Steps[tsk.step]
 	viw, hasCapacity := crd.chooseShard(tsk, stp)
 	if viw == nil {
@@ -320,7 +328,7 @@
 	}
 	switch rep.Outcome {
 	case shard.Started:
-		tsk.started, tsk.job.started, tsk.server = true, true, rep.Server
+		tsk.started, tsk.job.started, tsk.server, tsk.moves = true, true, rep.Server, 0
 		if tsk.job.refusing {
 			crd.completeRefusal(tsk.job)
 		}
@@ -330,8 +338,7 @@
 		tsk.leader = ""
 		tsk.job.started = tsk.job.started || rep.MayHaveRun
 		if !tsk.reassigned && !rep.MayHaveRun {
-			tsk.returns++
-			crd.markFull(tsk.shard)
+			crd.noteReturn(tsk)
 		}
 		if rep.TooLate && crd.shouldRefuse(tsk) {
 			crd.recallJob(tsk.job)
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -120,7 +120,8 @@
 	return false
 }
 
-// reorderExpired orders a job's orphaned tasks anew once their orphanedUntil has passed, as their former runs are then surely over.
+// reorderExpired orders a job's orphaned tasks anew once their orphanedUntil has passed, as their former runs are then surely over, and its held
+// tasks.
 func (crd *Coordinator) reorderExpired(now time.Time, jb *job) {
 	ended := false
 	for _, tks := range jb.tasks {
@@ -129,6 +130,7 @@
 				tsk.orphanedUntil = time.Time{}
 				ended = true
 			}
+			ended = crd.releaseHeld(tsk) || ended
 		}
 	}
 	if ended {
--- /dev/null
+++ b/internal/request/submission/move.go
@@ -0,0 +1,42 @@
+package submission
+
+import "time"
+
+const (
+	// freeMoves is how many returns of a task's order have no pause: its owner may know less than two leaders do.
+	freeMoves = 2
+	// minMovePause is the pause after the next return, about ten times the time of an order and its return; it doubles with each further one up to
+	// maxMovePause, which gives a caller that waits for 2 s three more tries.
+	minMovePause = 20 * time.Millisecond
+	maxMovePause = 640 * time.Millisecond
+)
+
+// movePause returns how long a task stays where it is after its order was returned a number of times.
+func movePause(moves int) time.Duration {
+	if moves <= freeMoves {
+		return 0
+	}
+	return min(minMovePause<<min(moves-freeMoves-1, 10), maxMovePause)
+}
+
+// noteReturn takes note that a leader has returned a task's order without a start. Loads tell too little to know whether a leader can start a task, and
+// may be late. So whatever they say, a task that is returned again and again moves ever less often.
+func (crd *Coordinator) noteReturn(tsk *task) {
+	crd.markFull(tsk.shard)
+	tsk.returns++
+	tsk.moves++
+	pause := movePause(tsk.moves)
+	tsk.movableAt = crd.now.Add(pause)
+	if pause > 0 && tsk.queued && !tsk.recalled {
+		tsk.heldUntil = tsk.movableAt // The leader keeps no orders, which the owner would send it again at once.
+	}
+}
+
+// releaseHeld lets a held task be ordered again once its pause has passed, and reports whether it did.
+func (crd *Coordinator) releaseHeld(tsk *task) bool {
+	if tsk.heldUntil.IsZero() || crd.now.Before(tsk.heldUntil) {
+		return false
+	}
+	tsk.heldUntil = time.Time{}
+	return true
+}
