Tell why a leader returns an order, and don't send one again to a closed domain

What callers saw: nothing; operators could not tell from a task that never started what bound it: a report of not-run gave no reason. Cause: reports had no reason.

Closed is taken for known until the next load.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -110,6 +110,7 @@
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Report{Report: &meshpb.Report{
 			Task: msg.Report.Task, Token: msg.Report.Token, Outcome: int64(msg.Report.Outcome),
 			TookMicros: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server), MayHaveRun: msg.Report.MayHaveRun, Hopeless: msg.Report.TooLate,
+			Reason: int64(msg.Report.Reason),
 		}}})
 	case LossNotice:
 		name, incarnation := splitID(msg.Instance)
@@ -171,6 +172,7 @@
 			msgs = append(msgs, Report{Report: shard.Report{
 				Task: rep.GetTask(), Token: rep.GetToken(), Outcome: shard.Outcome(rep.GetOutcome()),
 				Took: micros(rep.GetTookMicros()), Server: shard.ServerID(rep.GetServer()), MayHaveRun: rep.GetMayHaveRun(), TooLate: rep.GetHopeless(),
+				Reason: shard.ReturnReason(rep.GetReason()),
 			}})
 		case *meshpb.Message_Missed:
 			msgs = append(msgs, LossNotice{Instance: ID(bdy.Missed.GetName(), bdy.Missed.GetLife())})
--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -17,6 +17,7 @@
 	for _, act := range acts {
 		switch act := act.(type) {
 		case submission.SendOrder:
+			dmn.cnt.countOrder(&act.Order)
 			dmn.logOrder(&act)
 			if act.Target.Leader != dmn.self {
 				dmn.noteOpenOrder(act.Target.Leader)
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -47,10 +47,13 @@
 	// each job admitted to wait, the expected wait in the last rank that was tried.
 	admittedWithCapacity, admittedToWait, notAdmitted atomic.Int64
 	waits                                             histogram
-	starts                                            [shard.Outdated + 1]atomic.Int64
-	answers                                           [submission.Unfinished + 1]atomic.Int64
-	startTimes, answerTimes                           histogram
-	traffic                                           traffic
+	// orders, recalls and reassignments count what was sent to leaders about tasks, returns the orders that came back, by reason.
+	orders, recalls, reassignments atomic.Int64
+	returns                        [shard.ReturnReasons]atomic.Int64
+	starts                         [shard.Outdated + 1]atomic.Int64
+	answers                        [submission.Unfinished + 1]atomic.Int64
+	startTimes, answerTimes        histogram
+	traffic                        traffic
 }
 
 // countStart counts an answered or failed start call.
@@ -59,6 +62,26 @@
 	cnt.startTimes.observe(took)
 }
 
+// countOrder counts an order or recall that is sent to a leader.
+func (cnt *counters) countOrder(ord *shard.Order) {
+	switch {
+	case ord.Recall:
+		cnt.recalls.Add(1)
+	case ord.Reassigned:
+		cnt.reassignments.Add(1)
+	default:
+		cnt.orders.Add(1)
+	}
+}
+
+// countReturn counts an order that a leader has returned; an instance of a later version may tell reasons that are not known here.
+func (cnt *counters) countReturn(rsn shard.ReturnReason) {
+	if rsn < 0 || rsn >= shard.ReturnReasons {
+		rsn = shard.NoReason
+	}
+	cnt.returns[rsn].Add(1)
+}
+
 // countAdmission counts a decision on a submission.
 func (cnt *counters) countAdmission(act *submission.RecordAdmission) {
 	switch {
@@ -107,6 +130,13 @@
 		for clr := range cnt.starts {
 			line("starts-"+shard.CallResult(clr).String(), cnt.starts[clr].Load())
 		}
+		line("orders", cnt.orders.Load())
+		line("recalls", cnt.recalls.Load())
+		line("reassignments", cnt.reassignments.Load())
+		line("returns", cnt.returns[shard.NoReason].Load()) // By leaders that tell no reason.
+		for rsn := shard.NoReason + 1; rsn < shard.ReturnReasons; rsn++ {
+			line("returns-"+rsn.String(), cnt.returns[rsn].Load())
+		}
 		for res := range cnt.answers {
 			line("answers-"+submission.Result(res).String(), cnt.answers[res].Load())
 		}
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -98,6 +98,11 @@
 	if rep.Outcome == shard.Started {
 		lvl = zerolog.DebugLevel
 	}
-	dmn.log.WithLevel(lvl).Str("task", rep.Task).Str("from", string(from)).Stringer("outcome", rep.Outcome).
-		Dur("took", rep.Took).Str("server", string(rep.Server)).Bool("hopeless", rep.TooLate).Msg("report")
+	lin := dmn.log.WithLevel(lvl).Str("task", rep.Task).Str("from", string(from)).Stringer("outcome", rep.Outcome).
+		Dur("took", rep.Took).Str("server", string(rep.Server)).Bool("hopeless", rep.TooLate)
+	if rep.Outcome == shard.NotRun {
+		dmn.cnt.countReturn(rep.Reason)
+		lin = lin.Stringer("reason", rep.Reason)
+	}
+	lin.Msg("report")
 }
--- a/internal/request/shard/closed.go
+++ b/internal/request/shard/closed.go
@@ -27,7 +27,7 @@
 func (ldr *Leader) returnWaiting(now time.Time) {
 	for _, ord := range ldr.que.orders {
 		if !ord.Reassigned || ldr.mayPlace(now, ord) {
-			ldr.returnOrder(ord)
+			ldr.returnOrder(ord, DomainClosed)
 		}
 	}
 	ldr.que.removeIf(func(ord *order) bool { return ldr.orders[ord.Task] != ord })
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -249,7 +249,7 @@
 		if ord != nil && !ord.cancelled && !ord.Reassigned {
 			srv.drop(rn)
 			ord.run, ord.srv = nil, nil
-			ldr.returnOrder(ord)
+			ldr.returnOrder(ord, LeaseExpired)
 		} else {
 			ldr.requeue(now, srv, rn)
 		}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -293,7 +293,17 @@
 
 // report sends the outcome of an order to its owner.
 func (ldr *Leader) report(ord *order, out Outcome, took time.Duration) {
-	rep := Report{Task: ord.Task, Token: ldr.token, Outcome: out, Took: took, MayHaveRun: ord.mayHaveRun}
+	ldr.sendReport(ord, Report{Outcome: out, Took: took})
+}
+
+// reportReturn tells the owner of an order that it is returned, and why.
+func (ldr *Leader) reportReturn(ord *order, rsn ReturnReason) {
+	ldr.sendReport(ord, Report{Outcome: NotRun, Reason: rsn})
+}
+
+// sendReport completes a report and sends it to the owner of its order.
+func (ldr *Leader) sendReport(ord *order, rep Report) {
+	rep.Task, rep.Token, rep.MayHaveRun = ord.Task, ldr.token, ord.mayHaveRun
 	if ord.srv != nil {
 		rep.Server = ord.srv.ent.ID
 	}
@@ -308,7 +318,7 @@
 		switch {
 		case ord.cancelled:
 		case ord.run == nil && !ord.Reassigned:
-			ldr.report(ord, NotRun, 0)
+			ldr.reportReturn(ord, LeaderResigned)
 		default:
 			ldr.report(ord, Lost, 0)
 		}
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -68,7 +68,7 @@
 func (ldr *Leader) placeOne(now time.Time, rnd *placementRound, rnk Rank, ord *order) {
 	if ord.Reassigned {
 		ldr.noteReturn(now, ord)
-		ldr.returnOrder(ord) // The task runs nowhere, and the order has no payload.
+		ldr.returnOrder(ord, RunsNowhere) // The order has no payload.
 		return
 	}
 	if ldr.lostServers > 0 {
@@ -93,7 +93,7 @@
 	}
 	rnd.processorAhead += ord.Processor
 	if ord.ReturnIfBusy && float64(rnd.processorAhead) > ldr.serviceRate()*millis(returnWait+returnLinkTimes*ldr.link.largestTime) {
-		ldr.returnOrder(ord)
+		ldr.returnOrder(ord, ldr.binding(now, ord))
 	}
 }
 
@@ -145,9 +145,9 @@
 }
 
 // returnOrder returns an order to its owner as NotRun.
-func (ldr *Leader) returnOrder(ord *order) {
+func (ldr *Leader) returnOrder(ord *order, rsn ReturnReason) {
 	delete(ldr.orders, ord.Task)
-	ldr.report(ord, NotRun, 0)
+	ldr.reportReturn(ord, rsn)
 }
 
 // QueuedBytes returns how many bytes the starts of the waiting orders will send.
--- a/internal/request/shard/toolate.go
+++ b/internal/request/shard/toolate.go
@@ -46,6 +46,6 @@
 func (ldr *Leader) returnTooLate(ord *order) {
 	delete(ldr.orders, ord.Task)
 	ldr.emit(SendReport{Owner: ord.Owner, Report: Report{
-		Task: ord.Task, Token: ldr.token, Outcome: NotRun, MayHaveRun: ord.mayHaveRun, TooLate: true,
+		Task: ord.Task, Token: ldr.token, Outcome: NotRun, MayHaveRun: ord.mayHaveRun, Reason: WouldEndTooLate, TooLate: true,
 	}})
 }
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -203,6 +203,8 @@
 	// MayHaveRun is set if a server may have begun the task. It has a meaning only with NotRun: a start got no answer, or its run was cut
 	// short, and that run is over.
 	MayHaveRun bool
+	// Reason says why the order is returned; it has a meaning only with NotRun.
+	Reason ReturnReason
 	// TooLate is set with NotRun if the task would not have been done here while its answer is of use.
 	TooLate bool
 }
--- a/internal/request/submission/closed_test.go
+++ b/internal/request/submission/closed_test.go
@@ -31,6 +31,16 @@
 			},
 			want: []string{"order j.0.0.0 at self/1 return-if-busy", "order j.0.0.1 at self/1"},
 		},
+		"a leader tells it with the order that it returns": {
+			scenario: func(hrn *harness) {
+				hrn.setLeader("a.0", true, self, 1, 0)
+				hrn.setLeader("b.0", false, other, 2, 0)
+				hrn.setLongQueue("b.0", 3)
+				hrn.submit(1, "j", 1)
+				hrn.record(hrn.crd.HandleReport(hrn.now, self, shard.Report{Task: "j.0.0.0", Token: 1, Outcome: shard.NotRun, Reason: shard.DomainClosed}))
+			},
+			want: []string{"order j.0.0.0 at self/1", "order j.0.0.0 at other/2"},
+		},
 		"all are closed": {
 			scenario: func(hrn *harness) {
 				hrn.setLeader("a.0", true, self, 1, 1)
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -254,36 +254,6 @@
 	return true
 }
 
-// orderTask sends a task to the shard where it is expected to start first. It sends nothing if no shard has a leader, or if the link to
-// other instances is full.
-func (crd *Coordinator) orderTask(tsk *task) {
-	if !tsk.heldUntil.IsZero() {
-		return
-	}
-	stp := &tsk.job.sub.Steps[tsk.step]
-	viw, hasCapacity := crd.chooseShard(tsk, stp)
-	if viw == nil {
-		return // No shard accepts work; the next one that does gets the task.
-	}
-	if viw.leader != crd.cfg.Self && !crd.cfg.Link.Fits(tsk.job.sub.Payload) {
-		// A task that is not sent has surely not run, and doesn't delay heartbeats on the link.
-		crd.heldBytes += shard.StartBytes(tsk.job.sub.Payload)
-		return
-	}
-	tsk.shard, tsk.leader, tsk.token = viw.name, viw.leader, viw.token
-	returnIfBusy := hasCapacity && tsk.returns < maxReturns
-	tsk.started, tsk.recalled, tsk.reassigned, tsk.queued, tsk.server = false, false, false, !returnIfBusy, ""
-	crd.send(tsk, shard.Order{ReturnIfBusy: returnIfBusy})
-	if viw.leader != crd.cfg.Self && viw.lastPayloadJob != tsk.job.sub.ID {
-		crd.cfg.Link.Sends(tsk.job.sub.Payload)
-		viw.lastPayloadJob = tsk.job.sub.ID
-	}
-	viw.recordSent(stp, shard.StartBytes(tsk.job.sub.Payload), hasCapacity)
-}
-
-// maxReturns is how often a task is tried for free capacity elsewhere before it waits in a queue: each try costs an order and its answer.
-const maxReturns = 2
-
 // target returns the leadership that has a task's order.
 func (tsk *task) target() Target {
 	return Target{Shard: tsk.shard, Leader: tsk.leader, Token: tsk.token}
@@ -338,7 +308,7 @@
 		tsk.leader = ""
 		tsk.job.started = tsk.job.started || rep.MayHaveRun
 		if !tsk.reassigned && !rep.MayHaveRun {
-			crd.noteReturn(tsk)
+			crd.noteReturn(tsk, rep.Reason)
 		}
 		if rep.TooLate && crd.shouldRefuse(tsk) {
 			crd.recallJob(tsk.job)
--- a/internal/request/submission/move.go
+++ b/internal/request/submission/move.go
@@ -1,6 +1,10 @@
 package submission
 
-import "time"
+import (
+	"time"
+
+	"chestnutstack/internal/request/shard"
+)
 
 const (
 	// freeMoves is how many returns of a task's order have no pause: its owner may know less than two leaders do.
@@ -21,8 +25,11 @@
 
 // noteReturn takes note that a leader has returned a task's order without a start. Loads tell too little to know whether a leader can start a task, and
 // may be late. So whatever they say, a task that is returned again and again moves ever less often.
-func (crd *Coordinator) noteReturn(tsk *task) {
+func (crd *Coordinator) noteReturn(tsk *task, rsn shard.ReturnReason) {
 	crd.markFull(tsk.shard)
+	if viw := crd.shards[tsk.shard]; viw != nil && rsn == shard.DomainClosed {
+		viw.load.Closed = true // The next load report tells when it is open again.
+	}
 	tsk.returns++
 	tsk.moves++
 	pause := movePause(tsk.moves)
