Choose shards by what their servers can ever run, and refuse jobs that none can

What callers saw: a job that no server had room for any more waited until it was too late, and its tasks were sent and recalled meanwhile; a task that needs a label or service of one shard was tried at others with more free capacity. Cause: owners chose by loads, which tell neither service nor label nor how large servers are.

A shard without a kind that suits a task is chosen only if all are like that, and no task is recalled for it. A job with a step that no kind suits is refused as not run, with the least Retry-After, spread, as nobody knows when a room grows; only while the list is known to be whole, is at most 2 s old and has no unreadable entry. Weighed against loads that tell services and labels: kinds cost no bytes between instances, and a load of 2,500 servers would grow with the labels.

--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -138,6 +138,7 @@
 	dmn.cnt.closedRuns.Store(int64(closedRuns))
 	dmn.cnt.overfullServers.Store(int64(overfull))
 	dmn.cnt.listAge.Store(int64(dmn.listState(now).age))
+	dmn.coordinator.SetServersComplete(dmn.knowsAllServers(now))
 	dmn.runCoordinatorActions(dmn.coordinator.HandleTick(now))
 }
 
@@ -270,6 +271,7 @@
 		}
 	}
 	dmn.elector.SetShards(succession.SortedShards(dmn.serversByShard))
+	dmn.coordinator.HandleServers(dmn.serverKinds(now))
 	dmn.leadersChanged = true
 	obsolete := maps.Clone(dmn.leaders)
 	for shd := range dmn.serversByShard {
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"chestnutstack/internal/process/succession"
@@ -188,3 +189,36 @@
 	}
 	return lst
 }
+
+// serverKinds returns the kinds of the servers of each shard, with those that were listed a while ago and may live.
+func (dmn *Daemon) serverKinds(now time.Time) map[shard.Name][]shard.ServerKind {
+	missing := map[shard.Name][]shard.ServerEntry{}
+	for _, mis := range dmn.missing {
+		if now.Sub(mis.since) <= maxUnlisted {
+			name := dmn.divisions.ShardOf(mis.ent).Name
+			missing[name] = append(missing[name], mis.ent)
+		}
+	}
+	kinds := make(map[shard.Name][]shard.ServerKind, len(dmn.serversByShard))
+	for shd, ents := range dmn.serversByShard {
+		kinds[shd.Name] = shard.Kinds(slices.Concat(ents, missing[shd.Name]))
+	}
+	return kinds
+}
+
+// maxServersAge is how old the known list may be with which jobs are refused for want of a server that suits them: as long as a change of it may take
+// to reach all instances. A server that came later may suit them.
+const maxServersAge = 2 * time.Second
+
+// knowsAllServers reports whether the list is recent, has all servers that may live, and can be read.
+func (dmn *Daemon) knowsAllServers(now time.Time) bool {
+	if dmn.knownAt.IsZero() || now.Sub(dmn.knownAt) > maxServersAge || !dmn.coverage.Complete(now) {
+		return false
+	}
+	for _, mis := range dmn.missing {
+		if mis.unreadable {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/request/submission/admit.go
+++ b/internal/request/submission/admit.go
@@ -1,6 +1,7 @@
 package submission
 
 import (
+	"fmt"
 	"hash/fnv"
 	"time"
 
@@ -44,6 +45,12 @@
 	if crd.allClosed() {
 		return crd.closedAnswer(jb), true
 	}
+	if num := crd.unsuitedStep(jb); num >= 0 {
+		return Answer{
+			Result: NotRun, RetryAfter: crd.retryAfter(jb, crd.cfg.RetryAfter),
+			Reason: fmt.Sprintf("no listed backend server has the service, label and room that a task of step %d needs", num),
+		}, true
+	}
 	if crd.anyServing() || now.Sub(crd.servingAt) <= crd.cfg.LeaderlessTimeout {
 		return Answer{}, false
 	}
@@ -140,7 +147,7 @@
 func (crd *Coordinator) anyFreeCapacity(jb *job) bool {
 	byt := shard.StartBytes(jb.sub.Payload)
 	for _, viw := range crd.shards {
-		if viw.acceptsWork() && viw.load.LinkWait(byt) == 0 && viw.startableTasks(&jb.sub.Steps[0]) > 0 {
+		if viw.acceptsWork() && viw.load.LinkWait(byt) == 0 && viw.startableTasks(jb, &jb.sub.Steps[0]) > 0 {
 			return true
 		}
 	}
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -20,6 +20,8 @@
 	// domain is the shard's failure domain; closed is set while operators have closed it to new work.
 	domain string
 	closed bool
+	// kinds are those of the shard's servers, by the list; nil while none is known.
+	kinds []shard.ServerKind
 	// load is the leader's last report, with Free reduced and LinkBusy raised by what was sent since. Free is cleared when the leader
 	// returns an order, Closed when the failure domain is opened again.
 	load shard.Load
@@ -39,8 +41,18 @@
 // domainClosed reports whether a shard's failure domain is closed to new work, by what this instance or the leader knows.
 func (viw *shardView) domainClosed() bool { return viw.closed || viw.load.Closed }
 
-// startableTasks returns how many tasks of a step would start at once.
-func (viw *shardView) startableTasks(stp *Step) int64 {
+// suits reports whether some server of the shard can ever run a task of a step. Loads don't tell that.
+func (viw *shardView) suits(jb *job, stp *Step) bool {
+	return viw.kinds == nil || slices.ContainsFunc(viw.kinds, func(knd shard.ServerKind) bool {
+		return knd.Fits(jb.sub.Service, stp.Label, stp.Processor, stp.Memory)
+	})
+}
+
+// startableTasks returns how many tasks of a job's step would start at once.
+func (viw *shardView) startableTasks(jb *job, stp *Step) int64 {
+	if !viw.suits(jb, stp) {
+		return 0
+	}
 	num := int64(0)
 	for idx := range viw.load.Free {
 		num += viw.load.Startable(idx, stp.Processor, stp.Memory)
@@ -64,7 +76,8 @@
 }
 
 // chooseShard returns the shard where a task is expected to start first, and whether the shard is believed to have free capacity for it;
-// the shard is nil if none accepts work. Among equal ones it is the shard with the most free capacity.
+// the shard is nil if none accepts work. Among equal ones it is the shard with the most free capacity. One without a server that suits the task is
+// chosen only if all others are like that.
 //
 // The servers of a failure domain run only some 36 tasks of 14 cores at once. A task that finds no free capacity in its owner's domain is
 // sent to another domain that has some, as running tasks take 0.9 s.
@@ -72,17 +85,18 @@
 	var bst *shardView
 	var least time.Duration
 	var most int64
+	bestSuits := false
 	for _, viw := range crd.shardsByName {
 		if !viw.acceptsWork() {
 			continue
 		}
-		num := viw.startableTasks(stp)
+		suits, num := viw.suits(tsk.job, stp), viw.startableTasks(tsk.job, stp)
 		delay := crd.startDelay(viw, tsk.job)
 		if num == 0 {
 			delay += minWaitWhenFull + viw.load.CapacityWait(crd.rank(tsk.job), viw.sentSinceLoad)
 		}
-		if bst == nil || delay < least || delay == least && num > most {
-			bst, least, most = viw, delay, num
+		if bst == nil || suits && !bestSuits || suits == bestSuits && (delay < least || delay == least && num > most) {
+			bst, least, most, bestSuits = viw, delay, num, suits
 		}
 	}
 	return bst, most > 0
@@ -320,7 +334,11 @@
 				if !tsk.inLeaderQueue() || tsk.shard == viw.name || crd.now.Before(tsk.movableAt) || !crd.worthRecalling(tsk) {
 					continue
 				}
-				if viw.startableTasks(&jb.sub.Steps[tsk.step]) <= recalled {
+				stp := &jb.sub.Steps[tsk.step]
+				if !viw.suits(jb, stp) {
+					continue
+				}
+				if viw.startableTasks(jb, stp) <= recalled {
 					return
 				}
 				recalled++
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -89,6 +89,8 @@
 	shards map[shard.Name]*shardView
 	// shardsByName has the shards sorted by name.
 	shardsByName []*shardView
+	// kindsComplete is set if the shards' kinds are those of all servers that may live.
+	kindsComplete bool
 	// stopping is set by Shutdown.
 	stopping bool
 	// closedDomains has the failure domains that are closed to new work.
