--- a/internal/process/daemon/random_deployments_test.go
+++ b/internal/process/daemon/random_deployments_test.go
@@ -58,7 +58,7 @@
 }
 
 // TestRandomDeployments guards against decisions that hold only for the deployments of other tests: overfull servers, tasks that run twice at once,
-// refused jobs that have started, or more than 5% unserved callers while an instance loses power and starts again.
+// refused jobs that have started, orders that go round, or more than 5% unserved callers while an instance loses power and starts again.
 func TestRandomDeployments(t *testing.T) {
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
@@ -117,6 +117,7 @@
 			}
 		}
 	}
+	sys.checkOrders(dpl.kinds[0].callerTimeout)
 	sys.t.Logf("%d jobs, %d served, %d refused", len(all), served, refused)
 	if served*100 < len(all)*95 {
 		sys.t.Errorf("%d of %d jobs served", served, len(all))
