Take shards that are no more for shards without servers

What callers saw: nothing; found on reading the diff. A shard's name stays with an owner after the failure domain was divided anew, and its kinds counted as not known, so a job that no server can run was not refused any more after the first new division. Change: a shard that a listing doesn't have has no kinds. The pause of a move is told by its least value and its doublings, same figures; a statement without use leaves restarts_test.go.

--- a/internal/process/daemon/restarts_test.go
+++ b/internal/process/daemon/restarts_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -133,7 +132,6 @@
 				t.Logf("second %2d: %v", sec, &otc)
 				chk.True(otc.earnedValue >= 0.5*otc.offeredValue)
 			}
-			_ = fmt.Sprint()
 		})
 	}
 }
--- a/internal/request/submission/kinds.go
+++ b/internal/request/submission/kinds.go
@@ -2,7 +2,8 @@
 
 import "chestnutstack/internal/request/shard"
 
-// HandleServers records the kinds of the servers of each shard. It is called with each new listing.
+// HandleServers records the kinds of the servers of each shard, nil where they are not known. It is called with each new listing, whose shards are all
+// that there are.
 func (crd *Coordinator) HandleServers(kinds map[shard.Name][]shard.ServerKind) {
 	for name, knds := range kinds {
 		viw := crd.shards[name]
@@ -13,7 +14,7 @@
 	}
 	for name, viw := range crd.shards {
 		if _, known := kinds[name]; !known {
-			viw.kinds = nil
+			viw.kinds = []shard.ServerKind{}
 		}
 	}
 }
--- a/internal/request/submission/move.go
+++ b/internal/request/submission/move.go
@@ -9,10 +9,10 @@
 const (
 	// freeMoves is how many returns of a task's order have no pause: its owner may know less than two leaders do.
 	freeMoves = 2
-	// minMovePause is the pause after the next return, about ten times the time of an order and its return; it doubles with each further one up to
-	// maxMovePause, which gives a caller that waits for 2 s three more tries.
-	minMovePause = 20 * time.Millisecond
-	maxMovePause = 640 * time.Millisecond
+	// minMovePause is the pause after the next return, about ten times the time of an order and its return. It doubles movePauseDoublings times, to
+	// 640 ms, which leaves a task some tries in the 1.5 s and more that callers wait.
+	minMovePause       = 20 * time.Millisecond
+	movePauseDoublings = 5
 )
 
 // movePause returns how long a task stays where it is after its order was returned a number of times.
@@ -20,7 +20,7 @@
 	if moves <= freeMoves {
 		return 0
 	}
-	return min(minMovePause<<min(moves-freeMoves-1, 10), maxMovePause)
+	return minMovePause << min(moves-freeMoves-1, movePauseDoublings)
 }
 
 // noteReturn takes note that a leader has returned a task's order without a start. Loads tell too little to know whether a leader can start a task, and
