Tell the offset of the known list also while its history is gone

Found on reading the diff. What operators saw: `start` and `room of a backend server changed` lines with list-offset -1 after the store had dropped the history of the list, until the next read: just the time in which one asks by which list a leader went. Cause: both lines told the offset from which the list is to be read on, as in, not the one before which it is known.

Evidence: TestListStateAfterADroppedHistory, red before (-1 for 1); ten times green under the race detector.

--- a/internal/process/daemon/listnews_test.go
+++ b/internal/process/daemon/listnews_test.go
@@ -27,3 +27,17 @@
 		})
 	}
 }
+
+// Guards against log lines that tell no offset of the list while its history is gone, so that nobody sees by which list a leader went.
+func TestListStateAfterADroppedHistory(t *testing.T) {
+	inTestSystem(t, 1, 1, 1, func(sys *system) {
+		chk := is.NewRelaxed(t)
+		dmn := sys.instances["entry-1-1"].dmn
+		now := dmn.beginEvent()
+		defer dmn.endEvent(now)
+		known := dmn.listState(now).offset
+		chk.True(known > 0)
+		dmn.follower.HandleCompaction()
+		chk.Equal(dmn.listState(now).offset, known)
+	})
+}
--- a/internal/process/daemon/rooms.go
+++ b/internal/process/daemon/rooms.go
@@ -13,7 +13,7 @@
 func (dmn *Daemon) logRoomChanges(from string, chgs []roomChange) {
 	dmn.cnt.roomChanges.Add(int64(len(chgs)))
 	for _, chg := range chgs[:min(len(chgs), maxLoggedNames)] {
-		dmn.log.Info().Str("server", string(chg.now.ID)).Str("from", from).Int64("list-offset", dmn.follower.NextOffset()).
+		dmn.log.Info().Str("server", string(chg.now.ID)).Str("from", from).Int64("list-offset", dmn.follower.KnownTo()).
 			Int64("former-processor", chg.former.Processor).Int64("processor", chg.now.Processor).
 			Int64("former-memory", chg.former.Memory).Int64("memory", chg.now.Memory).
 			Int("others", len(chgs)-1).Msg("room of a backend server changed")
@@ -30,7 +30,7 @@
 
 // listState returns the present state of the list of servers.
 func (dmn *Daemon) listState(now time.Time) listState {
-	stt := listState{offset: dmn.follower.NextOffset()}
+	stt := listState{offset: dmn.follower.KnownTo()}
 	if !dmn.knownAt.IsZero() {
 		stt.age = now.Sub(dmn.knownAt)
 	}
