Have the explorer's instances read each record of the list, as the real ones do

Trace of a red play: i3b starts again and reads the list to offset 31, in which the entry of s3b has lapsed. s3b has an entry again (32), i2a reads it, starts the task there and is complete to 32; s3b's entry lapses again (33). i3b's next read ends at 34, i2a's claim of 32 makes its list whole, though it has never heard of s3b, and it answers "not run".

The real instance can't do so: it reads the records, takes s3b in by the one and keeps it as missing by the other.

Now the explorer keeps the records, and each read after the first applies those since the last, with the entry as it was written. All guarantees are checked as before.

--- a/internal/process/succession/explore_fault_test.go
+++ b/internal/process/succession/explore_fault_test.go
@@ -132,7 +132,7 @@
 }
 
 func (sim *simRun) setListed(srv *fakeServer, there bool) {
-	sim.offset++
+	sim.list = append(sim.list, listRecord{ent: srv.entry(), listed: there})
 	sim.listed[srv.id] = there
 }
 
--- a/internal/process/succession/explore_list_test.go
+++ b/internal/process/succession/explore_list_test.go
@@ -1,7 +1,6 @@
 package succession
 
 import (
-	"maps"
 	"time"
 
 	"chestnutstack/internal/request/shard"
@@ -23,46 +22,63 @@
 	return div
 }
 
+// listRecord is a record of the list: the entry of a server, or that it is gone.
+type listRecord struct {
+	ent    shard.ServerEntry
+	listed bool
+}
+
 // readList reads the list of servers from the store, if the links to and from it are up.
 func (nod *node) readList() {
 	sim := nod.sim
 	if !sim.up(nod.name, storeName) || !sim.up(storeName, nod.name) {
 		return
 	}
-	began := sim.now
-	listed, offset := maps.Clone(sim.listed), sim.offset
+	began, end := sim.now, len(sim.list)
 	sim.after(sim.delay(), func() {
-		nod.deliver("list", func() { nod.handle(func(now time.Time) { nod.applyFullListing(now, began, listed, offset) }) })
+		nod.deliver("list", func() { nod.handle(func(now time.Time) { nod.applyListRead(now, began, end) }) })
 	})
 }
 
-// applyFullListing takes in the listed servers and the offset of a read that was sent at began; older reads are dropped.
-func (nod *node) applyFullListing(now, began time.Time, listed map[shard.ServerID]bool, offset int64) {
+// applyListRead takes in the records that a read which was sent at began has shown: at first those that the list consists of before the offset end, then
+// each record since the last read. Older reads are dropped.
+func (nod *node) applyListRead(now, began time.Time, end int) {
 	if began.Before(nod.listReadAt) {
 		return
 	}
-	if nod.listReadAt.IsZero() {
-		nod.coverage.HandleFullRead(now, offset)
+	first := nod.listReadAt.IsZero()
+	if first {
+		nod.coverage.HandleFullRead(now, int64(end))
 	}
 	if now.Sub(nod.sim.began) < warmUp {
-		nod.coverage.HandlePeerComplete(now, offset) // The system has run for long when the simulation begins.
+		nod.coverage.HandlePeerComplete(now, int64(end)) // The system has run for long when the simulation begins.
 	}
-	nod.listReadAt, nod.listOffset = began, offset
-	for _, srv := range nod.sim.servers {
-		if ent, was := nod.entries[srv.id]; was && !listed[srv.id] {
-			delete(nod.entries, srv.id)
-			ent.Leaving = true
-			nod.missing[srv.id] = ent
-		} else if listed[srv.id] {
-			nod.entries[srv.id] = srv.entry()
-			delete(nod.missing, srv.id)
-		}
+	for _, rec := range nod.sim.list[nod.listEnd:end] {
+		nod.applyListRecord(rec, first)
 	}
+	nod.listReadAt, nod.listEnd = began, end
 	nod.elector.SetShards(SortedShards(nod.shards()))
 	nod.leadersChanged = true
 	nod.updateServers(now)
 }
 
+// applyListRecord takes in a record of the list. A server that is gone may still work and is kept as missing, but not by the first read, which does
+// not show it.
+func (nod *node) applyListRecord(rec listRecord, first bool) {
+	ent, was := nod.entries[rec.ent.ID]
+	switch {
+	case rec.listed:
+		nod.entries[rec.ent.ID] = rec.ent
+		delete(nod.missing, rec.ent.ID)
+	case was:
+		delete(nod.entries, rec.ent.ID)
+		if !first {
+			ent.Leaving = true
+			nod.missing[ent.ID] = ent
+		}
+	}
+}
+
 // updateServers gives the listing to the leaders on this node.
 func (nod *node) updateServers(now time.Time) {
 	for shd, ents := range nod.shards() {
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -40,8 +40,8 @@
 	missing                                                          map[shard.ServerID]shard.ServerEntry
 	listReadAt                                                       time.Time
 	coverage                                                         *serverlist.Coverage
-	// listOffset is the offset of the last read of the list.
-	listOffset     int64
+	// listEnd is the offset before which the list is known.
+	listEnd        int
 	localActions   []func()
 	callers        map[submission.CallID]*attempt
 	openOrdersWith map[shard.InstanceID]bool
@@ -137,7 +137,7 @@
 	if !nod.coverage.Complete(nod.sim.now) || len(nod.missing) > 0 {
 		return 0
 	}
-	return nod.listOffset
+	return int64(nod.listEnd)
 }
 
 // handleHeartbeat takes in a heartbeat and messages of a peer, from which this node was surely heard at the time at.
--- a/internal/process/succession/explore_test.go
+++ b/internal/process/succession/explore_test.go
@@ -69,7 +69,7 @@
 }
 
 // simRun is one random interleaving of events in virtual time. count numbers the events, calls the calls of callers and servers, starts has
-// the starts of each task; offset counts the changes of entries.
+// the starts of each task.
 type simRun struct {
 	rnd          *rand.Rand
 	began, now   time.Time
@@ -82,7 +82,8 @@
 	servers      []*fakeServer
 	// listed are the servers that have entries in the store.
 	listed map[shard.ServerID]bool
-	offset int64
+	// list has all records of the list, by their offsets.
+	list []listRecord
 	// cuts has until when the link from one process to another is cut, in that direction.
 	cuts       map[[2]string]time.Time
 	jobs       []*callerJob
