Count a list as whole by another instance's only once it is read as far

What callers could see: a task that runs twice.

Cause: an instance whose first full read may lack servers counts its list as whole once another one is complete to an offset at or after that read. It did so on hearing of it, though it knew the list to an earlier offset. A read under way, sent after this instance took a shard over and answered by the store before the records up to the claim were written, then made the leader's listing complete without those records: a server that they list, and that runs the task for the former leader, isn't asked, and the order is returned as not run.

Now a Coverage keeps the lowest such claim, and the list is whole once it is known to there, by reads or from others. That claim holds as of its offset, and all records after it are read one by one, so servers that go later are kept as missing.

Red before: TestFirstReadMayBeIncomplete (two of five new cases), TestListIsReadAsFarAsTheCompleteOne.

--- a/internal/process/daemon/coverage_test.go
+++ b/internal/process/daemon/coverage_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"chestnutstack/internal/version/serverlist"
 )
 
 // Guards against a server that an instance never hears of, as its entry came and went between two reads: its tasks would be taken for not run.
@@ -23,3 +25,20 @@
 		}
 	})
 }
+
+// Guards against a list that counts as whole by another instance's before it has been read as far as that one.
+func TestListIsReadAsFarAsTheCompleteOne(t *testing.T) {
+	inTestSystem(t, 1, 1, 1, func(sys *system) {
+		chk := is.NewRelaxed(t)
+		dmn := sys.instances["entry-1-1"].dmn
+		now := dmn.beginEvent()
+		defer dmn.endEvent(now)
+		known := dmn.follower.KnownTo()
+		dmn.coverage = serverlist.NewCoverage(serverlist.CoverageConfig{RecoveryTime: recoveryTime, MaxUnlisted: maxUnlisted})
+		dmn.coverage.HandleFullRead(now, known)
+		dmn.handleCompleteOffset(now, "one", known+1)
+		chk.True(!dmn.coverage.Complete(now))
+		dmn.applyDigest(now, &serverlist.Digest{Reader: "one", From: known, To: known + 1})
+		chk.True(dmn.coverage.Complete(now))
+	})
+}
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -142,6 +142,9 @@
 		dmn.coverage.HandleRead(now)
 	}
 	known := dmn.follower.HandleRead(from, chk.Next)
+	if dmn.coverage.HandleKnown(now, chk.Next) {
+		dmn.noteListComplete(fromStore, chk.Next)
+	}
 	changed := false
 	for num, rec := range chk.Records {
 		if num < known || !dmn.applyServerRecord(now, rec) {
@@ -208,6 +211,9 @@
 	if dig.Reread {
 		dmn.recent.HandleReread(now, known, dig.To, chgs)
 	}
+	if dmn.coverage.HandleKnown(now, dig.To) {
+		dmn.noteListComplete(dig.Reader, dig.To)
+	}
 	changed := false
 	for _, chg := range chgs {
 		changed = dmn.applyServerRecord(now, platform.Record{Key: chg.Key, Value: chg.Value}) || changed
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -149,13 +149,17 @@
 	return max(0, dmn.follower.NextOffset())
 }
 
-// handleCompleteOffset applies the offset up to which another instance knows all servers that may live. If that completes the own list,
-// and a leader waits for a complete one, the list is read at once.
+// handleCompleteOffset applies the offset up to which another instance knows all servers that may live.
 func (dmn *Daemon) handleCompleteOffset(now time.Time, from shard.InstanceID, to int64) {
-	if !dmn.coverage.HandlePeerComplete(now, to) {
-		return
+	if dmn.coverage.HandlePeerComplete(now, to) {
+		dmn.noteListComplete(string(from), to)
 	}
-	dmn.log.Info().Str("from", string(from)).Int64("offset", to).Msg("the list of backend servers is whole")
+}
+
+// noteListComplete takes note that the own list has become complete by what another instance knows before an offset. If a leader waits for a complete
+// list, the list is read at once.
+func (dmn *Daemon) noteListComplete(from string, to int64) {
+	dmn.log.Info().Str("from", from).Int64("offset", to).Msg("the list of backend servers is whole")
 	if dmn.anyListingIncomplete() {
 		dmn.requestListRead() // Its leaders took over after the last read, or while the list was incomplete.
 	}
--- a/internal/process/succession/explore_list_test.go
+++ b/internal/process/succession/explore_list_test.go
@@ -57,6 +57,7 @@
 		nod.applyListRecord(rec, first)
 	}
 	nod.listReadAt, nod.listEnd = began, end
+	nod.coverage.HandleKnown(now, int64(end))
 	nod.elector.SetShards(SortedShards(nod.shards()))
 	nod.leadersChanged = true
 	nod.updateServers(now)
--- a/internal/version/serverlist/coverage_test.go
+++ b/internal/version/serverlist/coverage_test.go
@@ -24,9 +24,39 @@
 		"complete peer at the same offset":     {events: func(cvg *Coverage) { cvg.HandleFullRead(began, 40); cvg.HandlePeerComplete(began, 40) }, want: true},
 		"complete peer one record behind":      {events: func(cvg *Coverage) { cvg.HandleFullRead(began, 40); cvg.HandlePeerComplete(began, 39) }, after: time.Second},
 		"peer that isn't complete":             {events: func(cvg *Coverage) { cvg.HandleFullRead(began, 40); cvg.HandlePeerComplete(began, 0) }, after: time.Second},
-		"read again, recovery time over":       {events: again(time.Second), after: cfg.RecoveryTime, want: true},
-		"read again, recovery time not over":   {events: again(time.Second), after: time.Second},
-		"read again after a long outage":       {events: again(10 * time.Second), after: cfg.RecoveryTime},
+		"complete peer ahead of what is known": {events: func(cvg *Coverage) { cvg.HandleFullRead(began, 40); cvg.HandlePeerComplete(began, 42) }, after: time.Second},
+		"complete peer ahead, its part read partly": {
+			events: func(cvg *Coverage) {
+				cvg.HandleFullRead(began, 40)
+				cvg.HandlePeerComplete(began, 42)
+				cvg.HandleKnown(began, 41)
+			}, after: time.Second,
+		},
+		"complete peer ahead, its part read": {
+			events: func(cvg *Coverage) {
+				cvg.HandleFullRead(began, 40)
+				cvg.HandlePeerComplete(began, 42)
+				cvg.HandleKnown(began, 42)
+			}, want: true,
+		},
+		"two complete peers ahead, the part of one read": {
+			events: func(cvg *Coverage) {
+				cvg.HandleFullRead(began, 40)
+				cvg.HandlePeerComplete(began, 42)
+				cvg.HandlePeerComplete(began, 44)
+				cvg.HandleKnown(began, 42)
+			}, want: true,
+		},
+		"complete peer ahead, another full read": {
+			events: func(cvg *Coverage) {
+				cvg.HandleFullRead(began, 40)
+				cvg.HandlePeerComplete(began, 42)
+				cvg.HandleFullRead(began, 44)
+			}, after: time.Second,
+		},
+		"read again, recovery time over":     {events: again(time.Second), after: cfg.RecoveryTime, want: true},
+		"read again, recovery time not over": {events: again(time.Second), after: time.Second},
+		"read again after a long outage":     {events: again(10 * time.Second), after: cfg.RecoveryTime},
 	}
 	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
