Don't count a list as whole that another instance has read in full

What callers could see: a task that runs twice, or is refused twice over as not run.

Cause: when the history of the list is dropped, one instance reads it in full and its digest tells the others what has changed. A server whose entry came and went meanwhile is in neither. The reader knows so and waits until its list is whole again; the others went on with theirs as whole, claimed so in their heartbeats, and made the reader's whole by that, so that its wait had no effect where there is more than one instance.

Now whoever goes by a full read, its own or another's, waits or hears from an instance that is complete from there on.

Red before: TestFullReadOfAnotherInstanceMayBeIncomplete. TestCompactedListIsReadByOne, as it was, is green: still one instance reads.

--- a/internal/process/daemon/coverage_test.go
+++ b/internal/process/daemon/coverage_test.go
@@ -26,6 +26,24 @@
 	})
 }
 
+// Guards against a list that counts as whole though another instance's full read, which this one goes by, may have missed a server.
+func TestFullReadOfAnotherInstanceMayBeIncomplete(t *testing.T) {
+	inTestSystem(t, 1, 1, 1, func(sys *system) {
+		chk := is.NewRelaxed(t)
+		sys.sendHeartbeats(maxUnlisted + time.Second)
+		dmn := sys.instances["entry-1-1"].dmn
+		now := dmn.beginEvent()
+		defer dmn.endEvent(now)
+		known := dmn.follower.KnownTo()
+		chk.True(dmn.coverage.Complete(now))
+		dmn.applyDigest(now, &serverlist.Digest{Reader: "one", From: known, To: known + 2, Reread: true})
+		chk.Equal(dmn.follower.KnownTo(), known+2)
+		chk.True(!dmn.coverage.Complete(now))
+		dmn.handleCompleteOffset(now, "one", known+2)
+		chk.True(dmn.coverage.Complete(now))
+	})
+}
+
 // Guards against a list that counts as whole by another instance's before it has been read as far as that one.
 func TestListIsReadAsFarAsTheCompleteOne(t *testing.T) {
 	inTestSystem(t, 1, 1, 1, func(sys *system) {
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -210,8 +210,8 @@
 	dmn.knownAt = now
 	if dig.Reread {
 		dmn.recent.HandleReread(now, known, dig.To, chgs)
-	}
-	if dmn.coverage.HandleKnown(now, dig.To) {
+		dmn.coverage.HandleFullRead(now, dig.To)
+	} else if dmn.coverage.HandleKnown(now, dig.To) {
 		dmn.noteListComplete(dig.Reader, dig.To)
 	}
 	changed := false
--- a/internal/version/serverlist/coverage.go
+++ b/internal/version/serverlist/coverage.go
@@ -33,9 +33,9 @@
 	return &Coverage{cfg: cfg, next: unknown, known: unknown, wholeTo: unknown}
 }
 
-// HandleFullRead takes note of a full read that ended at now, after which the list goes on at offset next. The copy is then complete
-// after MaxUnlisted; or after RecoveryTime, if it was complete and last read at most RecoveryTime ago: a server that this read has
-// missed can then only have come and gone since.
+// HandleFullRead takes note of a full read that ended at now, by this or another instance, after which the list goes on at offset next. The
+// copy is then complete after MaxUnlisted; or after RecoveryTime, if it was complete and last read at most RecoveryTime ago: a server that
+// this read has missed can then only have come and gone since.
 func (cvg *Coverage) HandleFullRead(now time.Time, next int64) {
 	wait := cvg.cfg.MaxUnlisted
 	if cvg.Complete(now) && now.Sub(cvg.readAt) <= cvg.cfg.RecoveryTime {
