--- a/internal/process/succession/explore_list_test.go
+++ b/internal/process/succession/explore_list_test.go
@@ -82,12 +82,13 @@
 
 // updateServers gives the listing to the leaders on this node.
 func (nod *node) updateServers(now time.Time) {
-	for shd, ents := range nod.shards() {
+	div := nod.shards()
+	for _, shd := range SortedShards(div) {
 		ldr := nod.leaders[shd.Name]
 		if ldr == nil {
 			continue
 		}
-		lst := shard.Listing{Listed: ents, All: nod.entries}
+		lst := shard.Listing{Listed: div[shd], All: nod.entries}
 		if nod.coverage.Complete(now) {
 			lst.ReadAt = nod.listReadAt
 		}
--- a/internal/request/shard/closed.go
+++ b/internal/request/shard/closed.go
@@ -16,7 +16,7 @@
 func (ldr *Leader) RunsWhileClosed() int {
 	num := 0
 	if ldr.closed {
-		for _, srv := range ldr.servers {
+		for _, srv := range ldr.serverList {
 			num += len(srv.runs)
 		}
 	}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -1,10 +1,6 @@
 package shard
 
-import (
-	"maps"
-	"slices"
-	"time"
-)
+import "time"
 
 // HandleStartResult handles the result of a StartRun; clock is the server's clock, or 0 if it did not answer.
 func (ldr *Leader) HandleStartResult(now time.Time, id ServerID, rid RunID, res CallResult, clock time.Duration) []Action {
@@ -240,7 +236,7 @@
 // carried out: that run stays counted as unclaimed until a stop is accepted. Until then the server gets no task and no lease: with a lease
 // that was extended it would run the late start beside the order's next run.
 func (ldr *Leader) expireLeases(now time.Time, srv *server) {
-	for _, rn := range slices.Collect(maps.Values(srv.runs)) {
+	for _, rn := range srv.runList {
 		ord := rn.ord
 		mayStart := rn.acceptedAt.IsZero() && rn.stopAcceptedAt.IsZero()
 		if mayStart && ord == nil {
@@ -266,16 +262,16 @@
 
 // dropReplaced drops a server whose address another server has: all its runs are over.
 func (ldr *Leader) dropReplaced(now time.Time, srv *server) {
-	for _, rn := range srv.runs {
+	for _, rn := range srv.runList {
 		ldr.requeue(now, srv, rn)
 	}
-	delete(ldr.servers, srv.ent.ID)
+	ldr.removeServer(srv)
 }
 
 // dropServer drops a server that belongs to another leader and reports its orders as Lost: that leader may have their runs.
 func (ldr *Leader) dropServer(srv *server) {
 	ldr.droppedUnproven = true
-	for _, rn := range srv.runs {
+	for _, rn := range srv.runList {
 		if rn.ord == nil {
 			continue
 		}
@@ -284,7 +280,7 @@
 			ldr.report(rn.ord, Lost, 0)
 		}
 	}
-	delete(ldr.servers, srv.ent.ID)
+	ldr.removeServer(srv)
 }
 
 // dropFenced drops a server that has accepted another leader's token, and counts it in lostServers.
--- a/internal/request/shard/incarnation.go
+++ b/internal/request/shard/incarnation.go
@@ -68,8 +68,8 @@
 	if old.addedAt.IsZero() {
 		ldr.added++
 	}
-	ldr.servers[srv.ent.ID] = srv
-	for _, rn := range old.runs {
+	ldr.putServer(srv)
+	for _, rn := range old.runList {
 		switch {
 		case ans.listsEnd(rn.id):
 			srv.add(rn)
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -17,8 +17,10 @@
 	// closed is set while the shard takes no new work.
 	closed  bool
 	servers map[ServerID]*server
-	orders  map[string]*order
-	que     queue
+	// serverList has the same servers in the order in which they were added.
+	serverList []*server
+	orders     map[string]*order
+	que        queue
 	// ownersHeard is when each owner on another instance was last heard.
 	ownersHeard map[InstanceID]time.Time
 	// Nothing starts before noStartsUntil.
@@ -94,7 +96,7 @@
 // OverfullServers returns how many servers have runs that need more than their room, because it has shrunk.
 func (ldr *Leader) OverfullServers() int {
 	num := 0
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if srv.overfull() {
 			num++
 		}
@@ -136,7 +138,8 @@
 	if ldr.added > 0 {
 		ldr.requestConfirmations(now, now)
 	}
-	for id, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
+		id := srv.ent.ID
 		if listed[id] {
 			continue
 		}
@@ -151,7 +154,7 @@
 	if !ldr.takeoverComplete {
 		ldr.claimMissing(now, lst.Missing)
 	}
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		ldr.maintain(now, srv)
 	}
 	ldr.adoptWaiting(now)
@@ -169,10 +172,8 @@
 		return
 	}
 	ldr.expireLeases(now, srv)
-	for _, rn := range srv.runs {
-		ldr.unansweredStarts[srv.ent.ID] = append(ldr.unansweredStarts[srv.ent.ID], rn)
-	}
-	delete(ldr.servers, srv.ent.ID)
+	ldr.unansweredStarts[srv.ent.ID] = append(ldr.unansweredStarts[srv.ent.ID], srv.runList...)
+	ldr.removeServer(srv)
 	ldr.droppedUnproven = true
 }
 
@@ -185,7 +186,7 @@
 		srv.add(rn)
 	}
 	delete(ldr.unansweredStarts, ent.ID)
-	ldr.servers[ent.ID] = srv
+	ldr.putServer(srv)
 	return srv
 }
 
@@ -255,7 +256,7 @@
 
 // HandleOwnerLost cancels all orders of a lost instance, as its callers submit their jobs again to other instances.
 func (ldr *Leader) HandleOwnerLost(now time.Time, owner InstanceID) []Action {
-	for _, ord := range ldr.orders {
+	for _, ord := range ldr.ordersByTask() {
 		if ord.Owner == owner {
 			ldr.cancelOrder(now, ord)
 		}
@@ -314,7 +315,7 @@
 // orders with a run, which the next leader may let run on, as Lost. Waiting reassigned orders are Lost too, as it is not proven that they
 // run nowhere. Cancelled orders get no report.
 func (ldr *Leader) Resign() []Action {
-	for _, ord := range ldr.orders {
+	for _, ord := range ldr.ordersByTask() {
 		switch {
 		case ord.cancelled:
 		case ord.run == nil && !ord.Reassigned:
@@ -330,7 +331,7 @@
 
 // Tick does what is due at now: renewals, repeated stops, expired leases, and returns of orders that would end too late.
 func (ldr *Leader) Tick(now time.Time) []Action {
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		ldr.maintain(now, srv)
 		ldr.dropUnlisted(now, srv)
 	}
--- a/internal/request/shard/owner.go
+++ b/internal/request/shard/owner.go
@@ -17,8 +17,8 @@
 // owners may have reported that they start tasks elsewhere. Runs that span the pause are no evidence of speed.
 func (ldr *Leader) HandlePause(until time.Time) {
 	ldr.noStartsUntil = until
-	for _, srv := range ldr.servers {
-		for _, rn := range srv.runs {
+	for _, srv := range ldr.serverList {
+		for _, rn := range srv.runList {
 			rn.timeHandled, rn.spansPause = true, true
 		}
 	}
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -109,7 +109,7 @@
 // waits for running tasks to end, so its own run time and those of the tasks before it don't count.
 func (ldr *Leader) serviceRate() float64 {
 	var num int64
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if srv.inService() {
 			num += srv.ent.Processor
 		}
@@ -136,7 +136,7 @@
 	note := NoteReturn{
 		Task: ord.Task, Owner: ord.Owner, Proven: ldr.runsNowhere(ord), Servers: len(ldr.servers), Waited: now.Sub(ord.receivedAt),
 	}
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if srv.state == confirmed {
 			note.OldestConfirmed = max(note.OldestConfirmed, now.Sub(srv.confirmedAt))
 		}
@@ -208,7 +208,7 @@
 // freeServers returns the servers that accept tasks and have free processor.
 func (ldr *Leader) freeServers(now time.Time) freeServers {
 	fss := ldr.freeBuf[:0]
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if !srv.acceptsTasks(now, ldr.missedTolerated()) {
 			continue
 		}
@@ -316,7 +316,7 @@
 	lod.LinkWindow, lod.LinkBusy = ldr.link.window, ldr.link.busyBytes()+ldr.QueuedBytes()
 	rate := ldr.serviceRate()
 	lod.ServiceRate = int64(rate * millis(time.Second))
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if ldr.closed || !srv.acceptsTasks(now, ldr.missedTolerated()) {
 			continue
 		}
--- a/internal/request/shard/refusal.go
+++ b/internal/request/shard/refusal.go
@@ -50,7 +50,7 @@
 // binding returns why none of the servers can take an order.
 func (ldr *Leader) binding(now time.Time, ord *order) ReturnReason {
 	rsn := NoServer
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if srv.acceptsTasks(now, ldr.missedTolerated()) {
 			rsn = max(rsn, srv.binding(ord))
 		}
--- a/internal/request/shard/renew.go
+++ b/internal/request/shard/renew.go
@@ -4,7 +4,7 @@
 
 // maintain repeats the stops that are due on a server, restarts stalled runs elsewhere, expires leases and sends the next renewal.
 func (ldr *Leader) maintain(now time.Time, srv *server) {
-	for _, rn := range srv.runs {
+	for _, rn := range srv.runList {
 		if rn.state == ending && rn.stopAcceptedAt.IsZero() && !rn.stopInProgress && !now.Before(rn.stopDue) {
 			ldr.sendStop(srv, rn)
 		}
@@ -160,8 +160,8 @@
 		listed[prg.Run] = true
 		ldr.noteProgress(now, srv, prg)
 	}
-	for rid, rn := range srv.runs {
-		if listed[rid] || !rn.provenGone(sent) {
+	for _, rn := range srv.runList {
+		if listed[rn.id] || !rn.provenGone(sent) {
 			continue
 		}
 		ldr.requeue(now, srv, rn)
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -28,7 +28,9 @@
 	// addedAt is when a server was listed that is to get no task yet (see admitAdded); zero for the others.
 	addedAt time.Time
 	// runs is changed only by add and drop, which keep the used and unclaimed counts right.
-	runs                      map[RunID]*run
+	runs map[RunID]*run
+	// runList has the same runs in the order in which they were added.
+	runList                   []*run
 	usedProcessor, usedMemory int64
 	unclaimed                 int
 	// handledSeq is the highest sequence number of an end that was handled. ackDue is the highest one in the last answer: each is
@@ -107,7 +109,11 @@
 
 // add adds a run to the server and counts its size.
 func (srv *server) add(rn *run) {
+	if old := srv.runs[rn.id]; old != nil {
+		srv.runList = without(srv.runList, old)
+	}
 	srv.runs[rn.id] = rn
+	srv.runList = append(srv.runList, rn)
 	srv.count(rn, 1)
 }
 
@@ -115,6 +121,7 @@
 func (srv *server) drop(rn *run) {
 	if srv.runs[rn.id] == rn {
 		delete(srv.runs, rn.id)
+		srv.runList = without(srv.runList, rn)
 		srv.count(rn, -1)
 	}
 }
@@ -192,7 +199,7 @@
 // countStep returns how many runs of a step the server has.
 func (srv *server) countStep(step string) int {
 	num := 0
-	for _, rn := range srv.runs {
+	for _, rn := range srv.runList {
 		if rn.ord != nil && rn.ord.Step == step {
 			num++
 		}
@@ -231,7 +238,7 @@
 
 // hasAcceptedStop reports whether a run has an accepted stop, so that the next renewal may prove it over and should not wait for an end.
 func (srv *server) hasAcceptedStop() bool {
-	for _, rn := range srv.runs {
+	for _, rn := range srv.runList {
 		if !rn.stopAcceptedAt.IsZero() {
 			return true
 		}
@@ -242,7 +249,7 @@
 // hasOverdueStop reports whether a run has waited longer than timeout for a stop to be accepted. Renewing the server's leases would keep
 // that run alive past the time at which its caller submits the job again.
 func (srv *server) hasOverdueStop(now time.Time, timeout time.Duration) bool {
-	for _, rn := range srv.runs {
+	for _, rn := range srv.runList {
 		if rn.state == ending && rn.stopAcceptedAt.IsZero() && !rn.stopAt.IsZero() && now.Sub(rn.stopAt) > timeout {
 			return true
 		}
--- a/internal/request/shard/speed.go
+++ b/internal/request/shard/speed.go
@@ -166,7 +166,7 @@
 // shows its progress; runs that end before need none. With tasks of 60 ms a slow server is found after 0.1 s instead of 0.2 s.
 func (ldr *Leader) nextSuspicion(now time.Time, srv *server) (time.Duration, bool) {
 	next, found := time.Duration(0), false
-	for _, rn := range srv.runs {
+	for _, rn := range srv.runList {
 		if rn.state != running || rn.ord == nil || rn.timeHandled {
 			continue
 		}
@@ -200,7 +200,7 @@
 
 // fitsElsewhere reports whether a task could start at once on another server.
 func (ldr *Leader) fitsElsewhere(now time.Time, except *server, ord *order) bool {
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		prc, mem := srv.free()
 		if srv != except && srv.acceptsTasks(now, ldr.missedTolerated()) && prc >= ord.Processor && mem >= ord.Memory && srv.suits(ord) {
 			return true
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -21,8 +21,8 @@
 		}})
 		return true
 	}
-	for _, srv := range ldr.servers {
-		for _, rn := range srv.runs {
+	for _, srv := range ldr.serverList {
+		for _, rn := range srv.runList {
 			if rn.ord != nil || rn.id.Task != ord.Task {
 				continue
 			}
@@ -59,7 +59,7 @@
 	if !ldr.knowsAllServers(ord) {
 		return false
 	}
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if !srv.confirmedSince(ord.receivedAt) {
 			return false
 		}
@@ -93,7 +93,7 @@
 // requestConfirmations calls the servers that have not confirmed the leader since a time, without waiting for ends. One such call at a time to
 // each server serves all that is asked for meanwhile.
 func (ldr *Leader) requestConfirmations(now, since time.Time) {
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if srv.state != confirmed || srv.proofPending || srv.confirmedSince(since) {
 			continue
 		}
@@ -109,7 +109,7 @@
 		return
 	}
 	ldr.added = 0
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		switch {
 		case srv.addedAt.IsZero():
 		case srv.state == confirmed && ldr.othersConfirmedSince(srv, srv.addedAt):
@@ -122,7 +122,7 @@
 
 // othersConfirmedSince reports whether all servers that answer, except one, have confirmed the leader since a time.
 func (ldr *Leader) othersConfirmedSince(except *server, since time.Time) bool {
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if srv != except && srv.state == confirmed && !srv.confirmedSince(since) {
 			return false
 		}
@@ -132,7 +132,7 @@
 
 // allListed reports whether every server has confirmed this leader and listed its runs.
 func (ldr *Leader) allListed() bool {
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if srv.state == claiming {
 			return false
 		}
@@ -148,7 +148,7 @@
 		return
 	}
 	ldr.takeoverComplete = true
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		ldr.stopUnclaimed(now, srv)
 	}
 }
@@ -163,7 +163,7 @@
 	if len(ldr.servers) == 0 || !ldr.allListed() {
 		return false
 	}
-	for _, srv := range ldr.servers {
+	for _, srv := range ldr.serverList {
 		if srv.unclaimed > 0 {
 			return false
 		}
@@ -173,7 +173,7 @@
 
 // stopUnclaimed stops the runs on a server that no order has come for.
 func (ldr *Leader) stopUnclaimed(now time.Time, srv *server) {
-	for _, rn := range srv.runs {
+	for _, rn := range srv.runList {
 		if rn.ord == nil {
 			ldr.stopRun(now, srv, rn)
 		}
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -50,7 +50,7 @@
 	}
 	crd.resume()
 	crd.refuseClosed()
-	for _, jb := range crd.jobs {
+	for _, jb := range crd.jobsByArrival() {
 		if !now.Before(jb.deadline) {
 			crd.abandon(jb, "deadline passed")
 			continue
