Explore tasks that go round, with loads that are wrong or late

The property that orders which circulate still lacked in the explorer: whatever loads say, an owner sends at most 40 orders and recalls of a task in 5 s and 8 at one moment, in all searches; and where nodes tell of free capacity that there isn't, or of what was true up to a second ago, under the same faults, a job that comes after all of them is run (TestExploreWrongLoads).

--- a/internal/process/succession/explore_action_test.go
+++ b/internal/process/succession/explore_action_test.go
@@ -62,6 +62,7 @@
 		case submission.SendOrder:
 			nod.sim.note("%s sends order %s to %s %d, reassigned %t, last server %q, recall %t", nod.id, act.Order.Task, act.Target.Leader, act.Target.Token,
 				act.Order.Reassigned, act.Order.LastServer, act.Order.Recall)
+			nod.sim.noteOrder(nod.id, &act.Order)
 			if act.Target.Leader != nod.id {
 				nod.noteOpenOrder(act.Target.Leader)
 				nod.send(act.Target.Leader, orderMessage{act.Target.Shard, act.Target.Token, act.Order})
--- a/internal/process/succession/explore_caller_test.go
+++ b/internal/process/succession/explore_caller_test.go
@@ -16,7 +16,7 @@
 	runTime  time.Duration
 	attempts int
 	// mayHaveRun is set once an attempt ended with anything but "not run".
-	mayHaveRun, refused bool
+	mayHaveRun, refused, succeeded bool
 }
 
 // attempt is one call of a caller with a job.
@@ -108,6 +108,7 @@
 	switch ans.Result {
 	case submission.Succeeded, submission.Failed:
 		att.job.mayHaveRun = true
+		att.job.succeeded = ans.Result == submission.Succeeded
 	case submission.NotRun:
 		att.job.refused = true
 	case submission.Unfinished:
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -126,7 +126,7 @@
 	}}
 	for _, name := range sortedKeys(nod.leaders) {
 		hbt.ins.Leads[name] = nod.leaders[name].Token()
-		hbt.loads[name] = nod.leaders[name].Load(nod.sim.now)
+		hbt.loads[name] = nod.load(name)
 	}
 	return hbt
 }
--- a/internal/process/succession/explore_process_test.go
+++ b/internal/process/succession/explore_process_test.go
@@ -72,7 +72,7 @@
 	if now.Sub(nod.loadsSharedAt) >= 4*time.Millisecond {
 		nod.loadsSharedAt = now
 		for _, name := range sortedKeys(nod.leaders) {
-			nod.runCoordinatorActions(nod.coordinator.HandleLoad(name, nod.leaders[name].Load(now)))
+			nod.runCoordinatorActions(nod.coordinator.HandleLoad(name, nod.load(name)))
 		}
 		nod.runLocal()
 	}
--- a/internal/process/succession/explore_test.go
+++ b/internal/process/succession/explore_test.go
@@ -85,9 +85,12 @@
 	// list has all records of the list, by their offsets.
 	list []listRecord
 	// cuts has until when the link from one process to another is cut, in that direction.
-	cuts       map[[2]string]time.Time
-	jobs       []*callerJob
-	starts     map[string]int
+	cuts   map[[2]string]time.Time
+	jobs   []*callerJob
+	starts map[string]int
+	// orders has the orders of each task by each owner; wrongLoads change what nodes tell of their loads.
+	orders     map[string]*sentOrder
+	wrongLoads map[string]func(lod shard.Load) shard.Load
 	violations []string
 	trace      []string
 }
@@ -206,6 +209,7 @@
 	sim := &simRun{
 		rnd: rand.New(rand.NewPCG(seed, 11)), began: time.Unix(1_000_000, 0), nodes: map[string]*node{},
 		listed: map[shard.ServerID]bool{}, cuts: map[[2]string]time.Time{}, starts: map[string]int{},
+		orders: map[string]*sentOrder{}, wrongLoads: map[string]func(lod shard.Load) shard.Load{},
 	}
 	sim.now = sim.began
 	for num, dom := range nodes {
