Lead on for half of the stop timeout, unless one that leads few shards takes over

Cause, from logs: an instance gave its shards up 0.1 s after SIGTERM, though it goes on for 5.6 s as its callers wait. Four stop each half second. So the few that had no SIGTERM yet took the shards of all, then stopped in turn, until no instance of a failure domain led its shards, and the first one back took seven at once and was held up by them.

Now there are two states. A stopping instance takes nothing over and isn't waited for as a candidate; its shards go at once to instances that lead few, so that a restart of one is as before. Few is 2.5 times the part of the domain's shards that an instance has while all are there.

Red before: TestStoppingLeadersHandOverInTime (the last of four leads all four shards after 1 s). TestShardsOfStoppingLeaders and TestStoppingInstanceTakesNothingOver are new with the state.

--- a/internal/connection/mesh/types.go
+++ b/internal/connection/mesh/types.go
@@ -19,8 +19,8 @@
 	Domain string
 	// Processor is the processor time that the instance may use, in cores.
 	Processor float64
-	// Ready instances may take over shards; Leaving ones hand theirs over.
-	Ready, Leaving bool
+	// Ready instances may take over shards, unless they are Stopping; Leaving ones hand theirs over.
+	Ready, Stopping, Leaving bool
 	// ConfigVersion is the newest configuration that the instance has.
 	ConfigVersion int64
 	// TokenRound is the highest round of fencing tokens that the instance has seen.
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -40,7 +40,7 @@
 // and closed domains only if their list was read.
 func encodeHeartbeat(hbt Heartbeat) *meshpb.Beat {
 	msg := &meshpb.Beat{
-		Domain: hbt.Domain, Processor: int64(hbt.Processor * milli), Ready: hbt.Ready, Leaving: hbt.Leaving,
+		Domain: hbt.Domain, Processor: int64(hbt.Processor * milli), Ready: hbt.Ready, Stopping: hbt.Stopping, Leaving: hbt.Leaving,
 		Version: hbt.ConfigVersion, Round: hbt.TokenRound, ListedTo: hbt.CompleteUpTo, ListOffset: hbt.ListOffset,
 	}
 	for dom, dvn := range hbt.Divisions {
@@ -63,7 +63,7 @@
 func decodeHeartbeat(msg *meshpb.Beat) Heartbeat {
 	hbt := Heartbeat{
 		Domain: msg.GetDomain(), Processor: float64(msg.GetProcessor()) / milli, Ready: msg.GetReady(),
-		Leaving: msg.GetLeaving(), ConfigVersion: msg.GetVersion(), TokenRound: msg.GetRound(),
+		Stopping: msg.GetStopping(), Leaving: msg.GetLeaving(), ConfigVersion: msg.GetVersion(), TokenRound: msg.GetRound(),
 		Divisions:     make(map[string]shard.Division, len(msg.GetDivisions())),
 		ClosedDomains: domainlist.View{End: domainlist.Unread}, CompleteUpTo: msg.GetListedTo(), ListOffset: msg.GetListOffset(),
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -71,8 +71,8 @@
 	// cfg is the configuration in force; cfgData is its encoded record, for sending it to instances with an older one.
 	cfg     atomic.Pointer[config.Configuration]
 	cfgData atomic.Pointer[[]byte]
-	// leaving is set when the planned stop begins.
-	leaving atomic.Bool
+	// stopping is set when the planned stop begins, leaving when others are to take over all shards that are still led here.
+	stopping, leaving atomic.Bool
 	// joined is closed once the instance is registered in the store, configured once a configuration is in force.
 	joined, configured chan struct{}
 
@@ -329,57 +329,6 @@
 	}
 }
 
-// drain is the planned stop: readiness checks fail, other instances take over the shards, and outstanding answers are awaited until
-// shortly before the kill.
-//
-// Connections stay open until their requests are answered, with Connection: close; closed earlier, they would break requests in flight.
-func (dmn *Daemon) drain() {
-	dmn.leaving.Store(true)
-	dmn.log.Info().Msg("stopping")
-	dmn.mu.Lock()
-	if dmn.elector != nil {
-		dmn.elector.SetLeaving()
-		dmn.nudgeDomain()
-	}
-	dmn.mu.Unlock()
-	began := time.Now()
-	last := dmn.stopTimeout() - stopReserve
-	for time.Since(began) < last {
-		time.Sleep(tickInterval)
-		dmn.mu.Lock()
-		open := len(dmn.callers)
-		dmn.mu.Unlock()
-		if open == 0 && time.Since(began) > balancerDelay {
-			break
-		}
-	}
-	dmn.answerRemainingCallers()
-	dmn.log.Info().Dur("after", time.Since(began)).Msg("handed over")
-}
-
-// answerRemainingCallers ends the jobs of all callers who still wait; the answers go out before the connections are closed.
-func (dmn *Daemon) answerRemainingCallers() {
-	now := dmn.beginEvent()
-	open := len(dmn.callers)
-	if dmn.coordinator != nil {
-		dmn.runCoordinatorActions(dmn.coordinator.Shutdown())
-	}
-	dmn.endEvent(now)
-	if open > 0 {
-		dmn.log.Warn().Int("jobs", open).Msg("giving up jobs that did not end in time")
-	}
-}
-
-const (
-	// balancerDelay is how long the balancer may send new connections after the first failed readiness check: it checks each second and
-	// acts on the second failure.
-	balancerDelay = 2500 * time.Millisecond
-	// stopReserve is the part of the stop timeout that is left for the last answers to reach their callers before the kill.
-	stopReserve = 400 * time.Millisecond
-	// lastAnswersTimeout is how long requests that are being answered get at the end, with a margin for a slow machine.
-	lastAnswersTimeout = 200 * time.Millisecond
-)
-
 // shardConfig returns the timing parameters of leaders, with leases no longer than backend servers grant: a server shortens a longer
 // one, and the leader would renew it too late.
 func (dmn *Daemon) shardConfig() shard.Config {
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -40,7 +40,7 @@
 }
 
 // Serving implements platform.Entry: it reports whether new connections are welcome, which they aren't while the process stops.
-func (dmn *Daemon) Serving() bool { return !dmn.leaving.Load() }
+func (dmn *Daemon) Serving() bool { return !dmn.stopping.Load() }
 
 // Waiting implements platform.Entry: it returns how many submissions of a route have not begun.
 func (dmn *Daemon) Waiting(rte config.Route) int {
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -16,7 +16,7 @@
 	defer dmn.mu.Unlock()
 	bet := mesh.Heartbeat{
 		Domain: dmn.prm.Settings.FailureDomain, Processor: dmn.prm.Settings.Processor, Ready: dmn.elector.Ready(),
-		Leaving: dmn.leaving.Load(), TokenRound: dmn.tokenRound, Divisions: maps.Clone(dmn.divisions), ClosedDomains: dmn.closedDomains.View(),
+		Stopping: dmn.stopping.Load(), Leaving: dmn.leaving.Load(), TokenRound: dmn.tokenRound, Divisions: maps.Clone(dmn.divisions), ClosedDomains: dmn.closedDomains.View(),
 	}
 	if cfg := dmn.cfg.Load(); cfg != nil {
 		bet.ConfigVersion = cfg.Version()
@@ -58,7 +58,7 @@
 	}
 	ins := succession.Instance{
 		ID: from, Domain: bet.Domain, Cores: bet.Processor,
-		Ready: bet.Ready, Leaving: bet.Leaving, Leads: map[shard.Name]int64{},
+		Ready: bet.Ready, Stopping: bet.Stopping, Leaving: bet.Leaving, Leads: map[shard.Name]int64{},
 	}
 	for _, led := range bet.Leaderships {
 		ins.Leads[led.Shard] = led.Token
--- a/internal/process/daemon/list_test.go
+++ b/internal/process/daemon/list_test.go
@@ -89,7 +89,7 @@
 func (sys *system) runningProcesses() []*process {
 	var prcs []*process
 	for _, name := range sys.instanceNames() {
-		if prc := sys.instances[name]; !prc.dmn.leaving.Load() {
+		if prc := sys.instances[name]; !prc.dmn.stopping.Load() {
 			prcs = append(prcs, prc)
 		}
 	}
--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -342,7 +342,7 @@
 	for name, prc := range sys.instances {
 		prc.dmn.mu.Lock()
 		for shd := range prc.dmn.leaders {
-			if strings.HasPrefix(string(shd), domain+".") && !prc.dmn.leaving.Load() {
+			if strings.HasPrefix(string(shd), domain+".") && !prc.dmn.stopping.Load() {
 				prc.dmn.mu.Unlock()
 				return name
 			}
--- a/internal/process/succession/explore_caller_test.go
+++ b/internal/process/succession/explore_caller_test.go
@@ -68,7 +68,7 @@
 	if job.attempts++; job.attempts > maxAttempts {
 		return
 	}
-	if nod.dead || nod.leaving {
+	if nod.dead || nod.stopping {
 		sim.after(resendAfter, job.retry)
 		return
 	}
--- a/internal/process/succession/explore_fault_test.go
+++ b/internal/process/succession/explore_fault_test.go
@@ -81,7 +81,7 @@
 func (sim *simRun) forceTakeover() {
 	nod := sim.anyNode()
 	shds := SortedShards(nod.shards())
-	if nod.dead || nod.leaving || len(shds) == 0 || !nod.elector.Ready() {
+	if nod.dead || nod.stopping || len(shds) == 0 || !nod.elector.Ready() {
 		return
 	}
 	shd := shds[sim.rnd.IntN(len(shds))]
@@ -138,15 +138,22 @@
 
 // endProcess ends a process by a kill, a power loss or a planned stop, and later starts its next incarnation.
 func (sim *simRun) endProcess(nod *node, dur time.Duration) {
-	if nod.dead || nod.leaving {
+	if nod.dead || nod.stopping {
 		return
 	}
 	how := sim.rnd.IntN(3)
 	if how == 2 {
 		sim.note("%s stops", nod.id)
-		nod.leaving = true
-		nod.elector.SetLeaving()
+		nod.stopping = true
+		nod.elector.SetStopping()
 		nod.signalAll()
+		sim.after(dur/2, func() {
+			if !nod.dead {
+				nod.leaving = true
+				nod.elector.SetLeaving()
+				nod.signalAll()
+			}
+		})
 	}
 	finish := func() {
 		sim.note("%s ends, how %d", nod.id, how)
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -20,9 +20,9 @@
 	id           shard.InstanceID
 	incarnation  int64
 	// dead processes have ended. Those with powerLost have lost their power, so that connections to them get no answer, not even a
-	// refusal. leaving ones shut down.
-	dead, powerLost, leaving bool
-	began                    time.Time
+	// refusal. stopping ones shut down, leaving ones are about to end.
+	dead, powerLost, stopping, leaving bool
+	began                              time.Time
 	// pausedUntil is until when the process gets no processor time; inbox has what it receives meanwhile, by source.
 	pausedUntil time.Time
 	inbox       map[string][]func()
@@ -122,7 +122,7 @@
 // heartbeat returns the node's state as sent with each batch.
 func (nod *node) heartbeat() heartbeat {
 	hbt := heartbeat{round: nod.tokenRound, listOffset: nod.completeTo(), loads: map[shard.Name]shard.Load{}, ins: Instance{
-		ID: nod.id, Domain: nod.domain, Cores: 0.4, Ready: nod.elector.Ready(), Leaving: nod.leaving, Leads: map[shard.Name]int64{},
+		ID: nod.id, Domain: nod.domain, Cores: 0.4, Ready: nod.elector.Ready(), Stopping: nod.stopping, Leaving: nod.leaving, Leads: map[shard.Name]int64{},
 	}}
 	for _, name := range sortedKeys(nod.leaders) {
 		hbt.ins.Leads[name] = nod.leaders[name].Token()
@@ -269,7 +269,7 @@
 		nod.elector.HandlePause(now)
 	}
 	nod.lastTickAt = now
-	if len(nod.entries) > 0 && !nod.leaving && !nod.elector.Ready() {
+	if len(nod.entries) > 0 && !nod.stopping && !nod.elector.Ready() {
 		nod.elector.SetReady(now)
 		nod.signalAll()
 	}
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -16,8 +16,9 @@
 	ID     shard.InstanceID
 	Domain string
 	// Cores is the processor capacity of the instance, in cores; it may be a fraction of one.
-	Cores          float64
-	Ready, Leaving bool
+	Cores float64
+	// Stopping instances take no shards over, and may hand theirs over; Leaving ones have to.
+	Ready, Stopping, Leaving bool
 	// Leads has the fencing token of each shard led by the instance.
 	Leads map[shard.Name]int64
 }
@@ -140,8 +141,12 @@
 	}
 }
 
-// SetLeaving marks the own instance as shutting down: it takes no more shards over, and the other instances take over those that it leads.
-func (elc *Elector) SetLeaving() { elc.self.Leaving = true }
+// SetStopping marks the own instance as shutting down: it takes no more shards over. Other instances take over those that it leads if they
+// lead few.
+func (elc *Elector) SetStopping() { elc.self.Stopping = true }
+
+// SetLeaving marks the own instance as about to end: the other instances take over the shards that it leads.
+func (elc *Elector) SetLeaving() { elc.self.Stopping, elc.self.Leaving = true, true }
 
 // Ready reports whether the own instance is able to lead.
 func (elc *Elector) Ready() bool { return elc.self.Ready }
@@ -160,7 +165,7 @@
 		elc.claims.set(ins.ID, old.Leads, ins.Leads)
 		changed = true
 	default:
-		changed = old.Ready != ins.Ready || old.Leaving != ins.Leaving
+		changed = old.Ready != ins.Ready || old.Stopping != ins.Stopping || old.Leaving != ins.Leaving
 	}
 	elc.changed = elc.changed || changed
 	return fresh, changed
@@ -298,7 +303,7 @@
 
 // shouldTakeOver reports whether the own instance is to take a shard over now; led is the shard's known leader, or "".
 func (elc *Elector) shouldTakeOver(now time.Time, shd Shard, led shard.InstanceID) bool {
-	if !elc.self.Ready || elc.self.Leaving || now.Before(elc.backoffs[shd.Name].until) {
+	if !elc.self.Ready || elc.self.Stopping || now.Before(elc.backoffs[shd.Name].until) {
 		return false
 	}
 	if led != "" {
@@ -328,14 +333,15 @@
 	return now.Sub(since) >= delay && now.Sub(elc.readyAt) >= elc.cfg.ReadyDelay && !elc.maybeIsolated(now)
 }
 
-// replaceable reports whether the own instance may take a shard over from its leader led: that one is leaving; or the own instance is of
-// the shard's failure domain and ready for ReturnDelay, and the leader is of another domain or has at least twice the load per core.
+// replaceable reports whether the own instance may take a shard over from its leader led: that one is leaving, or stopping and the own instance
+// leads few shards; or the own instance is of the shard's failure domain and ready for ReturnDelay, and the leader is of another domain or
+// has at least twice the load per core.
 func (elc *Elector) replaceable(now time.Time, shd Shard, led shard.InstanceID) bool {
 	ins := elc.peers[led]
 	if ins == nil {
 		return false
 	}
-	if ins.Leaving {
+	if ins.Leaving || ins.Stopping && elc.leadsFew() {
 		return true
 	}
 	if elc.self.Domain != shd.Domain || now.Sub(elc.readyAt) < elc.cfg.ReturnDelay {
@@ -348,6 +354,26 @@
 // over for load. It is well below 1, as each takeover costs the shard a tenth of a second without starts.
 const handoverLoadRatio = 0.5
 
+// leadsFew reports whether the own instance would lead at most maxShareOfStopping times its part of the shards of its failure domain, if all instances
+// were back that are stopping now, or one shard only.
+func (elc *Elector) leadsFew() bool {
+	if len(elc.self.Leads) == 0 {
+		return true
+	}
+	all := Instance{Cores: elc.self.Cores, Leads: maps.Clone(elc.self.Leads)}
+	for _, ins := range elc.peers {
+		if ins.Domain == elc.self.Domain {
+			all.Cores += ins.Cores
+			maps.Copy(all.Leads, ins.Leads)
+		}
+	}
+	return shardsPerCore(&elc.self, 1) <= maxShareOfStopping*shardsPerCore(&all, 0)
+}
+
+// maxShareOfStopping leaves room for the shards of every other instance. Where more of them stop side by side, those that are left would lead many
+// shards, and be held up by them.
+const maxShareOfStopping = 2.5
+
 // shardsPerCore returns the number of shards that an instance would lead per core if it led more of them.
 func shardsPerCore(ins *Instance, more int) float64 {
 	return float64(len(ins.Leads)+more) / max(ins.Cores, minCores)
@@ -360,7 +386,7 @@
 func (elc *Elector) candidatesBefore(shd Shard) int {
 	num := 0
 	for _, ins := range elc.peers {
-		if ins.Ready && !ins.Leaving && preferred(ins, &elc.self, shd) {
+		if ins.Ready && !ins.Stopping && !ins.Leaving && preferred(ins, &elc.self, shd) {
 			num++
 		}
 	}
