Leave a run to the successor for a moment before a withdrawal stops it

Cause, traced on: an owner that hears of a shard's new leader sends the order there, and withdraws it from the former one, which may not know yet and start it seconds later. If the former one reads that before the new leader's heartbeat, and its stop reaches the server before the new leader's token, the server stops the run, and the new leader proves after 1.3 s that the task runs nowhere.

Now a withdrawal says that the order has followed. A leader that has a run of it waits for 0.1 s, in which it hears of its successor and leaves the run to it; if it still leads then, it stops the run as before: it may be cut off, and nobody else could end the run. Waiting orders are dropped at once.

Weighed: that the former leader resigns by the owner's word. An instance that takes a shard over while it is cut off would then end a sound leader's.

--- a/internal/connection/mesh/types.go
+++ b/internal/connection/mesh/types.go
@@ -48,11 +48,12 @@
 	Order shard.Order
 }
 
-// Cancellation ends an order that was sent to the leader of a shard.
+// Cancellation ends an order that was sent to the leader of a shard. One that has Followed is with a newer leader now.
 type Cancellation struct {
-	Shard shard.Name
-	Token int64
-	Task  string
+	Shard    shard.Name
+	Token    int64
+	Task     string
+	Followed bool
 }
 
 // Report tells the owner of an order what became of it.
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -104,7 +104,7 @@
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Order{Order: encodeOrder(dlv, now, msg)}})
 	case Cancellation:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Withdrawal{Withdrawal: &meshpb.Withdrawal{
-			Shard: string(msg.Shard), Token: msg.Token, Task: msg.Task,
+			Shard: string(msg.Shard), Token: msg.Token, Task: msg.Task, Followed: msg.Followed,
 		}}})
 	case Report:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Report{Report: &meshpb.Report{
@@ -166,7 +166,7 @@
 			})
 		case *meshpb.Message_Withdrawal:
 			wdr := bdy.Withdrawal
-			msgs = append(msgs, Cancellation{Shard: shard.Name(wdr.GetShard()), Token: wdr.GetToken(), Task: wdr.GetTask()})
+			msgs = append(msgs, Cancellation{Shard: shard.Name(wdr.GetShard()), Token: wdr.GetToken(), Task: wdr.GetTask(), Followed: wdr.GetFollowed()})
 		case *meshpb.Message_Report:
 			rep := bdy.Report
 			msgs = append(msgs, Report{Report: shard.Report{
--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -50,14 +50,15 @@
 // cancelOrder has the leader of a shard cancel an order.
 func (dmn *Daemon) cancelOrder(act submission.CancelOrder) {
 	name := act.Target.Shard
-	dmn.log.Info().Str("task", act.Task).Str("shard", string(name)).Str("leader", string(act.Target.Leader)).Msg("withdraw")
+	dmn.log.Info().Str("task", act.Task).Str("shard", string(name)).Str("leader", string(act.Target.Leader)).Bool("followed", act.Followed).
+		Msg("withdraw")
 	if act.Target.Leader != dmn.self {
-		dmn.mesh.Send(act.Target.Leader, mesh.Cancellation{Shard: name, Token: act.Target.Token, Task: act.Task})
+		dmn.mesh.Send(act.Target.Leader, mesh.Cancellation{Shard: name, Token: act.Target.Token, Task: act.Task, Followed: act.Followed})
 		return
 	}
 	dmn.localActions = append(dmn.localActions, func(now time.Time) {
 		if ldr := dmn.leaderWithToken(name, act.Target.Token); ldr != nil {
-			dmn.runLeaderActions(name, ldr.Cancel(now, dmn.self, act.Task))
+			dmn.runLeaderActions(name, ldr.Cancel(now, dmn.self, act.Task, act.Followed))
 		}
 	})
 }
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -126,7 +126,7 @@
 		dmn.placeOrder(now, submission.Target{Shard: msg.Shard, Leader: dmn.self, Token: msg.Token}, msg.Order)
 	case mesh.Cancellation:
 		if ldr := dmn.leaderWithToken(msg.Shard, msg.Token); ldr != nil {
-			dmn.runLeaderActions(msg.Shard, ldr.Cancel(now, from, msg.Task))
+			dmn.runLeaderActions(msg.Shard, ldr.Cancel(now, from, msg.Task, msg.Followed))
 		}
 	case mesh.Report:
 		dmn.logReport(from, msg.Report)
--- a/internal/process/succession/explore_action_test.go
+++ b/internal/process/succession/explore_action_test.go
@@ -72,12 +72,12 @@
 		case submission.CancelOrder:
 			nod.sim.note("%s cancels order %s at %s", nod.id, act.Task, act.Target.Leader)
 			if act.Target.Leader != nod.id {
-				nod.send(act.Target.Leader, cancelMessage{act.Target.Shard, act.Target.Token, act.Task})
+				nod.send(act.Target.Leader, cancelMessage{act.Target.Shard, act.Target.Token, act.Task, act.Followed})
 				continue
 			}
 			nod.localActions = append(nod.localActions, func() {
 				if ldr := nod.leaderWithToken(act.Target.Shard, act.Target.Token); ldr != nil {
-					nod.runLeaderActions(act.Target.Shard, ldr.Cancel(nod.sim.now, nod.id, act.Task))
+					nod.runLeaderActions(act.Target.Shard, ldr.Cancel(nod.sim.now, nod.id, act.Task, act.Followed))
 				}
 			})
 		case submission.Reply:
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -56,9 +56,10 @@
 		ord   shard.Order
 	}
 	cancelMessage struct {
-		shd   shard.Name
-		token int64
-		task  string
+		shd      shard.Name
+		token    int64
+		task     string
+		followed bool
 	}
 	reportMessage struct{ rep shard.Report }
 )
@@ -172,7 +173,7 @@
 		nod.placeOrder(now, submission.Target{Shard: msg.shd, Leader: nod.id, Token: msg.token}, msg.ord)
 	case cancelMessage:
 		if ldr := nod.leaderWithToken(msg.shd, msg.token); ldr != nil {
-			nod.runLeaderActions(msg.shd, ldr.Cancel(now, from, msg.task))
+			nod.runLeaderActions(msg.shd, ldr.Cancel(now, from, msg.task, msg.followed))
 		}
 	case reportMessage:
 		nod.sim.note("%s gets a report from %s: %s %v (token %d)", nod.id, from, msg.rep.Task, msg.rep.Outcome, msg.rep.Token)
--- a/internal/request/shard/handover_test.go
+++ b/internal/request/shard/handover_test.go
@@ -163,7 +163,7 @@
 	ord := har.order(0, "j.0")
 	ord.Owner = "second/2"
 	har.record(har.ldr.HandleOrder(har.now, ord))
-	har.record(har.ldr.Cancel(har.now, "second/2", "j.0"))
+	har.record(har.ldr.Cancel(har.now, "second/2", "j.0", false))
 	har.advance(3 * time.Second)
 	told := har.count(func(act Action) bool {
 		snd, ok := act.(SendReport)
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -244,16 +244,26 @@
 	old.Order, old.cancelled = req, false
 }
 
-// Cancel ends an order of an owner and stops its run; no report is sent.
-func (ldr *Leader) Cancel(now time.Time, owner InstanceID, task string) []Action {
+// Cancel ends an order of an owner and stops its run; no report is sent. The run of an order that has followed to a newer leader is stopped a while
+// later, if this one still leads the shard then.
+func (ldr *Leader) Cancel(now time.Time, owner InstanceID, task string, followed bool) []Action {
 	ord := ldr.orders[task]
-	if ord != nil && ord.Owner == owner {
+	switch {
+	case ord == nil || ord.Owner != owner:
+	case followed && ord.run != nil && ord.run.state != ending:
+		ord.cancelled = true
+		ord.run.state, ord.run.stopAt, ord.run.stopDue = ending, now, now.Add(followedStopDelay)
+	default:
 		ldr.cancelOrder(now, ord)
 	}
 	ldr.advance(now, nil)
 	return ldr.takeActions()
 }
 
+// followedStopDelay is how long a leader waits to hear of its successor before it stops a run whose order has followed to that one. The successor may
+// let it go on; a leader that is cut off from it has to stop it.
+const followedStopDelay = 100 * time.Millisecond
+
 // HandleOwnerLost cancels all orders of a lost instance, as its callers submit their jobs again to other instances.
 func (ldr *Leader) HandleOwnerLost(now time.Time, owner InstanceID) []Action {
 	for _, ord := range ldr.ordersByTask() {
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -14,11 +14,11 @@
 	cases := map[string]func(har *harness, run RunID){
 		"running": func(*harness, RunID) {},
 		"being stopped": func(har *harness, run RunID) {
-			har.record(har.ldr.Cancel(har.now, owner, run.Task))
+			har.record(har.ldr.Cancel(har.now, owner, run.Task, false))
 			har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Accepted))
 		},
 		"stop without answer": func(har *harness, run RunID) {
-			har.record(har.ldr.Cancel(har.now, owner, run.Task))
+			har.record(har.ldr.Cancel(har.now, owner, run.Task, false))
 			har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Unknown))
 		},
 	}
@@ -358,7 +358,7 @@
 	har := newHarness(t, serverEntry("s", 20000))
 	har.place(0, "j1.0")
 	run := har.answerStart("j1.0", Unknown)
-	har.record(har.ldr.Cancel(har.now, owner, "j1.0"))
+	har.record(har.ldr.Cancel(har.now, owner, "j1.0", false))
 	har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Accepted))
 	har.record(har.ldr.HandleStartResult(har.now, "s", run, Refused, time.Minute))
 	har.acts = nil
--- a/internal/request/shard/renew_test.go
+++ b/internal/request/shard/renew_test.go
@@ -20,7 +20,7 @@
 		har.place(0, tsk)
 		run := har.answerStart(tsk, Accepted)
 		was := har.newestRenewal("s")
-		har.record(har.ldr.Cancel(har.now, owner, tsk))
+		har.record(har.ldr.Cancel(har.now, owner, tsk, false))
 		har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Accepted))
 		har.acts = nil
 		har.record(har.ldr.HandleRenewResult(har.now, har.now, was, kept, Accepted))
--- a/internal/request/shard/toolate_test.go
+++ b/internal/request/shard/toolate_test.go
@@ -78,7 +78,7 @@
 	fresh := har.order(1, "j3.0")
 	har.record(har.ldr.HandleOrder(har.now, fresh))
 	har.acts = nil
-	har.record(har.ldr.Cancel(har.now, owner, "j1.0"))
+	har.record(har.ldr.Cancel(har.now, owner, "j1.0", false))
 	har.answerRenewal("s", RenewResult{Ended: []End{{Seq: 1, Run: run}}})
 	chk.Equal(har.starts(), map[string]ServerID{"j2.0": "s"})
 }
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -245,7 +245,7 @@
 	if tsk.leader != "" && tsk.leader != viw.leader {
 		// The former leader is alive, and may not know yet that another leads: an order in its queue may start there seconds later while
 		// the task runs elsewhere. On servers that follow the new leader, the cancellation ends nothing.
-		crd.emit(CancelOrder{Target: tsk.target(), Task: tsk.name})
+		crd.emit(CancelOrder{Target: tsk.target(), Task: tsk.name, Followed: true})
 	}
 	rns := crd.mayRunFor(tsk)
 	tsk.leader, tsk.token, tsk.orphanedUntil, tsk.started, tsk.queued = viw.leader, viw.token, time.Time{}, false, false
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -20,10 +20,11 @@
 	Order  shard.Order
 }
 
-// CancelOrder asks the leader of a shard to end the order of a task.
+// CancelOrder asks the leader of a shard to end the order of a task. One that has Followed is sent to a newer leader.
 type CancelOrder struct {
-	Target Target
-	Task   string
+	Target   Target
+	Task     string
+	Followed bool
 }
 
 // Reply answers one call of a submission.
