Leave the shards of stopping leaders to their failure domain

What callers could see: with all instances of a failure domain stopping side by side, one of another domain took a shard at once, though its leader goes on for 3 s, and gave it back to the first that came back: two takeovers, each a tenth of a second without starts, and calls to servers across domains between.

Only instances of the shard's own failure domain take over from a leader that is stopping; any may from one that is leaving.

TestShardStaysInItsDomainWhileAllStop was red before.

--- a/internal/process/succession/stopping_test.go
+++ b/internal/process/succession/stopping_test.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,6 +53,25 @@
 	}
 }
 
+// Guards against shards that instances of another failure domain lead while their own ones, which all stop, still can.
+func TestShardStaysInItsDomainWhileAllStop(t *testing.T) {
+	for name, leaving := range map[string]bool{"stopping": false, "about to end": true} {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			fix := newFixture(0.4)
+			for num := range 3 {
+				ins := Instance{ID: shard.InstanceID(fmt.Sprint("y", num, "/1")), Domain: "b", Cores: 0.4, Ready: true, Stopping: true, Leaving: leaving}
+				if num == 0 {
+					ins.Leads = map[shard.Name]int64{"b.0": 7}
+				}
+				fix.elc.HandleHeard(fix.now)
+				fix.elc.HandleHeartbeat(ins)
+			}
+			chk.Equal(fix.takeovers(2 * time.Second)["b.0"], leaving)
+		})
+	}
+}
+
 // Guards against an instance that takes a shard over while it stops, and against one that waits for it to.
 func TestStoppingInstanceTakesNothingOver(t *testing.T) {
 	chk := is.New(t)
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -333,15 +333,15 @@
 	return now.Sub(since) >= delay && now.Sub(elc.readyAt) >= elc.cfg.ReadyDelay && !elc.maybeIsolated(now)
 }
 
-// replaceable reports whether the own instance may take a shard over from its leader led: that one is leaving, or stopping and the own instance
-// leads few shards; or the own instance is of the shard's failure domain and ready for ReturnDelay, and the leader is of another domain or
-// has at least twice the load per core.
+// replaceable reports whether the own instance may take a shard over from its leader led: that one is leaving; or the own instance is of
+// the shard's failure domain, and the leader is stopping while the own instance leads few shards, or the own instance is ready for ReturnDelay,
+// and the leader is of another domain or has at least twice the load per core.
 func (elc *Elector) replaceable(now time.Time, shd Shard, led shard.InstanceID) bool {
 	ins := elc.peers[led]
 	if ins == nil {
 		return false
 	}
-	if ins.Leaving || ins.Stopping && elc.leadsFew() {
+	if ins.Leaving || ins.Stopping && elc.self.Domain == shd.Domain && elc.leadsFew() {
 		return true
 	}
 	if elc.self.Domain != shd.Domain || now.Sub(elc.readyAt) < elc.cfg.ReturnDelay {
