--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -18,17 +18,17 @@
 	dmn.mu.Unlock()
 	began := time.Now()
 	timeout := dmn.stopTimeout()
-	var handedOverAt time.Time
+	var handingOverSince time.Time
 	for time.Since(began) < timeout-stopReserve {
 		time.Sleep(tickInterval)
 		dmn.mu.Lock()
 		open := len(dmn.callers)
-		if handedOverAt.IsZero() && (time.Since(began) >= timeout/2 || open == 0 && time.Since(began) >= balancerDelay-handOverTime) {
-			handedOverAt = time.Now()
+		if handingOverSince.IsZero() && (time.Since(began) >= timeout/2 || open == 0 && time.Since(began) >= balancerDelay-handOverTime) {
+			handingOverSince = time.Now()
 			dmn.handOver()
 		}
 		dmn.mu.Unlock()
-		if open == 0 && time.Since(began) > balancerDelay && !handedOverAt.IsZero() && time.Since(handedOverAt) >= handOverTime {
+		if open == 0 && time.Since(began) > balancerDelay && !handingOverSince.IsZero() && time.Since(handingOverSince) >= handOverTime {
 			break
 		}
 	}
