--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -101,6 +101,8 @@
 		case shard.NoteIncarnation:
 			dmn.log.Info().Str("server", string(act.Server)).Str("shard", string(name)).Int64("known-incarnation", int64(act.Known)).
 				Int64("incarnation", int64(act.Told)).Int("runs-carried", act.Carried).Msg(act.Reason)
+		case shard.FeatureChange:
+			dmn.logFeatureChange(name, &act)
 		case shard.ReadList:
 			dmn.requestListRead()
 		case shard.NoteReturn:
@@ -120,6 +122,19 @@
 	}
 }
 
+// logFeatureChange logs that a feature has begun or ended to act in a shard.
+func (dmn *Daemon) logFeatureChange(name shard.Name, act *shard.FeatureChange) {
+	lin := dmn.log.Info().Str("feature", string(act.Feature)).Str("shard", string(name))
+	for _, fig := range act.Figures {
+		lin = lin.Float64(fig.Name, fig.Value)
+	}
+	if act.Active {
+		lin.Msg("feature begins to act")
+		return
+	}
+	lin.Msg("feature ends to act")
+}
+
 // leaderWithToken returns the leader of a shard if it holds the token, else nil. An answer to an earlier leader is dropped, as the new one
 // has asked the servers again.
 func (dmn *Daemon) leaderWithToken(name shard.Name, token int64) *shard.Leader {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -277,6 +277,7 @@
 	dmn.self = mesh.ID(set.Instance, life)
 	dmn.coordinator = submission.NewCoordinator(submission.Config{
 		Self: dmn.self, FailureDomain: set.FailureDomain, OrphanExpiry: orphanExpiry, RetryAfter: retryAfter, LeaderlessTimeout: leaderlessTimeout, Link: dmn.uplink,
+		Features: set.Features,
 	}, now)
 	dmn.runCoordinatorActions(dmn.coordinator.HandleClosedDomains(now, dmn.closedDomains.View().Closed))
 	close(dmn.joined)
@@ -333,6 +334,7 @@
 // one, and the leader would renew it too late.
 func (dmn *Daemon) shardConfig() shard.Config {
 	cfg := shard.DefaultConfig()
+	cfg.Features = dmn.prm.Settings.Features
 	if most := dmn.prm.Settings.LongestLease; most > 0 {
 		cfg.LongestLease, cfg.Lease = most, min(cfg.Lease, most)
 		cfg.RenewWait = min(cfg.RenewWait, cfg.Lease/leaseRenewals)
--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -17,6 +17,7 @@
 
 	"chestnutstack/internal/connection/rpc"
 	"chestnutstack/internal/process/pipe"
+	"chestnutstack/internal/request/shard"
 	"chestnutstack/platform"
 	"chestnutstack/platform/standin"
 )
@@ -231,7 +232,7 @@
 			Instance: name, FailureDomain: domain, FailureDomains: sys.domains, CallerAddress: host + ":1", ReadyAddress: host + ":2",
 			PeerAddress: host + ":3", MetricsAddress: host + ":4", Processor: 0.4,
 			StopTimeout: 6 * time.Second, MemoryBytes: 1 << 28, LinkBytes: int64(sys.linkBytes),
-			ConfigurationBound: sys.bound, DrainBound: sys.bound,
+			ConfigurationBound: sys.bound, DrainBound: sys.bound, Features: shard.AllFeatures(),
 		},
 		Store:   platform.NewStore(client(&cnt.traffic.store), storeHost+":1"),
 		Servers: platform.NewServers(client(&cnt.traffic.servers)), Counters: cnt,
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -6,7 +6,7 @@
 type Name string
 
 // Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, ReadList, QuarantineServer, NoteReturn,
-// NoteIncarnation or SendReport.
+// NoteIncarnation, FeatureChange or SendReport.
 type Action interface{ action() }
 
 // StartRun asks a backend server to start a run; its result goes to Uplink.HandleStartResult, then to Leader.HandleStartResult.
@@ -122,6 +122,8 @@
 	StallTimeout time.Duration
 	// InitialQuarantine is the first quarantine of a server that fails its runs; each further one is twice as long, up to MaxQuarantine.
 	InitialQuarantine, MaxQuarantine time.Duration
+	// Features are the optional decisions that may act.
+	Features Features
 }
 
 // clockSkew is how many times slower than true time a backend server's clock may run (2%, from the platform's documentation).
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -68,6 +68,8 @@
 	LeaderlessTimeout time.Duration
 	// Link is the instance's link to other instances.
 	Link Link
+	// Features are the optional decisions that may act.
+	Features shard.Features
 }
 
 // Link decides whether an order with a payload may be sent to another instance now.
