Limit the reads of the list of servers to half of what the store reads

Callers of a system of 300 instances and 3,000 servers saw configurations and answers come late or not at all: while the servers register, every instance that gets no digest of the list reads the list itself, all together more than the store reads a second. The writer of the digests can't read then, either, and failed reads are repeated, larger each time.

Each instance now decides from the store's rate, the bytes a second of the list (as measured by its own reads, else as a peer's heartbeat reports them, else assumed by the number of instances) and the number of instances whether all reads fit into half of the rate. If they do, nothing changes. If not, the first instances by rank read, as many as take a quarter of the rate; the others wait for their turn, read in full if that is less, and fewer try again after each failure. First reads are spread in the order of ranks, unless most others know the list. The writer of digests cuts and paces them to what all instances can read. Retries of store calls back off from 0.2 to 0.8 s, by half either way.

--- a/internal/connection/mesh/types.go
+++ b/internal/connection/mesh/types.go
@@ -35,6 +35,9 @@
 	CompleteUpTo int64
 	// ListOffset is the offset up to which the instance knows exactly that list; 0 if there is none.
 	ListOffset int64
+	// ListBytes is the size of a full read of that list, ListRate what is written to it in a second, in bytes as the instance has measured them; 0 if
+	// it has not.
+	ListBytes, ListRate int64
 }
 
 // Message is sent from one instance to another: Order, Cancellation, Report, Configuration, ServerChanges or LossNotice.
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -42,6 +42,7 @@
 	msg := &meshpb.Beat{
 		Domain: hbt.Domain, Processor: int64(hbt.Processor * milli), Ready: hbt.Ready, Stopping: hbt.Stopping, Leaving: hbt.Leaving,
 		Version: hbt.ConfigVersion, Round: hbt.TokenRound, ListedTo: hbt.CompleteUpTo, ListOffset: hbt.ListOffset,
+		ListBytes: hbt.ListBytes, ListRate: hbt.ListRate,
 	}
 	for dom, dvn := range hbt.Divisions {
 		msg.Divisions = append(msg.Divisions, &meshpb.Division{Domain: dom, Count: int64(dvn.Count), Stamp: dvn.Stamp})
@@ -66,6 +67,7 @@
 		Stopping: msg.GetStopping(), Leaving: msg.GetLeaving(), ConfigVersion: msg.GetVersion(), TokenRound: msg.GetRound(),
 		Divisions:     make(map[string]shard.Division, len(msg.GetDivisions())),
 		ClosedDomains: domainlist.View{End: domainlist.Unread}, CompleteUpTo: msg.GetListedTo(), ListOffset: msg.GetListOffset(),
+		ListBytes: msg.GetListBytes(), ListRate: msg.GetListRate(),
 	}
 	if cld := msg.GetClosedDomains(); cld != nil {
 		hbt.ClosedDomains = domainlist.View{End: cld.GetEnd(), Closed: cld.GetNames()}
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -37,12 +37,14 @@
 // counters are the metrics of a daemon: monotonic counters, except those that are described as gauges.
 type counters struct {
 	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses,
-	configsSent, changesSent, roomChanges atomic.Int64
+	configsSent, changesSent, roomChanges, listReadsDeferred atomic.Int64
 	// closedDomains and closedRuns are gauges: the failure domains that are closed to new work, and the runs that this instance leads there.
 	closedDomains, closedRuns atomic.Int64
 	// overfullServers and listAge are gauges: the servers led here whose runs need more than their room, and how old the known list of
 	// servers is, in nanoseconds.
 	overfullServers, listAge atomic.Int64
+	// listBytes is a gauge: the bytes that are written to the list of servers in a second.
+	listBytes atomic.Int64
 	// admittedWithCapacity, admittedToWait and notAdmitted count the decisions on submissions; waits has, for
 	// each job admitted to wait, the expected wait in the last rank that was tried.
 	admittedWithCapacity, admittedToWait, notAdmitted atomic.Int64
@@ -114,6 +116,8 @@
 		line("looks", cnt.renewals.Load())
 		line("store-reads", cnt.storeReads.Load())
 		line("list-reads", cnt.listReads.Load())
+		line("list-reads-put-off", cnt.listReadsDeferred.Load())
+		line("list-bytes-a-second", cnt.listBytes.Load())
 		line("list-digests-written", cnt.digests.Load())
 		line("list-digests-refused", cnt.badDigests.Load())
 		line("configurations-sent", cnt.configsSent.Load())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -134,6 +134,7 @@
 	// configSentAt is when a configuration was last sent to each instance that is heard, firstHeardAt since when that one has been heard.
 	configSentAt, firstHeardAt map[shard.InstanceID]time.Time
 	listNews
+	listLimit
 	// localActions are pending actions addressed to this instance itself.
 	localActions []func(now time.Time)
 
@@ -156,6 +157,7 @@
 		callers:      map[submission.CallID]chan submission.Answer{},
 		configSentAt: map[shard.InstanceID]time.Time{}, firstHeardAt: map[shard.InstanceID]time.Time{},
 		listNews:     newListNews(),
+		listLimit:    newListLimit(&prm.Settings, &pcs, prm.Now()),
 		reachability: map[shard.Name]*succession.Reachability{}, openOrdersWith: map[shard.InstanceID]bool{},
 		follower:          serverlist.NewFollower(pcs.list, prm.Now()),
 		coverage:          serverlist.NewCoverage(serverlist.CoverageConfig{RecoveryTime: recoveryTime + pcs.list.ReadInterval, MaxUnlisted: maxUnlisted}),
@@ -216,7 +218,7 @@
 	dmn.serveHTTP(work, lis.Metrics, dmn.cnt.handler())
 	grp.Go(func() error { return dmn.followTopic(work, dmn.configurations()) })
 	grp.Go(func() error { return dmn.followServerList(work) })
-	grp.Go(func() error { return dmn.followTopic(work, dmn.serverDigests()) })
+	grp.Go(func() error { return dmn.followDigests(work) })
 	grp.Go(func() error { return dmn.join(work, lis.Peers) })
 	if dmn.prm.SettingsPath != "" {
 		grp.Go(func() error { return dmn.watchSettings(work, dmn.prm.SettingsPath) })
@@ -288,6 +290,7 @@
 		Name: set.Instance, Incarnation: life, Address: set.PeerAddress, HeartbeatInterval: heartbeatInterval, MissedHeartbeats: missedHeartbeats,
 		CallTimeout: meshTimeout, Now: dmn.now,
 	}, dmn.prm.Dial, dmn)
+	dmn.limit.SetPosition(hashPosition(readerDuty + " " + string(dmn.self))) // In the order of DutyRank.
 	dmn.updateShards(now)
 	dmn.mu.Unlock()
 	dmn.log.Info().Int64("life", life).Msg("registered")
@@ -303,7 +306,7 @@
 	rec := platform.Record{
 		Key: dmn.prm.Settings.Instance, Value: platform.EncodeInstance(dmn.prm.Settings.PeerAddress),
 	}
-	for {
+	for failures := 1; ; failures++ {
 		cll, cancel := context.WithTimeout(ctx, storeTimeout)
 		off, err := dmn.prm.Store.Append(cll, platform.InstancesTopic, rec)
 		cancel()
@@ -311,7 +314,7 @@
 			return off + 1, nil
 		}
 		dmn.log.Warn().Err(err).Msg("registration failed; retrying")
-		if !sleepContext(ctx, storeRetryPause) {
+		if !sleepContext(ctx, dmn.retryPause(platform.InstancesTopic, failures)) {
 			return 0, ctx.Err()
 		}
 	}
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -15,8 +15,6 @@
 	// storeTimeout is the timeout of a call to the store, besides the time for which a read waits for records: a slow store answers
 	// in 0.4 s.
 	storeTimeout = 1500 * time.Millisecond
-	// storeRetryPause is the pause after a failed call: the store allows all instances together 600 writes and 2,000 reads a second.
-	storeRetryPause = 200 * time.Millisecond
 )
 
 // fromStore is the value of the log key "from" for data that was read from the store.
@@ -76,7 +74,7 @@
 		case errors.Is(err, platform.ErrCompacted):
 			next = -1
 		case err != nil:
-			sleepContext(ctx, storeRetryPause)
+			sleepContext(ctx, dmn.retryPause(rdr.topic, sto.failures))
 		}
 	}
 	return nil
@@ -86,10 +84,17 @@
 type storeState struct {
 	topic platform.Topic
 	lost  bool
+	// failures is how many reads have failed one after the other.
+	failures int
 }
 
-// logStoreState logs when the store stops answering and when it answers again.
+// logStoreState logs when the store stops answering and when it answers again, and counts the reads that failed.
 func (dmn *Daemon) logStoreState(sto *storeState, err error) {
+	if err == nil || errors.Is(err, platform.ErrCompacted) {
+		sto.failures = 0
+	} else {
+		sto.failures++
+	}
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
 		dmn.log.Info().Str("topic", string(sto.topic)).Msg("records were compacted; reading the newest")
@@ -174,4 +179,5 @@
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
 	dmn.instancesRead = true
+	dmn.noteInstances(now, prs)
 }
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -26,6 +26,8 @@
 	if dmn.follower.Exact() {
 		bet.ListOffset = dmn.follower.KnownTo()
 	}
+	siz := dmn.limit.Size()
+	bet.ListBytes, bet.ListRate = siz.Full, siz.PerSecond
 	for name, ldr := range dmn.leaders {
 		// Capacity that has just become free is also in the report of the run's end, as the next heartbeat may be 400 ms away.
 		bet.Leaderships = append(bet.Leaderships, mesh.Leadership{Shard: name, Token: ldr.Token(), Load: ldr.Load(now)})
@@ -52,6 +54,7 @@
 	dmn.tokenRound = max(dmn.tokenRound, bet.TokenRound)
 	dmn.mergeClosings(now, from, bet.ClosedDomains)
 	dmn.handleCompleteOffset(now, from, bet.CompleteUpTo)
+	dmn.handleListState(from, &bet)
 	if dmn.divisions.Merge(bet.Divisions) {
 		dmn.log.Info().Str("from", string(from)).Interface("divisions", bet.Divisions).Msg("division into shards changed")
 		dmn.updateShards(now)
@@ -181,6 +184,7 @@
 	delete(dmn.firstHeardAt, id)
 	delete(dmn.configSentAt, id)
 	delete(dmn.changesSentAt, id)
+	delete(dmn.knowing, id)
 	dmn.elector.HandleInstanceLost(now, id, cau.IsSilence())
 	for name, ldr := range dmn.leaders {
 		dmn.runLeaderActions(name, ldr.HandleOwnerLost(now, id))
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -15,10 +15,15 @@
 // server's heartbeat is a record and a waiting read would return for each of them.
 func (dmn *Daemon) followServerList(ctx context.Context) error {
 	state := storeState{topic: platform.ServersTopic}
-	asked := false
+	asked := time.Time{} // Since when a leader has waited for a read.
 	for ctx.Err() == nil {
-		if dmn.listReadDue() || asked {
-			err := dmn.readServerList(ctx)
+		pause := dmn.paces.list.ReadInterval
+		red, due := dmn.nextListRead(asked, state.failures)
+		switch {
+		case due && red.wait > 0:
+			pause = min(pause, red.wait)
+		case due:
+			err := dmn.readList(ctx, red.full)
 			if ctx.Err() != nil {
 				return nil
 			}
@@ -27,17 +32,20 @@
 			case errors.Is(err, platform.ErrCompacted):
 				continue
 			case err != nil:
-				sleepContext(ctx, storeRetryPause)
+				sleepContext(ctx, dmn.retryPause(state.topic, state.failures))
+				continue
+			}
+			asked = time.Time{}
+			if dmn.publishDigests(ctx) {
 				continue
 			}
-			dmn.publishDigests(ctx)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(dmn.paces.list.ReadInterval):
-			asked = false
+		case <-time.After(pause):
+		case <-dmn.listGapNoted:
 		case <-dmn.listReadRequested:
-			asked = true
+			asked = dmn.now()
 		}
 	}
 	return nil
@@ -54,15 +62,11 @@
 // readerDuty is the name by which the elector ranks the instances for reading the list.
 const readerDuty = "servers"
 
-// listReadDue reports whether this instance has to read the list now.
-func (dmn *Daemon) listReadDue() bool {
-	now := dmn.beginEvent()
-	defer dmn.endEvent(now)
-	return dmn.follower.ReadDue(now, dmn.readerRank())
-}
-
 // readServerList reads the list from the offset that is known here, or in full if none is. After compaction the next read is a full one.
-func (dmn *Daemon) readServerList(ctx context.Context) error {
+func (dmn *Daemon) readServerList(ctx context.Context) error { return dmn.readList(ctx, false) }
+
+// readList is readServerList, or a full read in any case if full is set.
+func (dmn *Daemon) readList(ctx context.Context, full bool) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	dmn.mu.Lock()
@@ -71,7 +75,7 @@
 	dmn.cnt.storeReads.Add(1)
 	dmn.cnt.listReads.Add(1)
 	began := dmn.now()
-	if from < 0 {
+	if from < 0 || full {
 		snp, err := dmn.prm.Store.Newest(ctx, platform.ServersTopic)
 		if err == nil {
 			dmn.applyFullListing(began, snp)
@@ -101,7 +105,8 @@
 func (dmn *Daemon) applyFullListing(began time.Time, snp platform.Snapshot) {
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
-	dmn.listReadAt, dmn.knownAt = began, began
+	dmn.listReadAt, dmn.knownAt, dmn.gap = began, began, false
+	dmn.limit.HandleFullRead(began, snp.Bytes, snp.Next)
 	dmn.coverage.HandleFullRead(now, snp.Next)
 	known, before := dmn.follower.Known(), dmn.follower.KnownTo()
 	continued := dmn.follower.HandleRereading(snp.Next, snp.End)
@@ -141,6 +146,9 @@
 		dmn.listReadAt, dmn.knownAt = began, began
 		dmn.coverage.HandleRead(now)
 	}
+	dmn.gap = false
+	dmn.limit.HandleRecords(len(chk.Records), recordSize(chk.Records))
+	dmn.limit.HandleEnd(began, chk.End)
 	known := dmn.follower.HandleRead(from, chk.Next)
 	if dmn.coverage.HandleKnown(now, chk.Next) {
 		dmn.noteListComplete(fromStore, chk.Next)
@@ -196,9 +204,10 @@
 	chgs, follows := dmn.follower.HandleDigest(now, dig)
 	if !follows {
 		dmn.log.Info().Str("by", dig.Reader).Int64("from", dig.From).Int64("known", known).Msg("digest of the list of servers is missing")
-		dmn.requestListRead()
+		dmn.noteListGap()
 		return
 	}
+	dmn.gap = false
 	if dig.To > known {
 		dmn.changesFromPeer = dmn.changesFromPeer && len(chgs) == 0
 		dmn.applyChanges(now, dig, known, chgs)
@@ -227,33 +236,41 @@
 	}
 }
 
-// publishDigests writes the changes that this instance has read to the store for the others, if it is the reader.
-func (dmn *Daemon) publishDigests(ctx context.Context) {
+// publishDigests writes the changes that this instance has read to the store for the others, if it is the reader. Where reads are limited, it
+// writes no more than all instances can read, for as long as the next read of the list may wait, and returns whether it has more to write after that.
+func (dmn *Daemon) publishDigests(ctx context.Context) (more bool) {
 	now := dmn.beginEvent()
-	digs := dmn.follower.PendingDigests(now, dmn.readerRank())
+	digs := dmn.pendingDigests(now)
 	dmn.endEvent(now)
 	for idx := range digs {
-		if err := dmn.publishDigest(ctx, &digs[idx]); err != nil {
+		size, err := dmn.publishDigest(ctx, &digs[idx])
+		if err != nil {
 			dmn.log.Warn().Err(err).Msg("digest of the list of servers is not written; retrying after the next read")
-			return
+			return false
 		}
 		dmn.mu.Lock()
 		dmn.follower.HandlePublished(now, &digs[idx])
 		dmn.mu.Unlock()
+		if pause := dmn.digestPause(size); pause > 0 && idx+1 < len(digs) {
+			if !sleepContext(ctx, pause) || dmn.now().Sub(now) > dmn.paces.list.ReadInterval {
+				return true
+			}
+		}
 	}
+	return false
 }
 
-// publishDigest appends a digest to the store.
-func (dmn *Daemon) publishDigest(ctx context.Context, dig *serverlist.Digest) error {
+// publishDigest appends a digest to the store and returns its size in bytes.
+func (dmn *Daemon) publishDigest(ctx context.Context, dig *serverlist.Digest) (int, error) {
 	data, err := platform.EncodeDigest(dig)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	dmn.cnt.digests.Add(1)
 	_, err = dmn.prm.Store.Append(ctx, platform.ServerDigestsTopic, platform.Record{Key: platform.ServerDigestsKey, Value: data})
-	return err
+	return len(data), err
 }
 
 // requestListRead has followServerList read the list at once. It doesn't block.
--- a/internal/process/daemon/storepace.go
+++ b/internal/process/daemon/storepace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strconv"
 	"time"
 
 	"chestnutstack/internal/version/serverlist"
@@ -27,3 +28,30 @@
 		digestWait: drain / 2, configurationWait: cmp.Or(set.ConfigurationBound, usualBound) / 2,
 	}
 }
+
+const (
+	// firstRetryPause is the pause after the first failed call to the store; after each further one it doubles, up to maxRetryPause. The store allows all
+	// instances together 600 writes and 2,000 reads a second.
+	firstRetryPause = 200 * time.Millisecond
+	maxRetryPause   = 800 * time.Millisecond
+)
+
+// retryPause returns the pause after so many failed calls about a topic, one after the other. From the second one on it differs by half either way
+// between instances, so that they don't all call again at the same moments.
+func (dmn *Daemon) retryPause(tpc platform.Topic, failures int) time.Duration {
+	return storeRetryPause(dmn.prm.Settings.Instance+" "+string(tpc), failures)
+}
+
+// storeRetryPause is retryPause for a caller by its name.
+func storeRetryPause(caller string, failures int) time.Duration {
+	if failures <= 1 {
+		return firstRetryPause
+	}
+	pause := firstRetryPause
+	for range failures - 1 {
+		if pause = min(2*pause, maxRetryPause); pause == maxRetryPause {
+			break
+		}
+	}
+	return time.Duration((0.5 + hashPosition(caller+" "+strconv.Itoa(failures))) * float64(pause))
+}
--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -47,6 +47,8 @@
 	serverSizes []int64
 	// bound is the platform's bound for configurations and leaving servers; 0 if the settings tell none.
 	bound time.Duration
+	// storeReadBytes is what the store reads a second, by the settings of each instance; 0 if they tell none.
+	storeReadBytes int64
 	// hidesIncarnations is set if the backend servers don't tell their incarnations.
 	hidesIncarnations bool
 	// services are the services of backend servers whose tasks are not of the usual one.
@@ -232,7 +234,7 @@
 			Instance: name, FailureDomain: domain, FailureDomains: sys.domains, CallerAddress: host + ":1", ReadyAddress: host + ":2",
 			PeerAddress: host + ":3", MetricsAddress: host + ":4", Processor: 0.4,
 			StopTimeout: 6 * time.Second, MemoryBytes: 1 << 28, LinkBytes: int64(sys.linkBytes),
-			ConfigurationBound: sys.bound, DrainBound: sys.bound, Features: shard.AllFeatures(),
+			ConfigurationBound: sys.bound, DrainBound: sys.bound, StoreReadBytes: sys.storeReadBytes, Features: shard.AllFeatures(),
 		},
 		Store:   platform.NewStore(client(&cnt.traffic.store), storeHost+":1"),
 		Servers: platform.NewServers(client(&cnt.traffic.servers)), Counters: cnt,
--- a/internal/version/serverlist/follower.go
+++ b/internal/version/serverlist/follower.go
@@ -51,7 +51,10 @@
 	rereadTo, rereadOffset, rereadLimit int64
 	// lastDigestAt is when the last digest came from another reader that keeps up with the list, at first when the follower was made.
 	// othersRead is the offset before which such readers have read the list; prevNext is the value of next before the last own read.
-	lastDigestAt         time.Time
+	lastDigestAt time.Time
+	// progressAt is when a digest of another reader last went on from its digests before, whether that one keeps up or not; progressTo is where it ended.
+	progressAt           time.Time
+	progressTo           int64
 	othersRead, prevNext int64
 	// digestedTo is the offset before which all records are in digests. It is unknown after a full read, whose pages are read at
 	// different times, until the records written meanwhile have been read again.
@@ -63,7 +66,7 @@
 
 // NewFollower returns a follower that knows nothing of the list yet.
 func NewFollower(cfg Config, now time.Time) *Follower {
-	return &Follower{cfg: cfg, next: unknown, digestedTo: unknown, lastDigestAt: now}
+	return &Follower{cfg: cfg, next: unknown, digestedTo: unknown, lastDigestAt: now, progressAt: now}
 }
 
 // NextOffset returns the offset from which the list is to be read on, negative if it is to be read in full.
@@ -97,6 +100,9 @@
 	fol.fullReadTo = end
 	if !fol.compacted || next <= fol.next || fol.digestedTo == unknown {
 		fol.HandleFullRead(next)
+		if next == end {
+			fol.digestedTo = next // Nothing was written during the read, so that a digest may go on from there.
+		}
 		return false
 	}
 	fol.prevNext, fol.rereadOffset, fol.rereadLimit, fol.rereadTo = fol.next, fol.next, next, end
@@ -123,6 +129,7 @@
 // HandleFullRead takes note of a full read, after which the list goes on at offset next.
 func (fol *Follower) HandleFullRead(next int64) {
 	fol.next, fol.compacted, fol.digestedTo, fol.changes, fol.othersRead, fol.rereadTo = next, false, unknown, nil, 0, 0
+	fol.progressTo = 0
 }
 
 // HandleRead takes note of a read of the list from one offset up to another and returns how many of the first of its records were known
@@ -221,11 +228,17 @@
 // noteOtherReader takes note that another instance reads the list and keeps up with it. Digests that bring nothing new count too: of
 // two instances that read at the same moments neither would get new records from the other, and both would go on reading for ever.
 func (fol *Follower) noteOtherReader(now time.Time, dig *Digest) {
+	if dig.Reader != fol.cfg.Self && dig.To > fol.progressTo {
+		fol.progressAt, fol.progressTo = now, dig.To
+	}
 	if dig.Reader != fol.cfg.Self && dig.To > fol.othersRead && dig.To >= fol.prevNext {
 		fol.lastDigestAt, fol.othersRead = now, dig.To
 	}
 }
 
+// ProgressAt returns when the digests of another reader last went on, whether that one keeps up with the list or not.
+func (fol *Follower) ProgressAt() time.Time { return fol.progressAt }
+
 // ReadDue reports whether the instance is to read the list itself: as the first reader, as it knows nothing of the list, or as no
 // digest came for DigestTimeout. rank is the own place, 0 for the first, in the order of readers.
 func (fol *Follower) ReadDue(now time.Time, rank int) bool {
@@ -235,7 +248,18 @@
 // PendingDigests returns the digests that the instance is to write now: none unless it is the first reader or its turn to replace a
 // silent one, and without changes at most one each IdleInterval. rank is the own place, 0 for the first, in the order of readers.
 func (fol *Follower) PendingDigests(now time.Time, rank int) []Digest {
-	late := now.Sub(fol.lastDigestAt) - fol.cfg.DigestTimeout - time.Duration(rank)*fol.cfg.SubstituteDelay
+	return fol.pendingDigests(now, rank, maxChanges, fol.lastDigestAt)
+}
+
+// PendingPacedDigests is PendingDigests with at most limit changes in each digest, where a reader that has many changes to write falls behind: others
+// replace it only once it writes nothing.
+func (fol *Follower) PendingPacedDigests(now time.Time, rank, limit int) []Digest {
+	return fol.pendingDigests(now, rank, limit, fol.progressAt)
+}
+
+// pendingDigests is PendingDigests with at most limit changes in each digest, if the last digest of another reader came at a time.
+func (fol *Follower) pendingDigests(now time.Time, rank, limit int, last time.Time) []Digest {
+	late := now.Sub(last) - fol.cfg.DigestTimeout - time.Duration(rank)*fol.cfg.SubstituteDelay
 	if rank > 0 && (rank > maxSubstitutes || late <= 0) || fol.digestedTo == unknown || fol.digestedTo == fol.next {
 		return nil
 	}
@@ -255,7 +279,7 @@
 		fol.stopDigests() // A part of a full read is of no use: its offsets don't tell what the parts before it have.
 		return nil
 	}
-	return dig.split(maxChanges)
+	return dig.split(limit)
 }
 
 // anyChange reports whether a change before the next offset is to be published.
--- /dev/null
+++ b/internal/version/serverlist/readlimit.go
@@ -0,0 +1,309 @@
+package serverlist
+
+import (
+	"cmp"
+	"time"
+)
+
+// ReadLimit decides when an instance may read the list itself, so that the reads of all instances together take at most half of what the store reads a
+// second. Without it hundreds of instances that get no digests would read more than the store can, and nobody, the writer of the digests
+// included, would read anything. Where the reads of all instances fit, every read is allowed at once. It is not safe for concurrent use.
+type ReadLimit struct {
+	cfg ReadLimitConfig
+	// position is the own place, from 0 up to but without 1, among instances that do the same.
+	position float64
+	// startedAt is when the instance started; listed is the number of instances in the list of instances, 0 until that was read at listedAt.
+	startedAt, listedAt time.Time
+	listed              int
+	// starters is the number of instances over which first reads are spread, fixed at the first decision; 0 before.
+	starters int
+	// own is the size of the list as this instance has measured it, reported as others have.
+	own, reported ListSize
+	// From windowAt on, when the list ended at windowTo, its records are counted; recordBytes is the size of one.
+	windowAt    time.Time
+	windowTo    int64
+	recordBytes float64
+	// active is set while reads are limited.
+	active bool
+	// lateReadAt is when an instance that was to wait for its turn has last read the list.
+	lateReadAt time.Time
+}
+
+// ReadLimitConfig has what a ReadLimit goes by.
+type ReadLimitConfig struct {
+	// StoreBytes is what the store reads a second for all instances together; 0 if that is unknown, and nothing is limited.
+	StoreBytes int64
+	// DigestTimeout is as in Config.
+	DigestTimeout time.Duration
+}
+
+// ListSize is what reading the list takes.
+type ListSize struct {
+	// Full is the size of a full read in bytes, PerSecond what is written to the list in a second; 0 if unknown.
+	Full, PerSecond int64
+}
+
+// Problem describes what is wrong with a size that another instance has sent, or returns "".
+func (siz ListSize) Problem() string {
+	if siz.Full < 0 || siz.PerSecond < 0 || siz.Full > maxListBytes || siz.PerSecond > maxListBytes {
+		return "it is negative or larger than any list"
+	}
+	return ""
+}
+
+// ReadState is what an instance knows when it is to decide on a read.
+type ReadState struct {
+	// Rank is the own place, 0 for the first, in the order of readers among the instances that are heard; Heard is the number of the others, and Knowing
+	// that of those which know the list.
+	Rank, Heard, Knowing int
+	// Known is set once the list was read; KnownAt is when it was last as it is known here. Gap is set if a part is missing, so that digests don't help;
+	// ProgressAt is when the digests of another reader last went on.
+	Known, Gap          bool
+	KnownAt, ProgressAt time.Time
+	// Asked is since when a leader has waited for a read, zero if none does. Failures is how many reads have failed, one after the other, by now.
+	Asked    time.Time
+	Failures int
+}
+
+const (
+	// The list is assumed to have serversPerInstance servers for each instance, of fullRecordBytes in a full read and logRecordBytes in the log, each
+	// written once in heartbeatTime, until its size is known.
+	serversPerInstance = 10
+	fullRecordBytes    = 300
+	logRecordBytes     = 150
+	heartbeatTime      = 1500 * time.Millisecond
+	// readShare is by how much the store's rate is divided for the first reads of all instances together, or all their later reads. Half of the latter is
+	// for the first readers, half for those that wait for their turn; digests take as much, as they come when the others don't.
+	readShare = 2
+	// digestSpread is the time in which all instances may read one digest, and digestChangeBytes the size of one change in it.
+	digestSpread      = 300 * time.Millisecond
+	digestChangeBytes = 250
+	minDigestChanges  = 10
+	// settleTime is how long after its start an instance may hear too few of the others to count them.
+	settleTime = 3 * time.Second
+	// massStartTime is how long after the start of an instance many others may have started with it, each of which takes shards over: their leaders' reads
+	// are spread, too.
+	massStartTime = 10 * time.Second
+	// listedTimeout is how long the first read waits for the list of instances; listedPoll is the pause between two looks.
+	listedTimeout = 2 * time.Second
+	listedPoll    = 10 * time.Millisecond
+	// measureTime is the least time over which the bytes a second of the list are measured; a new measurement counts with measureWeight.
+	// What was measured longer than measureAge ago isn't used any more.
+	measureTime   = time.Second
+	measureWeight = 0.3
+	measureAge    = 10 * time.Second
+	// releaseShare is the part of their share below which reads are no longer limited.
+	releaseShare = 0.8
+	// maxHalvings is enough to leave one reader of any number.
+	maxHalvings = 20
+	// maxListBytes is more than any list has: a hundred times that of 3,000 servers.
+	maxListBytes = 100 << 20
+)
+
+// NewReadLimit returns the limit of an instance that starts now.
+func NewReadLimit(cfg ReadLimitConfig, now time.Time) *ReadLimit {
+	return &ReadLimit{cfg: cfg, startedAt: now}
+}
+
+// SetPosition sets the own place, from 0 up to but without 1, among instances that do the same: different for each, and lowest for the first reader.
+func (lim *ReadLimit) SetPosition(position float64) { lim.position = position }
+
+// HandleInstances takes note that the list of instances has so many of them.
+func (lim *ReadLimit) HandleInstances(now time.Time, num int) {
+	if lim.listed == 0 {
+		lim.listedAt = now
+	}
+	lim.listed = max(lim.listed, num)
+}
+
+// HandleReport takes note of the size of the list that another instance has sent.
+func (lim *ReadLimit) HandleReport(siz ListSize) {
+	if siz.Full > 0 {
+		lim.reported.Full = siz.Full
+	}
+	if siz.PerSecond > 0 {
+		lim.reported.PerSecond = siz.PerSecond
+	}
+}
+
+// HandleFullRead takes note of a full read of so many bytes, begun at a time, after which the list goes on at offset next.
+func (lim *ReadLimit) HandleFullRead(began time.Time, bytes, next int64) {
+	lim.own.Full = bytes
+	lim.windowAt, lim.windowTo = began, next
+}
+
+// HandleRecords takes note of the size of records that were read.
+func (lim *ReadLimit) HandleRecords(records int, bytes int64) {
+	if records > 0 {
+		lim.recordBytes = float64(bytes) / float64(records)
+	}
+}
+
+// HandleEnd takes note that the list ended at an offset when a read of it began.
+func (lim *ReadLimit) HandleEnd(began time.Time, end int64) {
+	took := began.Sub(lim.windowAt)
+	if lim.windowAt.IsZero() || took > measureAge || end < lim.windowTo {
+		lim.windowAt, lim.windowTo = began, end
+		return
+	}
+	if took < measureTime {
+		return
+	}
+	bytes := lim.recordBytes
+	if bytes == 0 {
+		bytes = logRecordBytes
+	}
+	rate := float64(end-lim.windowTo) * bytes / took.Seconds()
+	if lim.own.PerSecond > 0 {
+		rate = measureWeight*rate + (1-measureWeight)*float64(lim.own.PerSecond)
+	}
+	lim.own.PerSecond = int64(rate)
+	lim.windowAt, lim.windowTo = began, end
+}
+
+// Size returns what this instance has measured of the list.
+func (lim *ReadLimit) Size() ListSize { return lim.own }
+
+// size returns the size of the list as measured here, else as reported, else as assumed for so many instances.
+func (lim *ReadLimit) size(instances int) ListSize {
+	servers := int64(serversPerInstance * instances)
+	siz := ListSize{Full: servers * fullRecordBytes, PerSecond: int64(float64(servers*logRecordBytes) / heartbeatTime.Seconds())}
+	siz.Full = cmp.Or(lim.own.Full, lim.reported.Full, siz.Full)
+	siz.PerSecond = cmp.Or(lim.own.PerSecond, lim.reported.PerSecond, siz.PerSecond)
+	return siz
+}
+
+// instances returns how many instances there are, by those that are heard and, just after the start, by those that are listed.
+func (lim *ReadLimit) instances(now time.Time, heard int) int {
+	if now.Sub(lim.startedAt) < settleTime {
+		return max(lim.listed, heard+1)
+	}
+	return heard + 1
+}
+
+// Limits are the figures by which reads are limited.
+type Limits struct {
+	// Active is set if the reads of all instances don't fit into their share of the store's rate.
+	Active bool
+	// Instances is their number; the first Readers of them read without waiting.
+	Instances, Readers int
+	// ListBytes is what is written to the list in a second, ShareBytes the share of the store's rate.
+	ListBytes, ShareBytes int64
+}
+
+// Limits returns the figures by which reads are limited while so many other instances are heard.
+func (lim *ReadLimit) Limits(now time.Time, heard int) Limits {
+	if now.Sub(lim.windowAt) > measureAge {
+		lim.own.PerSecond = 0 // Others read the list.
+	}
+	num := lim.instances(now, heard)
+	lms := Limits{Instances: num, Readers: num, ListBytes: lim.size(num).PerSecond, ShareBytes: lim.cfg.StoreBytes / readShare}
+	most := lms.ShareBytes
+	if lim.active {
+		most = int64(releaseShare * float64(most))
+	}
+	lim.active = most > 0 && int64(num)*lms.ListBytes > most
+	if lim.active {
+		lms.Active, lms.Readers = true, int(max(1, lms.ShareBytes/2/lms.ListBytes))
+	}
+	return lms
+}
+
+// Wait returns how long an instance is to wait before it reads the list, as far as that is known now; 0 if it may read at once.
+func (lim *ReadLimit) Wait(now time.Time, sta ReadState) time.Duration {
+	switch {
+	case lim.cfg.StoreBytes <= 0:
+		return 0
+	case !sta.Known:
+		return lim.firstWait(now, sta)
+	}
+	lms := lim.Limits(now, sta.Heard)
+	rnk := sta.Rank
+	if 2*(sta.Heard+1) < lms.Instances {
+		rnk = int(lim.position * float64(lms.Instances)) // The rank says little yet.
+	}
+	// After a failure, fewer try again: the store has more to read than it can.
+	if !lms.Active || rnk < max(1, lms.Readers>>min(sta.Failures, maxHalvings)) {
+		return 0
+	}
+	if !sta.Asked.IsZero() && sta.Failures == 0 {
+		return lim.askedWait(now, sta, lms)
+	}
+	// The turns of all instances are spread over the time in which that many full reads fit into half of the share.
+	full := lim.size(lms.Instances).Full
+	turn := spreadTime(lms.Instances, full, lms.ShareBytes/2)
+	pause := spreadTime(rnk+1-lms.Readers, full, lms.ShareBytes/2)
+	news := sta.KnownAt
+	if !sta.Gap && sta.ProgressAt.After(news) {
+		news = sta.ProgressAt
+	}
+	due := news.Add(lim.cfg.DigestTimeout + pause)
+	if next := lim.lateReadAt.Add(turn); !lim.lateReadAt.IsZero() && next.After(due) {
+		due = next
+	}
+	return max(0, due.Sub(now))
+}
+
+// askedWait returns how long a read for which a leader waits is put off: not at all, unless many instances have started at once.
+func (lim *ReadLimit) askedWait(now time.Time, sta ReadState, lms Limits) time.Duration {
+	if now.Sub(lim.startedAt) > massStartTime {
+		return 0
+	}
+	lacking := int64(float64(lms.ListBytes) * now.Sub(sta.KnownAt).Seconds())
+	slot := time.Duration(lim.position * float64(spreadTime(lms.Instances, lacking, lms.ShareBytes/2)))
+	return max(0, sta.Asked.Add(slot).Sub(now))
+}
+
+// HandleRead takes note that the instance reads the list now, and returns whether it is to read it in full, as the records that it lacks are more.
+func (lim *ReadLimit) HandleRead(now time.Time, sta ReadState) (full bool) {
+	lms := lim.Limits(now, sta.Heard)
+	if !lms.Active || !sta.Known || sta.Rank < lms.Readers {
+		return false
+	}
+	lim.lateReadAt = now
+	return float64(lms.ListBytes)*now.Sub(sta.KnownAt).Seconds() > float64(lim.size(lms.Instances).Full)
+}
+
+// firstWait returns how long the first read is to wait. Instances that start at once read one after the other; one that starts alone, as most others
+// know the list, reads at once.
+func (lim *ReadLimit) firstWait(now time.Time, sta ReadState) time.Duration {
+	if lim.listed == 0 && now.Sub(lim.startedAt) < listedTimeout {
+		return listedPoll
+	}
+	num := max(lim.listed, sta.Heard+1)
+	share := lim.cfg.StoreBytes / readShare
+	full := lim.size(num).Full
+	if starting := num - sta.Knowing; int64(starting)*full <= share {
+		return 0
+	}
+	if lim.starters == 0 {
+		lim.starters = num
+	}
+	slot := time.Duration(lim.position * float64(spreadTime(lim.starters, full, share)))
+	return max(0, lim.listedAt.Add(slot).Sub(now))
+}
+
+// DigestPause returns how long the writer of a digest is to wait before the next one, so that all instances have read it with their share of the store's
+// rate.
+func (lim *ReadLimit) DigestPause(now time.Time, heard, bytes int) time.Duration {
+	lms := lim.Limits(now, heard)
+	if !lms.Active {
+		return 0
+	}
+	return spreadTime(lms.Instances, int64(bytes), lms.ShareBytes/2)
+}
+
+// DigestChanges returns how many changes a digest may have; limited is false if reads are not limited.
+func (lim *ReadLimit) DigestChanges(now time.Time, heard int) (num int, limited bool) {
+	lms := lim.Limits(now, heard)
+	if !lms.Active {
+		return maxChanges, false
+	}
+	bytes := float64(lms.ShareBytes/2) * digestSpread.Seconds() / float64(lms.Instances)
+	return min(maxChanges, max(minDigestChanges, int(bytes/digestChangeBytes))), true
+}
+
+// spreadTime returns the time in which so many reads of a size take bytesPerSecond.
+func spreadTime(reads int, size, bytesPerSecond int64) time.Duration {
+	return time.Duration(float64(reads) * float64(size) / float64(max(1, bytesPerSecond)) * float64(time.Second))
+}
