Pass the whole list of servers on to instances that wait for their turn

After all instances of a system of hundreds were restarted, the last of them read the list 6 s later, as first reads are spread: until then it leads nothing and serves nobody. An instance whose read of the list is put off, because it has just started or lacks a part that digests don't bring, now says so in its heartbeat (Beat 15); its neighbours send it the list, compressed (Message 10), and others follow in turns. It proves nothing to a leader that needs a read of its own. Instances of earlier versions never ask, and ignore the message.

Also: a reader that is ahead of the digests doesn't write again what they have (a new reader wrote 600 changes anew); digests are followed only once the list is known; the size of the list follows the number of servers, not the first read, which may have found few; leaders' reads after a start of many are spread over their own share.

Tries that failed: late readers that count a read for a leader as their turn (then 12 s without the list after its history was compacted).

--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -99,7 +99,7 @@
 func (nod *node) Heartbeat() mesh.Heartbeat {
 	return mesh.Heartbeat{Domain: "a", Processor: 0.4, Ready: true, TokenRound: 7, Divisions: map[string]shard.Division{
 		"a": {Count: 2, Stamp: 1},
-	}, ClosedDomains: domainlist.View{End: 4, Closed: []string{"b", "c"}}, CompleteUpTo: 5, ListOffset: 6, ListBytes: 11, ListRate: 12, Leaderships: []mesh.Leadership{
+	}, ClosedDomains: domainlist.View{End: 4, Closed: []string{"b", "c"}}, CompleteUpTo: 5, ListOffset: 6, ListBytes: 11, ListRate: 12, WantsList: true, Leaderships: []mesh.Leadership{
 		{Shard: "a.0", Token: 8, Load: shard.Load{Number: 9, Free: []int64{14000, 28000}, FreeMemory: []int64{64, 0}}},
 	}}
 }
@@ -113,7 +113,7 @@
 			nod.got = append(nod.got, can.Task)
 		}
 	}
-	if len(hbt.Leaderships) != 1 || !slices.Equal(hbt.Leaderships[0].Load.FreeMemory, []int64{64, 0}) || hbt.CompleteUpTo != 5 || hbt.ListOffset != 6 || hbt.ListBytes != 11 || hbt.ListRate != 12 || hbt.TokenRound != 7 || hbt.Processor != 0.4 || hbt.Divisions["a"].Count != 2 ||
+	if len(hbt.Leaderships) != 1 || !slices.Equal(hbt.Leaderships[0].Load.FreeMemory, []int64{64, 0}) || hbt.CompleteUpTo != 5 || hbt.ListOffset != 6 || hbt.ListBytes != 11 || hbt.ListRate != 12 || !hbt.WantsList || hbt.TokenRound != 7 || hbt.Processor != 0.4 || hbt.Divisions["a"].Count != 2 ||
 		hbt.ClosedDomains.End != 4 || !slices.Equal(hbt.ClosedDomains.Closed, []string{"b", "c"}) {
 		nod.got = append(nod.got, "heartbeat is garbled")
 	}
--- a/internal/connection/mesh/types.go
+++ b/internal/connection/mesh/types.go
@@ -38,9 +38,11 @@
 	// ListBytes is the size of a full read of that list, ListRate what is written to it in a second, in bytes as the instance has measured them; 0 if
 	// it has not.
 	ListBytes, ListRate int64
+	// WantsList is set while the instance knows nothing of the list and waits for its turn to read it.
+	WantsList bool
 }
 
-// Message is sent from one instance to another: Order, Cancellation, Report, Configuration, ServerChanges or LossNotice.
+// Message is sent from one instance to another: Order, Cancellation, Report, Configuration, ServerChanges, ServerList or LossNotice.
 type Message interface{ message() }
 
 // Order asks the leader of a shard to run a task.
@@ -65,6 +67,9 @@
 // Configuration passes on the record of a configuration, as the platform publishes it.
 type Configuration struct{ Data []byte }
 
+// ServerList passes on the whole list of backend servers to an instance that has never read it, encoded.
+type ServerList struct{ Data []byte }
+
 // ServerChanges passes on changes of the list of backend servers that the receiver lacks, encoded as a digest.
 type ServerChanges struct{ Data []byte }
 
@@ -77,6 +82,7 @@
 func (Report) message()        {}
 func (Configuration) message() {}
 func (ServerChanges) message() {}
+func (ServerList) message()    {}
 
 // Handler handles what arrives from other instances. Its methods are called one at a time for each instance.
 type Handler interface {
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -42,7 +42,7 @@
 	msg := &meshpb.Beat{
 		Domain: hbt.Domain, Processor: int64(hbt.Processor * milli), Ready: hbt.Ready, Stopping: hbt.Stopping, Leaving: hbt.Leaving,
 		Version: hbt.ConfigVersion, Round: hbt.TokenRound, ListedTo: hbt.CompleteUpTo, ListOffset: hbt.ListOffset,
-		ListBytes: hbt.ListBytes, ListRate: hbt.ListRate,
+		ListBytes: hbt.ListBytes, ListRate: hbt.ListRate, WantsList: hbt.WantsList,
 	}
 	for dom, dvn := range hbt.Divisions {
 		msg.Divisions = append(msg.Divisions, &meshpb.Division{Domain: dom, Count: int64(dvn.Count), Stamp: dvn.Stamp})
@@ -67,7 +67,7 @@
 		Stopping: msg.GetStopping(), Leaving: msg.GetLeaving(), ConfigVersion: msg.GetVersion(), TokenRound: msg.GetRound(),
 		Divisions:     make(map[string]shard.Division, len(msg.GetDivisions())),
 		ClosedDomains: domainlist.View{End: domainlist.Unread}, CompleteUpTo: msg.GetListedTo(), ListOffset: msg.GetListOffset(),
-		ListBytes: msg.GetListBytes(), ListRate: msg.GetListRate(),
+		ListBytes: msg.GetListBytes(), ListRate: msg.GetListRate(), WantsList: msg.GetWantsList(),
 	}
 	if cld := msg.GetClosedDomains(); cld != nil {
 		hbt.ClosedDomains = domainlist.View{End: cld.GetEnd(), Closed: cld.GetNames()}
@@ -121,6 +121,8 @@
 		}}})
 	case ServerChanges:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_ServerChanges{ServerChanges: msg.Data}})
+	case ServerList:
+		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_ServerList{ServerList: msg.Data}})
 	case Configuration:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Configuration{Configuration: msg.Data}})
 	}
@@ -180,6 +182,8 @@
 			msgs = append(msgs, LossNotice{Instance: ID(bdy.Missed.GetName(), bdy.Missed.GetLife())})
 		case *meshpb.Message_ServerChanges:
 			msgs = append(msgs, ServerChanges{Data: bdy.ServerChanges})
+		case *meshpb.Message_ServerList:
+			msgs = append(msgs, ServerList{Data: bdy.ServerList})
 		case *meshpb.Message_Configuration:
 			msgs = append(msgs, Configuration{Data: bdy.Configuration})
 		}
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -37,7 +37,7 @@
 // counters are the metrics of a daemon: monotonic counters, except those that are described as gauges.
 type counters struct {
 	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses,
-	configsSent, changesSent, roomChanges, listReadsDeferred atomic.Int64
+	configsSent, changesSent, roomChanges, listReadsDeferred, listsSent atomic.Int64
 	// closedDomains and closedRuns are gauges: the failure domains that are closed to new work, and the runs that this instance leads there.
 	closedDomains, closedRuns atomic.Int64
 	// overfullServers and listAge are gauges: the servers led here whose runs need more than their room, and how old the known list of
@@ -117,6 +117,7 @@
 		line("store-reads", cnt.storeReads.Load())
 		line("list-reads", cnt.listReads.Load())
 		line("list-reads-put-off", cnt.listReadsDeferred.Load())
+		line("lists-sent", cnt.listsSent.Load())
 		line("list-bytes-a-second", cnt.listBytes.Load())
 		line("list-digests-written", cnt.digests.Load())
 		line("list-digests-refused", cnt.badDigests.Load())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -135,6 +135,7 @@
 	configSentAt, firstHeardAt map[shard.InstanceID]time.Time
 	listNews
 	listLimit
+	wholeLists
 	// localActions are pending actions addressed to this instance itself.
 	localActions []func(now time.Time)
 
@@ -158,6 +159,7 @@
 		configSentAt: map[shard.InstanceID]time.Time{}, firstHeardAt: map[shard.InstanceID]time.Time{},
 		listNews:     newListNews(),
 		listLimit:    newListLimit(&prm.Settings, &pcs, prm.Now()),
+		wholeLists:   newWholeLists(),
 		reachability: map[shard.Name]*succession.Reachability{}, openOrdersWith: map[shard.InstanceID]bool{},
 		follower:          serverlist.NewFollower(pcs.list, prm.Now()),
 		coverage:          serverlist.NewCoverage(serverlist.CoverageConfig{RecoveryTime: recoveryTime + pcs.list.ReadInterval, MaxUnlisted: maxUnlisted}),
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -27,7 +27,7 @@
 		bet.ListOffset = dmn.follower.KnownTo()
 	}
 	siz := dmn.limit.Size()
-	bet.ListBytes, bet.ListRate = siz.Full, siz.PerSecond
+	bet.ListBytes, bet.ListRate, bet.WantsList = siz.Full, siz.PerSecond, dmn.wants && (dmn.gap || !dmn.follower.Known())
 	for name, ldr := range dmn.leaders {
 		// Capacity that has just become free is also in the report of the run's end, as the next heartbeat may be 400 ms away.
 		bet.Leaderships = append(bet.Leaderships, mesh.Leadership{Shard: name, Token: ldr.Token(), Load: ldr.Load(now)})
@@ -86,6 +86,9 @@
 		dmn.sendConfiguration(now, from, *data)
 	}
 	dmn.sendServerChanges(now, from, bet.ListOffset)
+	if bet.WantsList {
+		dmn.sendWholeList(now, from, bet.ListOffset)
+	}
 }
 
 // sendConfiguration sends a configuration to an instance with an older one, as the store may be out of its reach.
@@ -138,6 +141,12 @@
 		dmn.suspectPeer(from, msg.Instance)
 	case mesh.ServerChanges:
 		dmn.handleServerChanges(now, from, msg.Data)
+	case mesh.ServerList:
+		// In the background, as it takes some milliseconds and the lock that is held here.
+		dmn.group.Go(func() error {
+			dmn.handleServerList(from, msg.Data)
+			return nil
+		})
 	case mesh.Configuration:
 		// In the background, as it takes the lock that is held here.
 		dmn.group.Go(func() error {
@@ -185,6 +194,7 @@
 	delete(dmn.configSentAt, id)
 	delete(dmn.changesSentAt, id)
 	delete(dmn.knowing, id)
+	delete(dmn.listSentAt, id)
 	dmn.elector.HandleInstanceLost(now, id, cau.IsSilence())
 	for name, ldr := range dmn.leaders {
 		dmn.runLeaderActions(name, ldr.HandleOwnerLost(now, id))
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -105,8 +105,17 @@
 func (dmn *Daemon) applyFullListing(began time.Time, snp platform.Snapshot) {
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
-	dmn.listReadAt, dmn.knownAt, dmn.gap = began, began, false
-	dmn.limit.HandleFullRead(began, snp.Bytes, snp.Next)
+	dmn.listReadAt = began
+	dmn.limit.HandleFullRead(began, len(snp.Records), snp.Bytes, snp.Next)
+	dmn.replaceList(now, &snp)
+	dmn.knownAt, dmn.changesFromPeer = began, false
+	dmn.log.Info().Int("servers", len(dmn.entries)).Int64("offset", snp.Next).Msg("backend servers read")
+	dmn.updateShards(now)
+}
+
+// replaceList replaces the known list by a full read of this or another instance; entries that it doesn't have are removed.
+func (dmn *Daemon) replaceList(now time.Time, snp *platform.Snapshot) {
+	dmn.gap = false
 	dmn.coverage.HandleFullRead(now, snp.Next)
 	known, before := dmn.follower.Known(), dmn.follower.KnownTo()
 	continued := dmn.follower.HandleRereading(snp.Next, snp.End)
@@ -130,11 +139,8 @@
 	} else {
 		dmn.recent.HandleFullRead(snp.End)
 	}
-	dmn.changesFromPeer = false
 	dmn.logRoomChanges(fromStore, dmn.unloggedChanges.rooms)
 	dmn.unloggedChanges = serverChanges{}
-	dmn.log.Info().Int("servers", len(dmn.entries)).Int64("offset", snp.Next).Msg("backend servers read")
-	dmn.updateShards(now)
 }
 
 // applyListChanges applies the records of the list from an offset on, of a read that began at a time, and keeps the changes for the next
--- a/internal/process/daemon/listlimit.go
+++ b/internal/process/daemon/listlimit.go
@@ -84,14 +84,18 @@
 func (dmn *Daemon) nextListRead(asked time.Time, failures int) (red listRead, ok bool) {
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
+	if dmn.follower.Known() {
+		dmn.limit.HandleServers(len(dmn.entries))
+	}
 	sta := dmn.listReadState()
 	sta.Asked, sta.Failures = asked, failures
 	dmn.noteListLimit(now, &sta)
 	if !dmn.gap && asked.IsZero() && !dmn.follower.ReadDue(now, dmn.readerRank()) {
-		dmn.deferred = false
+		dmn.deferred, dmn.wants = false, false
 		return listRead{}, false
 	}
 	red.wait = dmn.limit.Wait(now, sta)
+	dmn.wants = red.wait > 0 && (!sta.Known || dmn.gap)
 	if red.wait > 0 {
 		dmn.noteDeferredRead(now, &sta, red.wait)
 		return red, true
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -83,6 +83,7 @@
 		return
 	}
 	delete(dmn.entries, id)
+	dmn.keepRecord(string(id), nil)
 	if !old.Leaving {
 		old.Leaving = true // It gets no new task.
 		dmn.missing[id] = missingServer{ent: old, since: now}
@@ -118,6 +119,7 @@
 	if known && ent.Equal(&old) {
 		return false
 	}
+	dmn.keepRecord(rec.Key, rec.Value)
 	if known && (ent.Processor != old.Processor || ent.Memory != old.Memory) {
 		dmn.unloggedChanges.rooms = append(dmn.unloggedChanges.rooms, roomChange{former: old, now: ent})
 	}
--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -49,6 +49,8 @@
 	bound time.Duration
 	// storeReadBytes is what the store reads a second, by the settings of each instance; 0 if they tell none.
 	storeReadBytes int64
+	// refused has the names of instances to which the store answers 503.
+	refused map[string]bool
 	// hidesIncarnations is set if the backend servers don't tell their incarnations.
 	hidesIncarnations bool
 	// services are the services of backend servers whose tasks are not of the usual one.
@@ -236,7 +238,7 @@
 			StopTimeout: 6 * time.Second, MemoryBytes: 1 << 28, LinkBytes: int64(sys.linkBytes),
 			ConfigurationBound: sys.bound, DrainBound: sys.bound, StoreReadBytes: sys.storeReadBytes, Features: shard.AllFeatures(),
 		},
-		Store:   platform.NewStore(client(&cnt.traffic.store), storeHost+":1"),
+		Store:   platform.NewStore(sys.storeClient(name, client(&cnt.traffic.store)), storeHost+":1"),
 		Servers: platform.NewServers(client(&cnt.traffic.servers)), Counters: cnt,
 		Dial: sys.net.Dialer(host), Now: prc.now, Suspended: prc.suspended, Log: zerolog.New(sys).With().Str("instance", name).Logger(),
 	})
--- a/internal/version/serverlist/follower.go
+++ b/internal/version/serverlist/follower.go
@@ -179,6 +179,10 @@
 	if fol.next > before && fol.digestedTo != unknown && (fol.digestedTo >= fol.rereadTo || dig.To >= fol.rereadTo) {
 		fol.noteDigested(dig.To)
 	}
+	// A reader that is ahead of the digests doesn't write again what they have.
+	if fol.next == before && fol.digestedTo != unknown && !dig.Reread && dig.From <= fol.digestedTo && fol.digestedTo >= fol.rereadTo {
+		fol.noteDigested(min(dig.To, fol.next))
+	}
 	return chgs, true
 }
 
--- a/internal/version/serverlist/readlimit.go
+++ b/internal/version/serverlist/readlimit.go
@@ -23,6 +23,8 @@
 	windowAt    time.Time
 	windowTo    int64
 	recordBytes float64
+	// fullRecordBytes is the size of one record in a full read, 0 before the first one.
+	fullRecordBytes int64
 	// active is set while reads are limited.
 	active bool
 	// lateReadAt is when an instance that was to wait for its turn has last read the list.
@@ -66,15 +68,17 @@
 }
 
 const (
-	// The list is assumed to have serversPerInstance servers for each instance, of fullRecordBytes in a full read and logRecordBytes in the log, each
+	// The list is assumed to have serversPerInstance servers for each instance, of assumedFullBytes in a full read and assumedLogBytes in the log, each
 	// written once in heartbeatTime, until its size is known.
 	serversPerInstance = 10
-	fullRecordBytes    = 300
-	logRecordBytes     = 150
+	assumedFullBytes   = 300
+	assumedLogBytes    = 150
 	heartbeatTime      = 1500 * time.Millisecond
-	// readShare is by how much the store's rate is divided for the first reads of all instances together, or all their later reads. Half of the latter is
-	// for the first readers, half for those that wait for their turn; digests take as much, as they come when the others don't.
+	// The reads of all instances together may take a half of the store's rate: a quarter for the first readers, another one for those that wait for their
+	// turn, or for the first reads. Reads for leaders after a start of many take an eighth. Digests take a quarter, mostly while nobody else reads.
 	readShare = 2
+	turnShare = 2 * readShare
+	askShare  = 4 * readShare
 	// digestSpread is the time in which all instances may read one digest, and digestChangeBytes the size of one change in it.
 	digestSpread      = 300 * time.Millisecond
 	digestChangeBytes = 250
@@ -126,12 +130,26 @@
 	}
 }
 
-// HandleFullRead takes note of a full read of so many bytes, begun at a time, after which the list goes on at offset next.
-func (lim *ReadLimit) HandleFullRead(began time.Time, bytes, next int64) {
-	lim.own.Full = bytes
+// HandleFullRead takes note of a full read of records with so many bytes in all, begun at a time, after which the list goes on at offset next.
+func (lim *ReadLimit) HandleFullRead(began time.Time, records int, bytes, next int64) {
+	if records > 0 {
+		lim.fullRecordBytes = bytes / int64(records)
+	}
+	lim.HandleServers(records)
 	lim.windowAt, lim.windowTo = began, next
 }
 
+// HandlePeerList takes note that another instance has sent the list, of so many records, as it was before an offset.
+func (lim *ReadLimit) HandlePeerList(now time.Time, records int, to int64) {
+	lim.HandleServers(records)
+	lim.windowAt, lim.windowTo = now, to
+}
+
+// HandleServers takes note that the list has so many servers.
+func (lim *ReadLimit) HandleServers(num int) {
+	lim.own.Full = int64(num) * cmp.Or(lim.fullRecordBytes, assumedFullBytes)
+}
+
 // HandleRecords takes note of the size of records that were read.
 func (lim *ReadLimit) HandleRecords(records int, bytes int64) {
 	if records > 0 {
@@ -151,7 +169,7 @@
 	}
 	bytes := lim.recordBytes
 	if bytes == 0 {
-		bytes = logRecordBytes
+		bytes = assumedLogBytes
 	}
 	rate := float64(end-lim.windowTo) * bytes / took.Seconds()
 	if lim.own.PerSecond > 0 {
@@ -167,7 +185,7 @@
 // size returns the size of the list as measured here, else as reported, else as assumed for so many instances.
 func (lim *ReadLimit) size(instances int) ListSize {
 	servers := int64(serversPerInstance * instances)
-	siz := ListSize{Full: servers * fullRecordBytes, PerSecond: int64(float64(servers*logRecordBytes) / heartbeatTime.Seconds())}
+	siz := ListSize{Full: servers * assumedFullBytes, PerSecond: int64(float64(servers*assumedLogBytes) / heartbeatTime.Seconds())}
 	siz.Full = cmp.Or(lim.own.Full, lim.reported.Full, siz.Full)
 	siz.PerSecond = cmp.Or(lim.own.PerSecond, lim.reported.PerSecond, siz.PerSecond)
 	return siz
@@ -204,7 +222,7 @@
 	}
 	lim.active = most > 0 && int64(num)*lms.ListBytes > most
 	if lim.active {
-		lms.Active, lms.Readers = true, int(max(1, lms.ShareBytes/2/lms.ListBytes))
+		lms.Active, lms.Readers = true, int(max(1, lim.cfg.StoreBytes/turnShare/lms.ListBytes))
 	}
 	return lms
 }
@@ -231,8 +249,8 @@
 	}
 	// The turns of all instances are spread over the time in which that many full reads fit into half of the share.
 	full := lim.size(lms.Instances).Full
-	turn := spreadTime(lms.Instances, full, lms.ShareBytes/2)
-	pause := spreadTime(rnk+1-lms.Readers, full, lms.ShareBytes/2)
+	turn := spreadTime(lms.Instances, full, lim.cfg.StoreBytes/turnShare)
+	pause := spreadTime(rnk+1-lms.Readers, full, lim.cfg.StoreBytes/turnShare)
 	news := sta.KnownAt
 	if !sta.Gap && sta.ProgressAt.After(news) {
 		news = sta.ProgressAt
@@ -246,11 +264,11 @@
 
 // askedWait returns how long a read for which a leader waits is put off: not at all, unless many instances have started at once.
 func (lim *ReadLimit) askedWait(now time.Time, sta ReadState, lms Limits) time.Duration {
-	if now.Sub(lim.startedAt) > massStartTime {
+	if sta.Asked.Sub(lim.startedAt) > massStartTime {
 		return 0
 	}
-	lacking := int64(float64(lms.ListBytes) * now.Sub(sta.KnownAt).Seconds())
-	slot := time.Duration(lim.position * float64(spreadTime(lms.Instances, lacking, lms.ShareBytes/2)))
+	lacking := min(lim.size(lms.Instances).Full, int64(float64(lms.ListBytes)*now.Sub(sta.KnownAt).Seconds()))
+	slot := time.Duration(lim.position * float64(spreadTime(lms.Instances, lacking, lim.cfg.StoreBytes/askShare)))
 	return max(0, sta.Asked.Add(slot).Sub(now))
 }
 
@@ -260,7 +278,9 @@
 	if !lms.Active || !sta.Known || sta.Rank < lms.Readers {
 		return false
 	}
-	lim.lateReadAt = now
+	if sta.Asked.IsZero() || sta.Failures > 0 {
+		lim.lateReadAt = now
+	}
 	return float64(lms.ListBytes)*now.Sub(sta.KnownAt).Seconds() > float64(lim.size(lms.Instances).Full)
 }
 
@@ -271,15 +291,14 @@
 		return listedPoll
 	}
 	num := max(lim.listed, sta.Heard+1)
-	share := lim.cfg.StoreBytes / readShare
 	full := lim.size(num).Full
-	if starting := num - sta.Knowing; int64(starting)*full <= share {
+	if starting := num - sta.Knowing; int64(starting)*full <= lim.cfg.StoreBytes/readShare {
 		return 0
 	}
 	if lim.starters == 0 {
 		lim.starters = num
 	}
-	slot := time.Duration(lim.position * float64(spreadTime(lim.starters, full, share)))
+	slot := time.Duration(lim.position * float64(spreadTime(lim.starters, full, lim.cfg.StoreBytes/turnShare)))
 	return max(0, lim.listedAt.Add(slot).Sub(now))
 }
 
@@ -290,7 +309,7 @@
 	if !lms.Active {
 		return 0
 	}
-	return spreadTime(lms.Instances, int64(bytes), lms.ShareBytes/2)
+	return spreadTime(lms.Instances, int64(bytes), lim.cfg.StoreBytes/turnShare)
 }
 
 // DigestChanges returns how many changes a digest may have; limited is false if reads are not limited.
@@ -299,7 +318,7 @@
 	if !lms.Active {
 		return maxChanges, false
 	}
-	bytes := float64(lms.ShareBytes/2) * digestSpread.Seconds() / float64(lms.Instances)
+	bytes := float64(lim.cfg.StoreBytes/turnShare) * digestSpread.Seconds() / float64(lms.Instances)
 	return min(maxChanges, max(minDigestChanges, int(bytes/digestChangeBytes))), true
 }
 
