Learn servers' lasting speeds, and quarantine servers by a change of their own

Callers of an uneven deployment saw sound servers get no work for a second and more: the run times of one step were compared between servers, so a lasting speed of 0.6 beside one of 1.6, or a single task of seven times the work, counted as a fault (78 times on 49 servers in 7 s).

Package speed estimates a server's level, ln(run time there / run time on an average server), by a Kalman filter with bounded steps, from siblings on other servers or else from the estimate; its prior is that of servers with the same label or size. A change is detected by a cumulative sum against the server's own level, in which one run counts at most the odds of a long task, whose share is learned. It acts once the levels of a shard differ by 1.25 and by three standard deviations beyond chance; elsewhere the former rule holds. A server that starts again has a new level. Service rates and expected ends use the levels, and a task goes to a server where it is expected to be in time.

--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -96,7 +96,7 @@
 		case shard.SendReport:
 			dmn.localActions = append(dmn.localActions, func(now time.Time) { dmn.sendReport(now, act.Owner, act.Report) })
 		case shard.QuarantineServer:
-			dmn.log.Info().Str("server", string(act.Server)).Float64("measure", act.Measure).Dur("pause", act.Duration).
+			dmn.log.Info().Str("server", string(act.Server)).Float64("measure", act.Measure).Float64("level", act.Level).Dur("pause", act.Duration).
 				Msg(act.Reason)
 		case shard.NoteIncarnation:
 			dmn.log.Info().Str("server", string(act.Server)).Str("shard", string(name)).Int64("known-incarnation", int64(act.Known)).
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -60,6 +60,8 @@
 	// Measure is the value behind the decision: run time over expected run time, or the number of submissions that failed in a row.
 	Measure  float64
 	Duration time.Duration
+	// Level is the server's lasting run time over that of an average server, as learned before; 0 if speeds are not used.
+	Level float64
 }
 
 // NoteIncarnation describes an incarnation of a server that isn't the one known so far.
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -191,6 +191,7 @@
 		srv.succeeded()
 		if !rn.spansPause {
 			ldr.noteRun(now.Sub(rn.sentAt))
+			ldr.noteSoundTime(srv, now.Sub(rn.sentAt))
 		}
 		ldr.observeRunTime(now, srv, rn, now.Sub(rn.sentAt))
 	case EndedFailed:
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -33,6 +33,8 @@
 	// steps holds the run times of each step's tasks; old steps were last removed at stepsPrunedAt.
 	steps map[string]*siblings
 	rates drainRates
+	// speeds is what is learned of the servers' lasting speeds.
+	speeds speeds
 	// estimateBias is the running mean of ln(run time / estimated run time).
 	estimateBias float64
 	// meanRun is the running mean of run times.
@@ -350,6 +352,7 @@
 		clear(ldr.unclaimedEnds)
 	}
 	ldr.rates.update(now, ldr.serviceRate(), ldr.meanRun, ldr.waitingProcessor(now))
+	ldr.updateSpeeds(now)
 	ldr.returnTooLateOrders(now)
 	ldr.advance(now, nil)
 	return ldr.takeActions()
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -80,7 +80,7 @@
 	if !ldr.link.Fits(ord.Payload) {
 		return // A short wait costs less than sending the order, with its payload, to another leader.
 	}
-	if fsv := rnd.free.best(ord, rnd.mostProcessor); fsv != nil {
+	if fsv := ldr.bestServer(now, rnd, ord); fsv != nil {
 		fsv.processor -= ord.Processor
 		fsv.memory -= ord.Memory
 		if fsv.srv.onTrial() {
@@ -114,6 +114,9 @@
 			num += srv.ent.Processor
 		}
 	}
+	if ldr.speeds.used {
+		return ldr.serviceRateBySpeed()
+	}
 	return float64(num) / millis(ldr.meanRun)
 }
 
--- a/internal/request/shard/speed.go
+++ b/internal/request/shard/speed.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	learn "chestnutstack/internal/request/speed"
 )
 
 // Slow servers answer normally but take several times as long for every run. They are found by comparing the run times of one step's tasks:
@@ -44,6 +46,10 @@
 	quarantinedUntil time.Time
 	quarantines      int
 	tried            bool
+	// level and change are the lasting level of the server's run times and the evidence of a change of it; they are maintained if the speeds of
+	// servers are learned.
+	level  learn.Level
+	change learn.Change
 }
 
 // addSample adds the evidence of a run; ratio is ln(run time / expected time), spread its standard deviation on a sound server.
@@ -55,8 +61,11 @@
 // onTrial reports whether the server was quarantined and the next run decides if it is sound.
 func (spd *speed) onTrial() bool { return spd.quarantines > 0 && !spd.tried }
 
-// slow reports whether there is enough evidence that the server is slow.
-func (spd *speed) slow() bool {
+// slow reports whether there is enough evidence that the server is slow, compared with itself if ownLevel is set.
+func (spd *speed) slow(ownLevel bool) bool {
+	if ownLevel {
+		return spd.change.Slow(spd.quarantines > 0)
+	}
 	if spd.quarantines > 0 {
 		return spd.evidence >= slowEvidenceOnTrial
 	}
@@ -69,6 +78,8 @@
 	sum     float64
 	count   int
 	started bool
+	// sound has the logarithms of the run times as they would have been on an average server; at most maxSiblings.
+	sound []soundRun
 }
 
 // mean returns the mean logarithm of the run times in seconds.
@@ -94,16 +105,25 @@
 	rn.timeHandled = true
 	logTook := math.Log(took.Seconds())
 	mean, spread, known := ldr.expectedRunTime(rn.ord)
+	smp, sampled := ldr.speedSample(srv, rn.ord, logTook)
+	judged := spread == siblingSpread || srv.spd.step != rn.ord.Step
+	if sampled {
+		ldr.learnSpeed(srv, smp)
+	}
 	switch {
 	case !known:
 		// Without an expected time the run can't decide the trial, and the server would stay on trial for good.
 		srv.spd.quarantines = 0
-	case spread == siblingSpread || srv.spd.step != rn.ord.Step:
+	case ldr.speeds.used && sampled:
+		srv.spd.tried, srv.spd.step = true, rn.ord.Step
+		ldr.quarantineIfSlow(now, srv, math.Exp(smp.change))
+	case !ldr.speeds.used && judged:
 		srv.spd.addSample(logTook-mean, spread)
 		srv.spd.step = rn.ord.Step
 		ldr.quarantineIfSlow(now, srv, math.Exp(logTook-mean))
 	}
 	ldr.noteSibling(now, rn.ord, logTook)
+	ldr.noteSoundRun(now, srv, rn.ord, logTook)
 }
 
 // noteSibling records the logarithm of a run time for the other tasks of its step and for the bias of estimates.
@@ -129,17 +149,18 @@
 // quarantineIfSlow quarantines a server with enough evidence, and ends the trial of one whose last run was not slow.
 func (ldr *Leader) quarantineIfSlow(now time.Time, srv *server, ratio float64) {
 	spd := &srv.spd
-	if !spd.slow() {
+	if !spd.slow(ldr.speeds.used) {
 		if ratio < math.Exp(slowLogRatio/2) {
 			spd.quarantines = 0
 		}
 		return
 	}
 	dur := min(firstSlowQuarantine<<min(spd.quarantines, maxDoublings), longestSlowQuarantine)
-	ldr.emit(QuarantineServer{Server: srv.ent.ID, Reason: "server is slow", Measure: ratio, Duration: dur})
+	ldr.emit(QuarantineServer{Server: srv.ent.ID, Reason: "server is slow", Measure: ratio, Duration: dur, Level: ldr.levelFactor(srv)})
 	spd.quarantinedUntil = now.Add(dur)
 	spd.quarantines++
 	spd.evidence, spd.tried = 0, false
+	spd.change.Reset()
 }
 
 // checkProgress projects a run's time from its progress, so that a slow server is found early. If the server is quarantined, there is free
@@ -150,7 +171,7 @@
 	}
 	elapsed := now.Sub(rn.sentAt)
 	whole := elapsed * percentDone / time.Duration(rn.percent)
-	mean, _, known := ldr.expectedRunTime(rn.ord)
+	mean, known := ldr.expectedOn(srv, rn.ord)
 	expected := time.Duration(math.Exp(mean) * float64(time.Second))
 	if !known || whole < time.Duration(slowFactor*float64(expected)) {
 		return
@@ -170,7 +191,7 @@
 		if rn.state != running || rn.ord == nil || rn.timeHandled {
 			continue
 		}
-		mean, _, known := ldr.expectedRunTime(rn.ord)
+		mean, known := ldr.expectedOn(srv, rn.ord)
 		if !known {
 			continue
 		}
--- /dev/null
+++ b/internal/request/shard/speeds_test.go
@@ -0,0 +1,155 @@
+package shard
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// speedStream feeds a leader with the ends of tasks on servers of given speeds: steps of eight, two and four tasks on servers at random, estimates off by
+// a factor with spread 0.4, tasks of a step that differ by 15%, and a share of tasks that take seven times as long.
+type speedStream struct {
+	har    *harness
+	rnd    *rand.Rand
+	speeds []float64
+	tails  float64
+	// slower has how many times slower a server has become.
+	slower map[ServerID]float64
+	steps  int
+}
+
+func newSpeedStream(t *testing.T, seed uint64, used bool, tails float64, speeds ...float64) *speedStream {
+	var ents []ServerEntry
+	for idx := range speeds {
+		ent := serverEntry(fmt.Sprintf("s%d", idx), 64000)
+		ent.Labels = []string{fmt.Sprintf("kind-%d", idx%3)}
+		ents = append(ents, ent)
+	}
+	har := newHarness(t, ents...)
+	har.ldr.cfg.Features.ServerSpeeds = used
+	return &speedStream{har: har, rnd: rand.New(rand.NewPCG(seed, 1)), speeds: speeds, tails: tails, slower: map[ServerID]float64{}}
+}
+
+// run plays a number of steps, 20 ms apart, and returns how often each server was quarantined as slow. Quarantined servers get no task.
+func (stm *speedStream) run(steps int) map[ServerID]int {
+	works := []struct {
+		count int
+		work  float64
+	}{{8, 0.051}, {2, 0.17}, {8, 0.051}, {4, 0.76}}
+	num := map[ServerID]int{}
+	for range steps {
+		stm.steps++
+		stm.har.now = stm.har.now.Add(20 * time.Millisecond)
+		wrk := works[stm.steps%len(works)]
+		mean := wrk.work * math.Exp(0.4*stm.rnd.NormFloat64())
+		estimate := mean * math.Exp(0.4*stm.rnd.NormFloat64())
+		stp := fmt.Sprintf("j%d.0", stm.steps)
+		for tsk := range wrk.count {
+			stm.end(stp, tsk, mean, estimate)
+		}
+		stm.har.record(stm.har.ldr.Tick(stm.har.now))
+		for _, act := range stm.har.acts {
+			if qrt, ok := act.(QuarantineServer); ok && qrt.Reason == "server is slow" {
+				num[qrt.Server]++
+			}
+		}
+		stm.har.acts = nil
+	}
+	return num
+}
+
+// end lets one task of a step end on a server that accepts tasks.
+func (stm *speedStream) end(stp string, tsk int, mean, estimate float64) {
+	ldr := stm.har.ldr
+	idx := stm.rnd.IntN(len(stm.speeds))
+	srv := ldr.serverList[idx]
+	if !srv.acceptsTasks(stm.har.now, 0) {
+		return
+	}
+	took := mean * math.Exp(0.15*stm.rnd.NormFloat64()) / stm.speeds[idx]
+	if stm.rnd.Float64() < stm.tails {
+		took *= 7
+	}
+	if fac := stm.slower[srv.ent.ID]; fac > 0 {
+		took *= fac
+	}
+	ord := stm.har.order(1, fmt.Sprintf("%s.%d", stp, tsk))
+	ord.Step, ord.ExpectedRunTime = stp, time.Duration(estimate*float64(time.Second))
+	rn := &run{ord: &order{Order: ord}}
+	ldr.observeRunTime(stm.har.now, srv, rn, time.Duration(took*float64(time.Second)))
+}
+
+func TestLastingSpeedsAreNoFaults(t *testing.T) {
+	// Guards against sound servers that get no work because they are constantly slower than others, and against long tasks that are taken for slow
+	// servers. 1,000 steps are about 5,200 runs.
+	uneven := []float64{0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6}
+	cases := map[string]struct {
+		speeds []float64
+		tails  float64
+		most   int
+	}{
+		"uneven":            {uneven, 0, 0},
+		"uneven with tails": {uneven, 0.03, 5},
+		"mild":              {[]float64{1, 1, 1.3, 1, 1, 1.3, 1, 1, 1.3}, 0.03, 5},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.NewRelaxed(t)
+			counts := [2]int{}
+			for idx, used := range []bool{false, true} {
+				for seed := range uint64(5) {
+					stm := newSpeedStream(t, seed, used, cse.tails, cse.speeds...)
+					stm.run(200)
+					for _, num := range stm.run(1000) {
+						counts[idx] += num
+					}
+					chk.Equal(stm.har.ldr.speeds.used, used)
+				}
+			}
+			t.Logf("quarantines in five plays: %d without, %d with learned speeds", counts[0], counts[1])
+			chk.True(counts[1] <= 5*cse.most)
+		})
+	}
+}
+
+func TestFaultsAmongUnevenServers(t *testing.T) {
+	// Guards against servers that run at a sixth of their own speed and are found later than without learned speeds.
+	for name, tails := range map[string]float64{"no tails": 0, "tails": 0.03} {
+		t.Run(name, func(t *testing.T) {
+			chk := is.NewRelaxed(t)
+			sum := [2]int{}
+			for idx, used := range []bool{false, true} {
+				for seed := range uint64(30) {
+					stm := newSpeedStream(t, seed, used, tails, 0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6)
+					stm.run(200)
+					id := ServerID(fmt.Sprintf("s%d", seed%9))
+					stm.har.now = stm.har.now.Add(longestSlowQuarantine)
+					stm.slower[id] = 6
+					for stm.run(1)[id] == 0 {
+						sum[idx]++
+					}
+				}
+			}
+			t.Logf("steps until a server at a sixth of its speed is quarantined, sum of 30: %d without, %d with learned speeds", sum[0], sum[1])
+			chk.True(sum[1] <= 2*sum[0])
+		})
+	}
+}
+
+func TestLearnedLevels(t *testing.T) {
+	// Guards against levels that are off, so that tasks go to servers where they are late.
+	chk := is.NewRelaxed(t)
+	speeds := []float64{0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6}
+	stm := newSpeedStream(t, 1, true, 0.03, speeds...)
+	stm.run(500)
+	ref := math.Log(speeds[1]) + stm.har.ldr.serverList[1].spd.level.Mean()
+	for idx, srv := range stm.har.ldr.serverList {
+		off := math.Log(speeds[idx]) + srv.spd.level.Mean() - ref
+		t.Logf("server %d: speed %.1f, learned level %.2f, off by %.2f", idx, speeds[idx], srv.spd.level.Mean(), off)
+		chk.True(math.Abs(off) < 0.15)
+	}
+}
