Play owners and leaders in virtual time without a network

Callers would see no change: this is test support. play(playParams{...}) in internal/request/submission runs real Coordinators and Leaders with simulated servers, callers and message delays, checks LIMIT and TWICE at each start, and returns a report beside the bound of one queue that knows all run times and all room.

--- /dev/null
+++ b/internal/request/submission/play_test.go
@@ -0,0 +1,392 @@
+package submission_test
+
+import (
+	"cmp"
+	"container/heap"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
+)
+
+// playParams are the parameters of one play: real Coordinators and Leaders in virtual time, with simulated backend servers and callers.
+type playParams struct {
+	Features   shard.Features
+	Deployment *playDeployment
+	Load       playLoad
+	Seed       uint64
+	// Duration is the time during which jobs arrive, at least until the end of what Load does.
+	Duration time.Duration
+	// FullSize plays the whole deployment, otherwise 12 instances and 108 servers with the same load per server. SpeedByKind gives all servers
+	// of a kind and size one speed; otherwise speed and kind are independent.
+	FullSize, SpeedByKind bool
+}
+
+// playLoad is what happens to the load during a play.
+type playLoad int
+
+const (
+	usualLoad playLoad = iota
+	// burstLoad has burstFactor times the least urgent jobs between burstFrom and burstTo.
+	burstLoad
+	// outageLoad has no instance between outageFrom and outageTo.
+	outageLoad
+)
+
+const (
+	burstFrom, burstTo   = 2 * time.Second, 7 * time.Second
+	burstFactor          = 2.5
+	outageFrom, outageTo = 2 * time.Second, 3 * time.Second
+	resendDelay          = 1300 * time.Millisecond // From the loss of a caller's connection.
+	callerPatience       = 1500 * time.Millisecond // Beyond the late limit.
+	callerDelay          = 3 * time.Millisecond
+	nearDelay, farDelay  = 500 * time.Microsecond, 1500 * time.Microsecond
+	beat, tick           = 100 * time.Millisecond, 20 * time.Millisecond
+	loadShare            = 4 * time.Millisecond // Between loads of an instance's leaders to its own Coordinator.
+	wavePeriod           = 20 * time.Second
+)
+
+// playStream describes the jobs of one priority. The values are those of an answer in time and of a late one.
+type playStream struct {
+	perSecond, width, value, late float64
+	work                          time.Duration
+}
+
+// playDeployment describes a deployment of playServers backend servers. Processor is in cores and memory in GB, of the smaller servers; wave is the
+// share by which the demand of a failure domain varies.
+type playDeployment struct {
+	domains, instances, shards int
+	processor, memory, cores   float64
+	speeds                     [3]float64
+	wave                       float64
+	streams                    [shard.Priorities]playStream
+}
+
+const playServers = 350
+
+var (
+	firstDeployment = &playDeployment{
+		domains: 3, instances: 35, shards: 39, processor: 64, memory: 128, cores: 32, speeds: [...]float64{1, 1, 1.3}, wave: 0.15,
+		streams: [...]playStream{
+			{206, 8, 0.00485, 0.00097, 60 * time.Millisecond}, {600, 2, 0.00167, 0.000333, 200 * time.Millisecond}, {37.5, 4, 0.0267, 0.00533, 900 * time.Millisecond},
+		},
+	}
+	secondDeployment = &playDeployment{
+		domains: 4, instances: 45, shards: 39, processor: 16, memory: 64, cores: 8, speeds: [...]float64{0.6, 1, 1.6}, wave: 0.55,
+		streams: [...]playStream{
+			{181, 8, 0.00485, 0.00097, 51 * time.Millisecond}, {529, 2, 0.00167, 0.000333, 170 * time.Millisecond}, {33, 4, 0.0267, 0.00533, 760 * time.Millisecond},
+		},
+	}
+)
+
+// playJob is a job of a caller.
+type playJob struct {
+	id              string
+	priority        int
+	domain, caller  int
+	processor       int64
+	estimate, limit time.Duration
+	// works has the run time of each task on a server of speed 1; the first run of those in fails fails.
+	works []time.Duration
+	fails []bool
+	// arrived is when the job was first sent, sentAt when it was last; call is the last sending.
+	arrived, sentAt time.Time
+	call            submission.CallID
+	owner           *playInstance
+	outcome         playOutcome
+	// live, done and runs have the live runs of each task, whether one ended as done since the last sending, and all starts.
+	live, runs []int
+	done       []bool
+	// coreSeconds is the work of the runs that ended as done, longest the time of the longest.
+	coreSeconds float64
+	longest     time.Duration
+}
+
+// simulation is the state of a play. Events that are due at one time happen in the order in which they were added.
+type simulation struct {
+	prm       playParams
+	rnd       *rand.Rand
+	now, from time.Time
+	evs       playEvents
+	added     int
+	jobs      map[string]*playJob
+	order     []*playJob
+	instances []*playInstance
+	byID      map[shard.InstanceID]*playInstance
+	servers   []*playServer
+	shards    []playShard
+	calls     submission.CallID
+	down      bool
+	rep       *playReport
+}
+
+// playShard is a shard with the instance that leads it.
+type playShard struct {
+	name    shard.Name
+	domain  int
+	leader  int
+	token   int64
+	servers []shard.ServerEntry
+}
+
+type playEvent struct {
+	at  time.Time
+	num int
+	do  func()
+}
+
+type playEvents []playEvent
+
+func (evs playEvents) Len() int { return len(evs) }
+func (evs playEvents) Less(one, two int) bool {
+	return cmp.Or(evs[one].at.Compare(evs[two].at), cmp.Compare(evs[one].num, evs[two].num)) < 0
+}
+func (evs playEvents) Swap(one, two int) { evs[one], evs[two] = evs[two], evs[one] }
+func (evs *playEvents) Push(evt any)     { *evs = append(*evs, evt.(playEvent)) }
+func (evs *playEvents) Pop() any {
+	evt := (*evs)[len(*evs)-1]
+	*evs = (*evs)[:len(*evs)-1]
+	return evt
+}
+
+// after has something done after a time.
+func (sim *simulation) after(dur time.Duration, do func()) {
+	sim.added++
+	heap.Push(&sim.evs, playEvent{sim.now.Add(dur), sim.added, do})
+}
+
+// run handles events until a time since the start.
+func (sim *simulation) run(until time.Duration) {
+	for len(sim.evs) > 0 && !sim.evs[0].at.After(sim.from.Add(until)) {
+		evt := heap.Pop(&sim.evs).(playEvent)
+		sim.now = evt.at
+		evt.do()
+	}
+}
+
+// play plays a deployment and returns the report, with the bound for the same jobs.
+func play(prm playParams) *playReport {
+	sim := newSimulation(prm)
+	for _, ins := range sim.instances {
+		ins.begin()
+	}
+	for _, jb := range sim.order {
+		sim.after(jb.arrived.Sub(sim.from), func() { sim.submit(jb) })
+	}
+	if prm.Load == outageLoad {
+		sim.after(outageFrom, sim.loseAll)
+		sim.after(outageTo, func() {
+			sim.down = false
+			for _, ins := range sim.instances {
+				ins.begin()
+			}
+		})
+	}
+	sim.sampleRoom()
+	sim.run(sim.prm.Duration + drainTime)
+	sim.rep.bound = bound(prm)
+	return sim.rep
+}
+
+// drainTime is how long a play goes on after the last arrival: longer than callers wait for the usual job.
+const drainTime = 4 * time.Second
+
+// newSimulation returns a play with its servers, shards and jobs, which follow from the seed alone, and with instances that have not begun.
+func newSimulation(prm playParams) *simulation {
+	dep := prm.Deployment
+	from := time.Unix(1000, 0)
+	sim := &simulation{
+		prm: prm, rnd: rand.New(rand.NewPCG(prm.Seed, 1)), now: from, from: from, jobs: map[string]*playJob{}, byID: map[shard.InstanceID]*playInstance{},
+	}
+	instances, shards, servers := dep.instances, dep.shards, playServers
+	if !prm.FullSize {
+		instances, shards, servers = 12, 12, 108
+	}
+	sim.rep = newReport(sim)
+	for num := range instances {
+		sim.instances = append(sim.instances, &playInstance{sim: sim, num: num, domain: num % dep.domains})
+	}
+	for num := range shards {
+		dom := num % dep.domains
+		sim.shards = append(sim.shards, playShard{name: shard.Name(fmt.Sprintf("domain-%d.%d", dom, num)), domain: dom, leader: sim.instanceOf(dom, num/dep.domains)})
+	}
+	for num, place := range sim.rnd.Perm(servers) {
+		sim.addServer(num, place%shards)
+	}
+	sim.addJobs(float64(servers) / playServers)
+	return sim
+}
+
+// instanceOf returns the number of an instance of a failure domain.
+func (sim *simulation) instanceOf(domain, num int) int {
+	dms := sim.prm.Deployment.domains
+	return domain + dms*(num%((len(sim.instances)-domain+dms-1)/dms))
+}
+
+func (sim *simulation) addServer(num, shd int) {
+	dep, size, spd := sim.prm.Deployment, 1.0, num/3
+	if num%3 == 2 {
+		size = 1.5
+	}
+	if sim.prm.SpeedByKind {
+		spd = num
+	}
+	ent := shard.ServerEntry{
+		ID: shard.ServerID(fmt.Sprintf("s%d", num)), Incarnation: 1, FailureDomain: fmt.Sprint(sim.shards[shd].domain), Service: "render",
+		Processor: int64(1000 * size * dep.processor), Memory: int64(1000 * size * dep.memory),
+		Labels: []string{"kind=" + string("aab"[num%3]), fmt.Sprintf("rack=%d", num/8)},
+	}
+	sim.servers = append(sim.servers, &playServer{sim: sim, ent: ent, speed: dep.speeds[spd%3]})
+	sim.shards[shd].servers = append(sim.shards[shd].servers, ent)
+	sim.rep.room += ent.Processor
+}
+
+// addJobs adds the jobs of all priorities, a share of those of the whole deployment.
+func (sim *simulation) addJobs(share float64) {
+	dep := sim.prm.Deployment
+	for pri, stm := range dep.streams {
+		rnd := rand.New(rand.NewPCG(sim.prm.Seed, uint64(2+pri)))
+		for at := time.Duration(0); ; {
+			at += time.Duration(rnd.ExpFloat64() / (burstFactor * share * stm.perSecond) * float64(time.Second))
+			if at >= sim.prm.Duration {
+				break
+			}
+			jb := sim.newJob(rnd, pri, at)
+			burst := sim.prm.Load == burstLoad && pri == shard.Priorities-1 && at >= burstFrom && at < burstTo
+			if kept := rnd.Float64() < 1/burstFactor; kept || burst {
+				jb.id = fmt.Sprintf("p%d-%d", pri, len(sim.order))
+				sim.jobs[jb.id], sim.order = jb, append(sim.order, jb)
+			}
+		}
+	}
+	slices.SortStableFunc(sim.order, func(one, two *playJob) int { return one.arrived.Compare(two.arrived) })
+}
+
+// newJob returns a random job of a priority.
+func (sim *simulation) newJob(rnd *rand.Rand, pri int, at time.Duration) *playJob {
+	dep, stm := sim.prm.Deployment, sim.prm.Deployment.streams[pri]
+	spread := func(mean, sgm float64) float64 { return mean * math.Exp(sgm*rnd.NormFloat64()-sgm*sgm/2) }
+	jb := &playJob{priority: pri, arrived: sim.from.Add(at), caller: rnd.IntN(callersPerInstance * len(sim.instances))}
+	for jb.domain = rnd.IntN(dep.domains); ; jb.domain = rnd.IntN(dep.domains) {
+		phase := at.Seconds()/wavePeriod.Seconds() + float64(jb.domain)/float64(dep.domains)
+		if rnd.Float64()*(1+dep.wave) < 1+dep.wave*math.Sin(2*math.Pi*phase) {
+			break
+		}
+	}
+	jb.processor = int64(1000 * min(spread(dep.cores, 0.2), dep.processor))
+	wid := int(math.Round(max(1, min(spread(stm.width, 0.4), 4*stm.width))))
+	work := spread(float64(stm.work), 0.4)
+	jb.estimate = time.Duration(spread(work, 0.4))
+	longest := time.Duration(0)
+	for range wid {
+		wrk := spread(work, 0.15)
+		if rnd.Float64() < 0.03 {
+			wrk = min(7*wrk, 9.5*float64(stm.work))
+		}
+		jb.works, jb.fails = append(jb.works, time.Duration(wrk)), append(jb.fails, rnd.Float64() < 0.002)
+		longest = max(longest, time.Duration(wrk))
+	}
+	jb.limit = objective(longest)
+	jb.live, jb.runs, jb.done = make([]int, wid), make([]int, wid), make([]bool, wid)
+	return jb
+}
+
+// callersPerInstance makes some instances get twice the jobs of others.
+const callersPerInstance = 8
+
+// objective returns the time within which an answer is in time; up to lateFactor times that it is late.
+func objective(work time.Duration) time.Duration {
+	return 60*time.Millisecond + work*16/10
+}
+
+const lateFactor = 3
+
+// until returns when the caller of a job gives up.
+func (jb *playJob) until() time.Time { return jb.arrived.Add(lateFactor*jb.limit + callerPatience) }
+
+// submit sends a job to the instance that the hash of its caller chooses, or again later while there is none.
+func (sim *simulation) submit(jb *playJob) {
+	sim.calls++
+	jb.call, jb.sentAt = sim.calls, sim.now
+	clear(jb.done)
+	if sim.down {
+		sim.resend(jb)
+		return
+	}
+	hsh := fnv.New32a()
+	_, _ = fmt.Fprint(hsh, jb.caller) // Write of a hash returns no error.
+	ins := sim.instances[sim.instanceOf(jb.domain, int(hsh.Sum32()>>8))]
+	jb.owner = ins
+	cal, left := jb.call, jb.until().Sub(sim.now)
+	ins.later(callerDelay, func() {
+		ins.runCoordinator(ins.crd.HandleSubmit(sim.now, cal, submission.Submission{
+			ID: jb.id, Route: fmt.Sprint(jb.priority), Service: "render", Priority: jb.priority, MaxAttempts: 3, Objective: objective,
+			CallerTimeout: left, RouteTimeout: callerPatience,
+			Steps: []submission.Step{{Count: len(jb.works), Processor: jb.processor, Memory: jb.processor, ExpectedRunTime: jb.estimate}},
+		}))
+	})
+	ins.later(left, func() { sim.finish(jb, cal, gaveUp) })
+	ins.later(left+callerDelay, func() { ins.runCoordinator(ins.crd.HandleCallerGone(cal)) })
+}
+
+// resend has a caller that has lost its connection send its job again, if it still waits then.
+func (sim *simulation) resend(jb *playJob) {
+	cal := jb.call
+	if !sim.now.Add(resendDelay).Before(jb.until()) {
+		sim.finish(jb, cal, gaveUp)
+		return
+	}
+	sim.after(resendDelay, func() { sim.submit(jb) })
+}
+
+// loseAll ends all instances at once.
+func (sim *simulation) loseAll() {
+	sim.down = true
+	for _, ins := range sim.instances {
+		ins.life++
+	}
+	for _, jb := range sim.order {
+		if jb.call > 0 && jb.outcome == open {
+			sim.resend(jb)
+		}
+	}
+}
+
+// TestPlay guards LIMIT and TWICE against every feature under three loads, and the use of the play itself: a play of which most jobs are not in time
+// at the usual load would compare nothing.
+func TestPlay(t *testing.T) {
+	for name, tst := range map[string]struct {
+		load playLoad
+		dep  *playDeployment
+		// least is the least share in time of the most urgent jobs.
+		least float64
+	}{
+		"first, usual":   {usualLoad, firstDeployment, 0.9},
+		"first, burst":   {burstLoad, firstDeployment, 0.4},
+		"first, outage":  {outageLoad, firstDeployment, 0.1},
+		"second, usual":  {usualLoad, secondDeployment, 0.8},
+		"second, burst":  {burstLoad, secondDeployment, 0.4},
+		"second, outage": {outageLoad, secondDeployment, 0.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, fts := range []shard.Features{{}, shard.AllFeatures()} {
+				rep := play(playParams{Features: fts, Deployment: tst.dep, Load: tst.load, Seed: 1, Duration: 8 * time.Second, FullSize: *measurePlays})
+				t.Logf("%+v\n%v", fts, rep)
+				chk := is.New(t)
+				chk.Equal(rep.violations, nil)
+				chk.True(rep.priorities[0].share(inTime) >= tst.least)
+			}
+		})
+	}
+}
+
+var measurePlays = flag.Bool("measure-plays", false, "play whole deployments")
