Learn no levels from faulty servers

A run that is long for its server is no sibling of others any more, and one of an unknown server counts as long from 2.7 times the expected time on. An order that waits for a faster server is returned as lacking processor, not memory.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -93,7 +93,7 @@
 	}
 	rn.state = running
 	rn.ord.srv = srv
-	ldr.report(rn.ord, Started)
+	ldr.report(rn.ord, Started, 0)
 }
 
 // HandleStopResult handles the result of a StopRun. A stop that was sent to a former incarnation of the server proves nothing.
@@ -214,7 +214,7 @@
 // finish removes an order and reports its outcome.
 func (ldr *Leader) finish(ord *order, out Outcome, took time.Duration) {
 	delete(ldr.orders, ord.Task)
-	ldr.sendReport(ord, Report{Outcome: out, Took: took, Factor: ldr.factorOnWire(ord.srv)})
+	ldr.report(ord, out, took)
 }
 
 // requeue queues the order of a run again that is proven to be over without a listed end.
@@ -278,7 +278,7 @@
 		}
 		delete(ldr.orders, rn.ord.Task)
 		if !rn.ord.cancelled {
-			ldr.report(rn.ord, Lost)
+			ldr.report(rn.ord, Lost, 0)
 		}
 	}
 	ldr.removeServer(srv)
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -226,7 +226,7 @@
 	if old.Owner == req.Owner && !old.cancelled {
 		old.ReturnIfBusy = req.ReturnIfBusy || req.Recall
 		if old.run != nil && old.run.state == running {
-			ldr.report(old, Started)
+			ldr.report(old, Started, 0)
 		}
 		return
 	}
@@ -305,8 +305,8 @@
 }
 
 // report sends the outcome of an order to its owner.
-func (ldr *Leader) report(ord *order, out Outcome) {
-	ldr.sendReport(ord, Report{Outcome: out})
+func (ldr *Leader) report(ord *order, out Outcome, took time.Duration) {
+	ldr.sendReport(ord, Report{Outcome: out, Took: took})
 }
 
 // reportReturn tells the owner of an order that it is returned, and why.
@@ -319,6 +319,9 @@
 	rep.Task, rep.Token, rep.MayHaveRun = ord.Task, ldr.token, ord.mayHaveRun
 	if ord.srv != nil {
 		rep.Server = ord.srv.ent.ID
+		if rep.Outcome == Done {
+			rep.Factor = ldr.factorOnWire(ord.srv)
+		}
 	}
 	ldr.emit(SendReport{Owner: ord.Owner, Report: rep})
 }
@@ -333,7 +336,7 @@
 		case ord.run == nil && !ord.Reassigned:
 			ldr.reportReturn(ord, LeaderResigned)
 		default:
-			ldr.report(ord, Lost)
+			ldr.report(ord, Lost, 0)
 		}
 	}
 	clear(ldr.orders)
--- a/internal/request/shard/refusal.go
+++ b/internal/request/shard/refusal.go
@@ -49,6 +49,9 @@
 
 // binding returns why none of the servers can take an order.
 func (ldr *Leader) binding(now time.Time, ord *order) ReturnReason {
+	if ord.waitedForSpeed {
+		return NoProcessor // On the servers that are fast enough for it.
+	}
 	rsn := NoServer
 	for _, srv := range ldr.serverList {
 		if srv.acceptsTasks(now, ldr.missedTolerated()) {
--- a/internal/request/shard/speed.go
+++ b/internal/request/shard/speed.go
@@ -123,7 +123,7 @@
 		ldr.quarantineIfSlow(now, srv, math.Exp(logTook-mean))
 	}
 	ldr.noteSibling(now, rn.ord, logTook)
-	ldr.noteSoundRun(now, srv, rn.ord, logTook)
+	ldr.noteSoundRun(now, srv, rn.ord, logTook, sampled && smp.long)
 }
 
 // noteSibling records the logarithm of a run time for the other tasks of its step and for the bias of estimates.
--- a/internal/request/shard/speeds.go
+++ b/internal/request/shard/speeds.go
@@ -52,8 +52,8 @@
 	// deviation is ln(run time / expected time on an average server), variance that of the expectation. change is the deviation from the
 	// server's own level.
 	deviation, variance, change float64
-	// bySiblings is set if the expectation comes from siblings.
-	bySiblings bool
+	// bySiblings is set if the expectation comes from siblings, long if the run took several times as long as usual.
+	bySiblings, long bool
 }
 
 // expectedAverage returns the logarithm of an order's expected run time in seconds on an average server, its variance, and whether it comes from
@@ -101,6 +101,7 @@
 	}
 	smp := speedSample{deviation: logTook - mean, variance: variance, bySiblings: bySiblings}
 	smp.change = smp.deviation - srv.spd.level.Mean()
+	smp.long = srv.spd.level.IsLong(smp.change)
 	return smp, true
 }
 
@@ -108,7 +109,7 @@
 func (ldr *Leader) learnSpeed(srv *server, smp speedSample) {
 	spd := &srv.spd
 	spd.change.Add(smp.change, smp.variance+spd.level.Variance(), &ldr.speeds.tails)
-	if learn.IsLong(smp.change) {
+	if smp.long {
 		return
 	}
 	if smp.bySiblings {
@@ -117,8 +118,9 @@
 	spd.level.Add(smp.deviation, smp.variance)
 }
 
-// noteSoundRun records a run time for the siblings of its task and the bias of estimates, without the server's level.
-func (ldr *Leader) noteSoundRun(now time.Time, srv *server, ord *order, logTook float64) {
+// noteSoundRun records a run time for the siblings of its task and the bias of estimates, without the server's level. A long run tells nothing about its
+// siblings: where a third of the servers is faulty, sound ones would else seem to be several times as fast as they are.
+func (ldr *Leader) noteSoundRun(now time.Time, srv *server, ord *order, logTook float64, long bool) {
 	if !ldr.cfg.Features.ServerSpeeds {
 		return
 	}
@@ -127,7 +129,7 @@
 		dev := sound - math.Log(ord.ExpectedRunTime.Seconds()) - ldr.speeds.estimateBias
 		ldr.speeds.estimateBias += biasWeight * min(max(dev, -slowLogRatio), slowLogRatio)
 	}
-	if sib := ldr.siblings(now, ord.Step); len(sib.sound) < maxSiblings {
+	if sib := ldr.siblings(now, ord.Step); !long && len(sib.sound) < maxSiblings {
 		sib.sound = append(sib.sound, soundRun{srv: srv, log: sound, variance: srv.spd.level.Variance()})
 	}
 }
--- a/internal/request/shard/speeds_test.go
+++ b/internal/request/shard/speeds_test.go
@@ -120,24 +120,44 @@
 
 func TestFaultsAmongUnevenServers(t *testing.T) {
 	// Guards against servers that run at a sixth of their own speed and are found later than without learned speeds.
-	for name, tails := range map[string]float64{"no tails": 0, "tails": 0.03} {
+	cases := map[string]struct {
+		tails  float64
+		faults int
+	}{"one": {0, 1}, "one, with tails": {0.03, 1}, "three": {0, 3}, "three, with tails": {0.03, 3}}
+	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
 			chk := is.NewRelaxed(t)
-			sum := [2]int{}
+			sum, sound := [2]int{}, [2]int{}
 			for idx, used := range []bool{false, true} {
 				for seed := range uint64(30) {
-					stm := newSpeedStream(t, seed, used, tails, 0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6)
+					stm := newSpeedStream(t, seed, used, cse.tails, 0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6)
 					stm.run(200)
-					id := ServerID(fmt.Sprintf("s%d", seed%9))
 					stm.har.now = stm.har.now.Add(longestSlowQuarantine)
-					stm.slower[id] = 6
-					for stm.run(1)[id] == 0 {
-						sum[idx]++
+					for num := range cse.faults {
+						stm.slower[ServerID(fmt.Sprintf("s%d", (int(seed)+num)%9))] = 6
 					}
+					found := map[ServerID]bool{}
+					for steps := 0; len(found) < cse.faults && steps < 200; steps++ {
+						for id := range stm.run(1) {
+							if stm.slower[id] == 0 {
+								sound[idx]++
+							} else if !found[id] {
+								found[id] = true
+								sum[idx] += steps
+							}
+						}
+					}
+					chk.Equal(len(found), cse.faults)
+					clear(stm.slower)
+					stm.run(500)
+					sound[idx] += len(stm.run(1))
 				}
 			}
-			t.Logf("steps until a server at a sixth of its speed is quarantined, sum of 30: %d without, %d with learned speeds", sum[0], sum[1])
-			chk.True(sum[1] <= 2*sum[0])
+			t.Logf("steps until servers at a sixth of their speed are quarantined, sum of %d: %d without, %d with learned speeds", 30*cse.faults,
+				sum[0], sum[1])
+			t.Logf("sound servers quarantined meanwhile, and in the step 10 s later: %d without, %d with learned speeds", sound[0], sound[1])
+			chk.True(sum[1] <= 3*sum[0]/2)
+			chk.True(sound[1] <= sound[0])
 		})
 	}
 }
@@ -261,3 +281,23 @@
 		})
 	}
 }
+
+func TestFaultsAreNoLevels(t *testing.T) {
+	// Guards against faulty servers that are taken for constantly slow, or whose siblings are taken for fast, so that decisions go by speeds where all
+	// servers are equal.
+	for name, before := range map[string]int{"from the start": 0, "later": 200} {
+		t.Run(name, func(t *testing.T) {
+			chk := is.NewRelaxed(t)
+			for seed := range uint64(10) {
+				stm := newSpeedStream(t, seed, true, 0.03, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+				stm.run(before)
+				for _, id := range []ServerID{"s1", "s4", "s8"} {
+					stm.slower[id] = 6
+				}
+				found := stm.run(500)
+				chk.True(found["s1"] > 0 && found["s4"] > 0 && found["s8"] > 0)
+				chk.True(!stm.har.ldr.speeds.used)
+			}
+		})
+	}
+}
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -31,7 +31,7 @@
 			rn.timeHandled = true // The run's start time is not known here.
 			if rn.state == running {
 				rn.sentAt, rn.progressAt = now, now
-				ldr.report(ord, Started)
+				ldr.report(ord, Started, 0)
 			}
 			return true
 		}
--- a/internal/request/speed/change.go
+++ b/internal/request/speed/change.go
@@ -5,6 +5,9 @@
 const (
 	// slowdown is ln 4, the least change of a server's speed that counts as a fault.
 	slowdown = 1.386
+	// slowdownOfUnknown is ln 2.7, the deviation from which an unknown server's runs teach no level: that of the slowest sound servers beside
+	// the fastest. With estimates that are off by a factor of 1.5, a sixth of the speed often looks like a quarter.
+	slowdownOfUnknown = 1
 	// enough is ln 1000, the odds at which a server counts as faulty.
 	enough = 6.9
 	// enoughOnTrial is ln 20, the odds for a server that was faulty a moment ago.
@@ -60,7 +63,7 @@
 func (chg *Change) Add(deviation, variance float64, tls *Tails) {
 	val := slowdown * (deviation - slowdown/2) / max(variance, spreadVariance)
 	chg.evidence = max(0, chg.evidence+min(max(val, -maxAgainst), tls.most()))
-	if IsLong(deviation) {
+	if deviation >= slowdown {
 		chg.suspicious++
 		return
 	}
@@ -86,5 +89,10 @@
 // Reset drops all evidence.
 func (chg *Change) Reset() { *chg = Change{} }
 
-// IsLong reports whether a deviation is that of a long run or a fault, from which no level is learned.
-func IsLong(deviation float64) bool { return deviation >= slowdown }
+// IsLong reports whether a deviation from a server's own level is that of a long run or a fault, from which no level is learned.
+func (lvl *Level) IsLong(deviation float64) bool {
+	if !lvl.Known() {
+		return deviation >= slowdownOfUnknown
+	}
+	return deviation >= slowdown
+}
