--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -33,6 +33,8 @@
 	// steps holds the run times of each step's tasks; old steps were last removed at stepsPrunedAt.
 	steps map[string]*siblings
 	rates drainRates
+	// speeds is what is learned of the servers' lasting speeds.
+	speeds speeds
 	// estimateBias is the running mean of ln(run time / estimated run time).
 	estimateBias float64
 	// meanRun is the running mean of run times.
@@ -317,6 +319,9 @@
 	rep.Task, rep.Token, rep.MayHaveRun = ord.Task, ldr.token, ord.mayHaveRun
 	if ord.srv != nil {
 		rep.Server = ord.srv.ent.ID
+		if rep.Outcome == Done {
+			rep.Factor = ldr.factorOnWire(ord.srv)
+		}
 	}
 	ldr.emit(SendReport{Owner: ord.Owner, Report: rep})
 }
@@ -350,6 +355,7 @@
 		clear(ldr.unclaimedEnds)
 	}
 	ldr.rates.update(now, ldr.serviceRate(), ldr.meanRun, ldr.waitingProcessor(now))
+	ldr.updateSpeeds(now)
 	ldr.returnTooLateOrders(now)
 	ldr.advance(now, nil)
 	return ldr.takeActions()
