Set servers aside and reserve them for urgent tasks, and stop runs for them

While less urgent work waits, a leader sets servers aside by the room that urgent runs use; an urgent task that waits reserves the server that will have room first, and others start there only if they leave that room or end before. Loads tell what tasks of each priority leave, so that owners don't send orders for it; the reason kept-for-urgent of a return does the same. With Features.Preemption, a run is stopped for an urgent task that would be late by the room that comes free by itself and can be in time with a stop. It must be less urgent, at most a fifth of its time old, beside another open task of its job, and in time with a new start. The mark of a stopped task goes with reports and orders; no task is stopped twice.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -51,6 +51,7 @@
 			Shard: string(led.Shard), Token: led.Token,
 			Number: led.Load.Number, Free: led.Load.Free, FreeMemory: led.Load.FreeMemory, Turnover: led.Load.ServiceRate, WaitsMicros: encodeWaits(led.Load.RankWaits),
 			LinkWindow: led.Load.LinkWindow, LinkBusy: led.Load.LinkBusy, Closed: led.Load.Closed,
+			Headroom: encodeHeadroom(&led.Load),
 		})
 	}
 	if hbt.ClosedDomains.End != domainlist.Unread {
@@ -83,6 +84,7 @@
 		for rnk, num := range led.GetWaitsMicros()[:min(len(led.GetWaitsMicros()), shard.Ranks)] {
 			lod.RankWaits[rnk] = micros(num)
 		}
+		decodeHeadroom(led.GetHeadroom(), &lod)
 		hbt.Leaderships = append(hbt.Leaderships, Leadership{Shard: shard.Name(led.GetShard()), Token: led.GetToken(), Load: lod})
 	}
 	return hbt
@@ -110,7 +112,7 @@
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Report{Report: &meshpb.Report{
 			Task: msg.Report.Task, Token: msg.Report.Token, Outcome: int64(msg.Report.Outcome),
 			TookMicros: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server), MayHaveRun: msg.Report.MayHaveRun, Hopeless: msg.Report.TooLate,
-			Reason: int64(msg.Report.Reason),
+			Reason: int64(msg.Report.Reason), Preempted: msg.Report.Preempted, LostMicros: msg.Report.WorkLost.Microseconds(),
 		}}})
 	case LossNotice:
 		name, incarnation := splitID(msg.Instance)
@@ -141,7 +143,7 @@
 		ExpectedMicros: ord.ExpectedRunTime.Microseconds(),
 		Label:          ord.Label, Rack: ord.Rack, PerServer: int64(ord.MaxPerServer), Step: ord.Step,
 		Bounce: ord.ReturnIfBusy, Recall: ord.Recall, Followed: ord.Reassigned, At: string(ord.LastServer), RunsMicros: ord.MayRunFor.Microseconds(),
-		JobBegun: ord.JobStarted,
+		JobBegun: ord.JobStarted, Preempted: ord.Preempted,
 	}
 	for _, id := range ord.Avoid {
 		wir.Avoid = append(wir.Avoid, string(id))
@@ -172,7 +174,7 @@
 			msgs = append(msgs, Report{Report: shard.Report{
 				Task: rep.GetTask(), Token: rep.GetToken(), Outcome: shard.Outcome(rep.GetOutcome()),
 				Took: micros(rep.GetTookMicros()), Server: shard.ServerID(rep.GetServer()), MayHaveRun: rep.GetMayHaveRun(), TooLate: rep.GetHopeless(),
-				Reason: shard.ReturnReason(rep.GetReason()),
+				Reason: shard.ReturnReason(rep.GetReason()), Preempted: rep.GetPreempted(), WorkLost: micros(rep.GetLostMicros()),
 			}})
 		case *meshpb.Message_Missed:
 			msgs = append(msgs, LossNotice{Instance: ID(bdy.Missed.GetName(), bdy.Missed.GetLife())})
@@ -194,7 +196,7 @@
 		ExpectedRunTime: micros(wir.GetExpectedMicros()), Label: wir.GetLabel(), Rack: wir.GetRack(),
 		MaxPerServer: int(wir.GetPerServer()), Step: wir.GetStep(),
 		ReturnIfBusy: wir.GetBounce(), Recall: wir.GetRecall(), Reassigned: wir.GetFollowed(), JobStarted: wir.GetJobBegun(), LastServer: shard.ServerID(wir.GetAt()),
-		MayRunFor: micros(wir.GetRunsMicros()),
+		MayRunFor: micros(wir.GetRunsMicros()), Preempted: wir.GetPreempted(),
 	}
 	for _, id := range wir.GetAvoid() {
 		ord.Avoid = append(ord.Avoid, shard.ServerID(id))
--- a/internal/connection/mesh/wire_test.go
+++ b/internal/connection/mesh/wire_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	cases := map[string]shard.Report{
 		"done":        {Task: "j.0.0.0", Token: 7, Outcome: shard.Done, Took: 3 * time.Millisecond, Server: "s"},
 		"returned":    {Task: "j.0.0.0", Token: 7, Outcome: shard.NotRun, Reason: shard.NoMemory, MayHaveRun: true},
+		"preempted":   {Task: "j.0.0.0", Token: 7, Outcome: shard.Started, Preempted: true, WorkLost: 3 * time.Millisecond},
 		"is too late": {Task: "j.0.0.0", Token: 7, Outcome: shard.NotRun, Reason: shard.WouldEndTooLate, TooLate: true},
 	}
 	for name, rep := range cases {
@@ -25,3 +27,33 @@
 		})
 	}
 }
+
+// Guards against loads that promise less urgent tasks the headroom after a heartbeat, and against headroom of other servers than the free room.
+func TestHeadroomOnTheWire(t *testing.T) {
+	kept := shard.ServerRoom{Processor: []int64{7, 0}, Memory: []int64{3, 0}}
+	cases := map[string]struct {
+		kept, want [shard.Priorities]shard.ServerRoom
+	}{
+		"nothing":               {},
+		"from both":             {[shard.Priorities]shard.ServerRoom{1: kept, 2: kept}, [shard.Priorities]shard.ServerRoom{1: kept, 2: kept}},
+		"from the least urgent": {[shard.Priorities]shard.ServerRoom{2: kept}, [shard.Priorities]shard.ServerRoom{2: kept}},
+		"of other servers":      {kept: [shard.Priorities]shard.ServerRoom{1: {Processor: []int64{7}, Memory: []int64{3}}}},
+		"negative":              {kept: [shard.Priorities]shard.ServerRoom{1: {Processor: []int64{-7, 0}, Memory: []int64{3, 0}}}},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			lod := shard.Load{Free: []int64{8, 9}, FreeMemory: []int64{4, 5}, Kept: cas.kept}
+			hbt := decodeHeartbeat(encodeHeartbeat(Heartbeat{Leaderships: []Leadership{{Shard: "a.0", Load: lod}}}))
+			is.New(t).Equal(hbt.Leaderships[0].Load.Kept, cas.want)
+		})
+	}
+}
+
+// Guards against a task that is preempted again as its mark is lost on the way.
+func TestMarkOfPreemptionOnTheWire(t *testing.T) {
+	dlv := &meshpb.Delivery{}
+	now := time.Unix(1000, 0)
+	appendMessage(dlv, now, Order{Shard: "a.0", Order: shard.Order{Task: "j.0.0.0", Preempted: true}})
+	marked := func(msg Message) bool { ord, ok := msg.(Order); return ok && ord.Order.Preempted }
+	is.New(t).True(slices.ContainsFunc(decodeMessages(dlv, now, "one/1"), marked))
+}
--- a/internal/process/cli/platform.go
+++ b/internal/process/cli/platform.go
@@ -68,8 +68,8 @@
 		{"resend-after", set.ResendAfter.String(), "when a client that lost its connection sends its job again"},
 		{"store-reads", fmt.Sprintf("%d bytes a second", set.StoreReadBytes), "that the store reads for all instances; 0 for no bound"},
 		{"server-speeds", onOff(set.Features.ServerSpeeds), "lasting speeds of servers are told from faults, and tasks placed by them"},
-		{"headroom", onOff(set.Features.Headroom), "room is kept for urgent tasks while less urgent ones wait"},
-		{"preemption", onOff(set.Features.Preemption), "runs are stopped for urgent tasks that can still be in time"},
+		{"headroom", onOff(set.Features.Headroom), "servers are set aside and reserved for urgent tasks while work waits for room"},
+		{"preemption", onOff(set.Features.Preemption), "runs are stopped for urgent tasks that can still be in time; off by default"},
 		{"reservations", onOff(set.Features.Reservations), "free room is promised to one owner at a time"},
 		{"stop-timeout", set.StopTimeout.Round(time.Millisecond).String(), "from the request to stop to the kill"},
 	}
--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -103,6 +103,8 @@
 				Int64("incarnation", int64(act.Told)).Int("runs-carried", act.Carried).Msg(act.Reason)
 		case shard.FeatureChange:
 			dmn.logFeatureChange(name, &act)
+		case shard.NotePreemption:
+			dmn.logPreemption(name, &act)
 		case shard.ReadList:
 			dmn.requestListRead()
 		case shard.NoteReturn:
@@ -110,6 +112,7 @@
 				Int("servers", act.Servers).Dur("oldest-confirmed", act.OldestConfirmed).Dur("waited", act.Waited).
 				Msg("order that followed runs nowhere")
 		case shard.StartRun:
+			dmn.cnt.urgent.waits[act.Priority].observe(act.Waited)
 			dmn.group.Go(func() error { return dmn.startRun(name, act, lst, timeout) })
 		case shard.StopRun:
 			dmn.group.Go(func() error { return dmn.stopRun(name, act, timeout) })
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -53,6 +53,7 @@
 	starts                         [shard.Outdated + 1]atomic.Int64
 	answers                        [submission.Unfinished + 1]atomic.Int64
 	startTimes, answerTimes        histogram
+	urgent                         urgentCounters
 	traffic                        traffic
 }
 
@@ -140,6 +141,7 @@
 		for res := range cnt.answers {
 			line("answers-"+submission.Result(res).String(), cnt.answers[res].Load())
 		}
+		cnt.urgent.write(line)
 		for _, cls := range cnt.traffic.classes() {
 			line(cls.name+"-bytes-in", int64(cls.cnt.Stats().BytesIn))
 			line(cls.name+"-bytes-out", int64(cls.cnt.Stats().BytesOut))
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -137,6 +137,7 @@
 	}
 	dmn.cnt.closedRuns.Store(int64(closedRuns))
 	dmn.cnt.overfullServers.Store(int64(overfull))
+	dmn.updateHeadroomGauges()
 	dmn.cnt.listAge.Store(int64(dmn.listState(now).age))
 	dmn.coordinator.SetServersComplete(dmn.knowsAllServers(now))
 	dmn.runCoordinatorActions(dmn.coordinator.HandleTick(now))
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -6,7 +6,7 @@
 type Name string
 
 // Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, ReadList, QuarantineServer, NoteReturn,
-// NoteIncarnation, FeatureChange or SendReport.
+// NoteIncarnation, NotePreemption, FeatureChange or SendReport.
 type Action interface{ action() }
 
 // StartRun asks a backend server to start a run; its result goes to Uplink.HandleStartResult, then to Leader.HandleStartResult.
@@ -19,6 +19,9 @@
 	LeaseUntil time.Duration
 	// UsedProcessor and UsedMemory are what counts as in use on the server with this run, in thousandths of a core and in MB.
 	UsedProcessor, UsedMemory int64
+	// Priority is that of the task, Waited how long its order has waited here.
+	Priority int
+	Waited   time.Duration
 }
 
 // StopRun asks a backend server to stop a run; its result goes to Leader.HandleStopResult.
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -176,6 +176,7 @@
 	rn := srv.runs[end.Run]
 	if rn != nil {
 		srv.drop(rn)
+		ldr.noteStopped(now, rn)
 	}
 	if rn == nil || rn.ord == nil {
 		if ldr.adopting(now) {
@@ -219,6 +220,7 @@
 // requeue queues the order of a run again that is proven to be over without a listed end.
 func (ldr *Leader) requeue(now time.Time, srv *server, rn *run) {
 	srv.drop(rn)
+	ldr.noteStopped(now, rn)
 	ord := rn.ord
 	if ord == nil {
 		return
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -54,6 +54,13 @@
 	lossRate float64
 	// lostServers counts the servers that were dropped because they accepted another leader's token.
 	lostServers int
+	// headroom is the headroom of each service, last updated at headroomAt.
+	headroom   map[string]*serviceHeadroom
+	headroomAt time.Time
+	// preempting is the state of preemption.
+	preempting preempting
+	// reserved has the servers that are reserved for urgent orders which found no room in the last placement round.
+	reserved map[ServerID]reservation
 	// heardAt is when a server last answered a renewal with this leader's token; at first the time of the takeover.
 	heardAt time.Time
 }
@@ -71,6 +78,7 @@
 		servers: map[ServerID]*server{}, orders: map[string]*order{}, unclaimedEnds: map[string]foundEnd{},
 		ownersHeard: map[InstanceID]time.Time{}, unansweredStarts: map[ServerID][]*run{},
 		steps: map[string]*siblings{}, meanRun: initialMeanRun, stepsPrunedAt: now,
+		headroom: map[string]*serviceHeadroom{}, reserved: map[ServerID]reservation{}, headroomAt: now, preempting: preempting{stopTime: initialStopTime},
 	}
 }
 
@@ -232,6 +240,7 @@
 		// What the servers have said before this order came proves nothing.
 		old.receivedAt, old.notBefore = now, now.Add(max(ldr.cfg.OrphanExpiry, req.MayRunFor))
 	}
+	req.Preempted = req.Preempted || old.Preempted
 	if old.run == nil {
 		ldr.que.remove(old)
 		old.Order = req
@@ -315,6 +324,7 @@
 // sendReport completes a report and sends it to the owner of its order.
 func (ldr *Leader) sendReport(ord *order, rep Report) {
 	rep.Task, rep.Token, rep.MayHaveRun = ord.Task, ldr.token, ord.mayHaveRun
+	rep.Preempted = ord.Preempted
 	if ord.srv != nil {
 		rep.Server = ord.srv.ent.ID
 	}
@@ -351,7 +361,9 @@
 	}
 	ldr.rates.update(now, ldr.serviceRate(), ldr.meanRun, ldr.waitingProcessor(now))
 	ldr.returnTooLateOrders(now)
+	ldr.updateHeadroom(now)
 	ldr.advance(now, nil)
+	ldr.preempt(now)
 	return ldr.takeActions()
 }
 
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -20,6 +20,7 @@
 		return
 	}
 	ranked := ldr.ranked(now, func(ord *order) bool { return ldr.mayPlace(now, ord) })
+	clear(ldr.reserved)
 	rnd := &placementRound{free: fss}
 	rnd.mostProcessor = rnd.free.most()
 	for rnk, ords := range ranked {
@@ -80,7 +81,7 @@
 	if !ldr.link.Fits(ord.Payload) {
 		return // A short wait costs less than sending the order, with its payload, to another leader.
 	}
-	if fsv := rnd.free.best(ord, rnd.mostProcessor); fsv != nil {
+	if fsv := ldr.best(rnd, ord); fsv != nil {
 		fsv.processor -= ord.Processor
 		fsv.memory -= ord.Memory
 		if fsv.srv.onTrial() {
@@ -93,8 +94,11 @@
 	}
 	rnd.processorAhead += ord.Processor
 	if ord.ReturnIfBusy && float64(rnd.processorAhead) > ldr.serviceRate()*millis(returnWait+returnLinkTimes*ldr.link.largestTime) {
+		ldr.noteShortage(ord)
 		ldr.returnOrder(ord, ldr.binding(now, ord))
+		return
 	}
+	ldr.reserve(now, ord)
 }
 
 // returnWait is the expected wait above which a ReturnIfBusy order goes back to its owner. Going to another leader takes some 2 ms, but
@@ -183,6 +187,7 @@
 	ldr.emit(StartRun{
 		Server: srv.ent, Run: rn.id, Payload: rn.ord.Payload, Token: ldr.token,
 		LeaseUntil: srv.leaseUntil(now, ldr.cfg.Lease), UsedProcessor: srv.usedProcessor, UsedMemory: srv.usedMemory,
+		Priority: priorityOf(rn.ord), Waited: rn.sentAt.Sub(rn.ord.receivedAt),
 	})
 }
 
@@ -222,15 +227,15 @@
 
 // best returns the best server for an order, or nil: it prefers servers where the task has not failed, then those on the rack of its data,
 // then the one with the least free processor.
-func (fss freeServers) best(ord *order, most int64) *freeServer {
-	if ord.Processor > most {
+func (ldr *Leader) best(rnd *placementRound, ord *order) *freeServer {
+	if ord.Processor > rnd.mostProcessor {
 		return nil
 	}
 	var bst *freeServer
 	var bstMismatch int
-	for idx := range fss {
-		fsv := &fss[idx]
-		if fsv.processor < ord.Processor || fsv.memory < ord.Memory || !fsv.srv.suits(ord) {
+	for idx := range rnd.free {
+		fsv := &rnd.free[idx]
+		if fsv.processor < ord.Processor || fsv.memory < ord.Memory || !fsv.srv.suits(ord) || !ldr.mayUse(fsv.srv, ord) {
 			continue
 		}
 		mis := fsv.mismatch(ord)
@@ -268,6 +273,8 @@
 	// Free lists the free processor of each server that has some, in thousandths of a core, FreeMemory the free memory of the same servers, in MB.
 	// Leaders of earlier versions don't tell the latter.
 	Free, FreeMemory []int64
+	// Kept has, for each priority, what its tasks must leave of Free and FreeMemory to more urgent ones; nil where nothing is kept.
+	Kept [Priorities]ServerRoom
 	// ServiceRate is how much processor comes free per second while all servers are busy, in thousandths of a core. RankWaits is how long
 	// one more task of each rank would wait for free capacity.
 	ServiceRate int64
@@ -316,14 +323,17 @@
 	lod.LinkWindow, lod.LinkBusy = ldr.link.window, ldr.link.busyBytes()+ldr.QueuedBytes()
 	rate := ldr.serviceRate()
 	lod.ServiceRate = int64(rate * millis(time.Second))
+	var srvs []*server
 	for _, srv := range ldr.serverList {
 		if ldr.closed || !srv.acceptsTasks(now, ldr.missedTolerated()) {
 			continue
 		}
 		if prc, mem := srv.free(); prc > 0 {
 			lod.Free, lod.FreeMemory = append(lod.Free, prc), append(lod.FreeMemory, mem)
+			srvs = append(srvs, srv)
 		}
 	}
+	lod.Kept = keptRoom(srvs)
 	lod.RankWaits = ldr.rates.waits(rate, ldr.waitingProcessor(now))
 	return lod
 }
--- a/internal/request/shard/refusal.go
+++ b/internal/request/shard/refusal.go
@@ -32,6 +32,8 @@
 	RunsNowhere
 	// LeaderResigned means that the leader has given the shard up.
 	LeaderResigned
+	// KeptForUrgent means that there is room, which is kept for more urgent tasks or for one that waits.
+	KeptForUrgent
 	// ReturnReasons is the number of reasons.
 	ReturnReasons
 )
@@ -40,6 +42,7 @@
 func (rsn ReturnReason) String() string {
 	names := [ReturnReasons]string{
 		"", "no-server", "service", "label", "step-bound", "memory", "processor", "closed", "too-late", "lease-expired", "runs-nowhere", "resigned",
+		"kept-for-urgent",
 	}
 	if rsn < 0 || rsn >= ReturnReasons {
 		return "unknown"
@@ -60,7 +63,7 @@
 
 // binding returns why a server that accepts tasks can't take an order.
 func (srv *server) binding(ord *order) ReturnReason {
-	prc, _ := srv.free()
+	prc, mem := srv.free()
 	switch {
 	case srv.ent.Service != ord.Service:
 		return WrongService
@@ -68,6 +71,8 @@
 		return WrongLabel
 	case !srv.suits(ord):
 		return StepBound
+	case prc >= ord.Processor && mem >= ord.Memory:
+		return KeptForUrgent
 	case prc >= ord.Processor:
 		return NoMemory
 	default:
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -62,6 +62,8 @@
 	lastFailed       string
 	spd              speed
 	quarantinedUntil time.Time
+	// openTo is the number of priorities, the most urgent ones, whose tasks may start here; 0 if it was not decided yet, which means all.
+	openTo int
 }
 
 // run is one start of a task on a server.
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -162,6 +162,8 @@
 	// Recall sets ReturnIfBusy on an earlier order that still waits. It never starts the task: the earlier order may be on its way back
 	// already, and its owner then sends it to another leader.
 	Recall bool
+	// Preempted is set once a run of the task was stopped for a more urgent one; it is not stopped for another again.
+	Preempted bool
 }
 
 // Outcome is what a leader reports about an order.
@@ -207,6 +209,10 @@
 	Reason ReturnReason
 	// TooLate is set with NotRun if the task would not have been done here while its answer is of use.
 	TooLate bool
+	// Preempted is set if the order has it set, as its owner sends the mark with further orders.
+	Preempted bool
+	// WorkLost is set with Started if the run is being stopped for a more urgent task: how long it has run. The task waits to be started again.
+	WorkLost time.Duration
 }
 
 // Division is the number of shards that the backend servers of a failure domain are divided into. Instances with different divisions would
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -55,20 +55,20 @@
 	}
 	num := int64(0)
 	for idx := range viw.load.Free {
-		num += viw.load.Startable(idx, stp.Processor, stp.Memory)
+		num += viw.load.StartableFor(jb.sub.Priority, idx, stp.Processor, stp.Memory)
 	}
 	return num
 }
 
 // recordSent accounts for a task that was just sent, so that the next one isn't sent for the same free capacity.
-func (viw *shardView) recordSent(stp *Step, bytes int64, hasCapacity bool) {
+func (viw *shardView) recordSent(priority int, stp *Step, bytes int64, hasCapacity bool) {
 	viw.load.LinkBusy += bytes
 	if !hasCapacity {
 		viw.sentSinceLoad += stp.Processor
 		return
 	}
 	for idx := range viw.load.Free {
-		if viw.load.Startable(idx, stp.Processor, stp.Memory) > 0 {
+		if viw.load.StartableFor(priority, idx, stp.Processor, stp.Memory) > 0 {
 			viw.load.Take(idx, stp.Processor, stp.Memory)
 			return
 		}
@@ -126,7 +126,7 @@
 		crd.cfg.Link.Sends(tsk.job.sub.Payload)
 		viw.lastPayloadJob = tsk.job.sub.ID
 	}
-	viw.recordSent(stp, shard.StartBytes(tsk.job.sub.Payload), hasCapacity)
+	viw.recordSent(tsk.job.sub.Priority, stp, shard.StartBytes(tsk.job.sub.Payload), hasCapacity)
 }
 
 // maxReturns is how often a task is tried for free capacity elsewhere before it waits in a queue: each try costs an order and its answer.
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -161,6 +161,8 @@
 	queued, recalled bool
 	// reassigned is set while the order is one that was with an earlier leader.
 	reassigned bool
+	// preempted is set once a run of the task was stopped for a more urgent one.
+	preempted bool
 }
 
 // NewCoordinator returns a Coordinator without submissions.
@@ -284,6 +286,7 @@
 		ExpectedRunTime: stp.ExpectedRunTime, Label: stp.Label, Rack: stp.Rack,
 		MaxPerServer: stp.PerServer, Step: fmt.Sprintf("%s.%d", jb.sub.ID, tsk.step),
 		Avoid: slices.Clone(tsk.avoid), JobStarted: jb.started, ReturnIfBusy: how.ReturnIfBusy, Reassigned: how.Reassigned, LastServer: how.LastServer, MayRunFor: how.MayRunFor,
+		Preempted: tsk.preempted,
 	}})
 }
 
@@ -301,8 +304,13 @@
 	if tsk.leader != from || tsk.token != rep.Token {
 		return crd.takeActions() // The order was sent to another leader since.
 	}
+	tsk.preempted = tsk.preempted || rep.Preempted
 	switch rep.Outcome {
 	case shard.Started:
+		if rep.WorkLost > 0 {
+			crd.notePreempted(tsk)
+			break
+		}
 		tsk.started, tsk.job.started, tsk.server, tsk.moves = true, true, rep.Server, 0
 		if tsk.job.refusing {
 			crd.completeRefusal(tsk.job)
--- a/internal/request/submission/move.go
+++ b/internal/request/submission/move.go
@@ -26,7 +26,7 @@
 // noteReturn takes note that a leader has returned a task's order without a start. Loads tell too little to know whether a leader can start a task, and
 // may be late. So whatever they say, a task that is returned again and again moves ever less often.
 func (crd *Coordinator) noteReturn(tsk *task, rsn shard.ReturnReason) {
-	crd.markFull(tsk.shard)
+	crd.noteNoRoom(tsk, rsn)
 	if viw := crd.shards[tsk.shard]; viw != nil && rsn == shard.DomainClosed {
 		viw.load.Closed = true // The next load report tells when it is open again.
 	}
