--- a/internal/request/shard/fit.go
+++ b/internal/request/shard/fit.go
@@ -25,7 +25,7 @@
 // still be in time on a faster one.
 func (ldr *Leader) bestServer(now time.Time, rnd *placementRound, ord *order) *freeServer {
 	if !ldr.speeds.used {
-		return rnd.free.best(ord, rnd.mostProcessor)
+		return ldr.best(rnd, ord)
 	}
 	if ord.Processor > rnd.mostProcessor {
 		return nil
@@ -38,7 +38,7 @@
 	var bstKey [3]int
 	for idx := range rnd.free {
 		fsv := &rnd.free[idx]
-		if fsv.processor < ord.Processor || fsv.memory < ord.Memory || !fsv.srv.suits(ord) {
+		if fsv.processor < ord.Processor || fsv.memory < ord.Memory || !fsv.srv.suits(ord) || !ldr.mayUse(fsv.srv, ord) {
 			continue
 		}
 		key := [3]int{fsv.mismatch(ord), 0, 0}
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -55,7 +55,7 @@
 	}
 	num := int64(0)
 	for idx := range viw.load.Free {
-		num += viw.load.Startable(idx, stp.Processor, stp.Memory)
+		num += viw.load.StartableFor(jb.sub.Priority, idx, stp.Processor, stp.Memory)
 	}
 	return num
 }
@@ -69,7 +69,7 @@
 		return
 	}
 	for idx := range viw.load.Free {
-		if viw.load.Startable(idx, stp.Processor, stp.Memory) > 0 && fit.inTime(viw, idx) {
+		if viw.load.StartableFor(fit.jb.sub.Priority, idx, stp.Processor, stp.Memory) > 0 && fit.inTime(viw, idx) {
 			viw.load.Take(idx, stp.Processor, stp.Memory)
 			return
 		}
--- a/internal/request/submission/fit.go
+++ b/internal/request/submission/fit.go
@@ -45,7 +45,7 @@
 	num := int64(0)
 	for idx := range viw.load.Free {
 		if ft.inTime(viw, idx) {
-			num += viw.load.Startable(idx, ft.stp.Processor, ft.stp.Memory)
+			num += viw.load.StartableFor(ft.jb.sub.Priority, idx, ft.stp.Processor, ft.stp.Memory)
 		}
 	}
 	return num
