--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -34,6 +34,8 @@
 			dmn.logAdmission(&act)
 		case submission.CorrectionChange:
 			dmn.logCorrectionChange(&act)
+		case submission.FeatureChange:
+			dmn.logFeatureChange("", &act.Change)
 		}
 	}
 }
@@ -128,9 +130,12 @@
 	}
 }
 
-// logFeatureChange logs that a feature has begun or ended to act in a shard.
+// logFeatureChange logs that a feature has begun or ended to act in a shard or, without a shard, in this owner's decisions.
 func (dmn *Daemon) logFeatureChange(name shard.Name, act *shard.FeatureChange) {
-	lin := dmn.log.Info().Str("feature", string(act.Feature)).Str("shard", string(name))
+	lin := dmn.log.Info().Str("feature", string(act.Feature))
+	if name != "" {
+		lin = lin.Str("shard", string(name))
+	}
 	for _, fig := range act.Figures {
 		lin = lin.Float64(fig.Name, fig.Value)
 	}
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -61,6 +61,7 @@
 	answers                 [submission.Unfinished + 1]atomic.Int64
 	startTimes, answerTimes histogram
 	urgent                  urgentCounters
+	claims                  claimCounters
 	traffic                 traffic
 }
 
@@ -155,6 +156,7 @@
 		line("server-run-time-least-thousandths", cnt.leastFactor.Load())
 		line("server-run-time-most-thousandths", cnt.mostFactor.Load())
 		line("routes-with-corrected-estimates", cnt.correctedRoutes.Load())
+		cnt.claims.write(line)
 		for res := range cnt.answers {
 			line("answers-"+submission.Result(res).String(), cnt.answers[res].Load())
 		}
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -12,7 +12,8 @@
 // CallID identifies one request of a caller that waits for an answer.
 type CallID int64
 
-// Action is a decision of a Coordinator that its caller carries out: SendOrder, CancelOrder, Reply, RecordAdmission or CorrectionChange.
+// Action is a decision of a Coordinator that its caller carries out: SendOrder, CancelOrder, Reply, RecordAdmission, CorrectionChange or
+// FeatureChange.
 type Action interface{ action() }
 
 // SendOrder sends an order, or the recall of one, to the leader of a shard.
@@ -110,6 +111,7 @@
 	// heldBytes is the sum of the bytes (shard.StartBytes) of the orders held back by the link since the last resume; a task held back
 	// several times counts each time, also if its job was answered since.
 	heldBytes int64
+	sharing   sharing
 	acts      []Action
 	// routes has what was learned of the estimates of each route.
 	routes map[string]*speed.Route
@@ -166,6 +168,8 @@
 	// queued is set if the order, not a reassigned one, was sent without ReturnIfBusy, so that the task waits in its leader's queue until
 	// it starts; recalled is set once the order was recalled.
 	queued, recalled bool
+	// claims is set while the order is one for free capacity of another instance's leader and has no known outcome.
+	claims bool
 	// reassigned is set while the order is one that was with an earlier leader.
 	reassigned bool
 	// preempted is set once a run of the task was stopped for a more urgent one.
@@ -174,10 +178,12 @@
 
 // NewCoordinator returns a Coordinator without submissions.
 func NewCoordinator(cfg Config, now time.Time) *Coordinator {
-	return &Coordinator{
+	crd := &Coordinator{
 		cfg: cfg, servingAt: now, jobs: map[string]*job{}, calls: map[CallID]*job{}, tasks: map[string]*task{},
-		shards: map[shard.Name]*shardView{}, fullTimeoutShare: map[string]float64{}, routes: map[string]*speed.Route{},
+		shards: map[shard.Name]*shardView{}, fullTimeoutShare: map[string]float64{}, routes: map[string]*speed.Route{}, now: now,
 	}
+	crd.beginSharing(now)
+	return crd
 }
 
 // OpenCount returns the number of submissions that are not answered yet.
@@ -305,6 +311,9 @@
 	if tsk == nil || tsk.done {
 		return crd.takeActions()
 	}
+	if tsk.leader == from && tsk.token == rep.Token {
+		crd.noteOutcome(tsk, &rep)
+	}
 	if rep.Outcome == shard.Done {
 		crd.learnEstimate(tsk, &rep)
 		crd.taskDone(tsk, from)
