Notice a rewound list, stagger the first readers, and test the limit on reads

An instance whose reads are put off took digests of a list that was rewound for known ones until they ended beyond what it had known: 20 of 30 instances never heard of a leaving server (TestLoneStartAtHundreds). It now notices that the digests of one reader go back, forgets its offsets, and takes the list from a neighbour, unless that one's may be from before, or reads it in its turn: all 30 know of the server within 3 s.

The first readers, which all begin when digests stop, read in the order of ranks, and are as many as take an eighth of the store's rate, but at least those that replace the reader if these fit (with one only, nine of 20 instances did not hear in time of a leaving server when the reader was cut off). A read for a leader counts what other instances are known to know more: with paced digests the own knowledge looks fresh and lacks a lot.

--- a/internal/process/daemon/hundreds_test.go
+++ b/internal/process/daemon/hundreds_test.go
@@ -96,7 +96,6 @@
 		sys.publishRoutes("/thumb/", "/new/")
 		sys.sendHeartbeats(3 * time.Second)
 		chk.Equal(sys.configured(), scl.instances())
-		sys.sendHeartbeats(4 * time.Second)
 		chk.Equal(sys.knowing(scl.servers()), scl.instances())
 		names := sys.instanceNames()
 		for _, name := range names {
@@ -108,13 +107,9 @@
 		}
 		sys.sendHeartbeats(time.Second)
 		sys.publishRoutes("/thumb/", "/newer/")
-		for sec := range 7 {
-			t.Logf("%d s after the restart %d instances know all servers", sec+1, sys.knowing(scl.servers()))
-			sys.sendHeartbeats(time.Second)
-			if sec == 2 {
-				chk.Equal(sys.configured(), scl.instances())
-			}
-		}
+		t.Logf("1 s after the restart %d instances know all servers", sys.knowing(scl.servers()))
+		sys.sendHeartbeats(3 * time.Second)
+		chk.Equal(sys.configured(), scl.instances())
 		chk.Equal(sys.knowing(scl.servers()), scl.instances())
 	})
 }
@@ -180,6 +175,28 @@
 	}
 }
 
+// Guards against an instance of a large system that starts alone and waits as if all had started, and against a store whose list was rewound to lower
+// offsets and that all instances then read in full at once.
+func TestLoneStartAtHundreds(t *testing.T) {
+	scl := scale(10)
+	scl.run(t, func(sys *system) {
+		chk := is.NewRelaxed(t)
+		sys.startAll(scl)
+		sys.sendHeartbeats(8 * time.Second)
+		sys.kill("entry-3-2")
+		sys.sendHeartbeats(time.Second)
+		prc := sys.startInstance("entry-3-2", domainName(2))
+		sys.sendHeartbeats(500 * time.Millisecond)
+		chk.Equal(sys.count(func(oth *process) bool {
+			return oth == prc && len(prc.dmn.entries) == scl.servers() && prc.dmn.elector.Ready()
+		}), 1)
+		sys.sto.Rewind(string(platform.ServersTopic))
+		sys.listServer("server-1-1", domainName(0), "draining")
+		sys.sendHeartbeatsExcept("server-1-1", 3*time.Second)
+		chk.Equal(sys.count(func(prc *process) bool { return prc.dmn.entries["server-1-1"].Leaving }), scl.instances())
+	})
+}
+
 // refuseSome makes the store refuse each third instance.
 func (sys *system) refuseSome() {
 	sys.mu.Lock()
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -115,7 +115,7 @@
 
 // replaceList replaces the known list by a full read of this or another instance; entries that it doesn't have are removed.
 func (dmn *Daemon) replaceList(now time.Time, snp *platform.Snapshot) {
-	dmn.gap = false
+	dmn.gap, dmn.formerTo = false, 0
 	dmn.coverage.HandleFullRead(now, snp.Next)
 	known, before := dmn.follower.Known(), dmn.follower.KnownTo()
 	continued := dmn.follower.HandleRereading(snp.Next, snp.End)
@@ -206,6 +206,9 @@
 	if !dmn.follower.Known() {
 		return // The next read is a full one.
 	}
+	if dmn.handleRewind(now, dig) {
+		return
+	}
 	known := dmn.follower.KnownTo()
 	chgs, follows := dmn.follower.HandleDigest(now, dig)
 	if !follows {
--- a/internal/process/daemon/listlimit.go
+++ b/internal/process/daemon/listlimit.go
@@ -17,6 +17,12 @@
 	limit *serverlist.ReadLimit
 	// limited is set while the limit acts; deferred is set while a read is put off; gap is set while a part of the list is missing.
 	limited, deferred, gap bool
+	// digestsTo has where the newest digest of each reader ended. formerTo is the offset before which the list was known when it was found to have been
+	// rewound, until it is known again; 0 if it was not.
+	digestsTo map[string]int64
+	formerTo  int64
+	// listEnd is the highest offset of the list that another instance knows.
+	listEnd int64
 	// knowing are the other instances that know the list.
 	knowing map[shard.InstanceID]bool
 	// listedInstances are the names in the list of instances.
@@ -30,7 +36,7 @@
 		limit: serverlist.NewReadLimit(serverlist.ReadLimitConfig{
 			StoreBytes: set.StoreReadBytes, DigestTimeout: pcs.list.DigestTimeout,
 		}, now),
-		knowing: map[shard.InstanceID]bool{}, listedInstances: map[string]bool{}, listGapNoted: make(chan struct{}, 1),
+		knowing: map[shard.InstanceID]bool{}, digestsTo: map[string]int64{}, listedInstances: map[string]bool{}, listGapNoted: make(chan struct{}, 1),
 	}
 }
 
@@ -44,6 +50,7 @@
 func (dmn *Daemon) handleListState(from shard.InstanceID, bet *mesh.Heartbeat) {
 	if bet.ListOffset > 0 {
 		dmn.knowing[from] = true
+		dmn.listEnd = max(dmn.listEnd, bet.ListOffset)
 	}
 	siz := serverlist.ListSize{Full: bet.ListBytes, PerSecond: bet.ListRate}
 	if prb := siz.Problem(); prb != "" {
@@ -65,6 +72,7 @@
 // listReadState returns what the limit is to decide on.
 func (dmn *Daemon) listReadState() serverlist.ReadState {
 	sta := serverlist.ReadState{Known: dmn.follower.Known(), KnownAt: dmn.knownAt, Knowing: len(dmn.knowing), Gap: dmn.gap, ProgressAt: dmn.follower.ProgressAt()}
+	sta.Lacking = max(0, dmn.listEnd-dmn.follower.KnownTo())
 	if dmn.elector != nil {
 		sta.Rank, sta.Heard = dmn.readerRank(), len(dmn.elector.Peers())
 	}
@@ -178,6 +186,30 @@
 	return dmn.follower.Known()
 }
 
+// handleRewind notices by a digest that the list's offsets have begun anew, as its reader's digests go back, and reports whether they have. Otherwise an
+// instance whose reads are put off would take digests for known ones until they end beyond what it knew before.
+func (dmn *Daemon) handleRewind(now time.Time, dig *serverlist.Digest) bool {
+	last, wrote := dmn.digestsTo[dig.Reader]
+	dmn.digestsTo[dig.Reader] = dig.To
+	if !dmn.limited || !wrote || dig.Reader == dmn.prm.Settings.Instance || dig.To >= last || dig.To >= dmn.follower.KnownTo() {
+		return false
+	}
+	dmn.log.Warn().Str("by", dig.Reader).Int64("to", dig.To).Int64("before", last).Int64("known", dmn.follower.KnownTo()).
+		Msg("the list of servers was rewound; reading it anew")
+	dmn.formerTo, dmn.gap = dmn.follower.KnownTo(), false
+	dmn.follower.Forget(now)
+	dmn.limit.HandleRewind(now)
+	clear(dmn.knowing)
+	dmn.listEnd = 0
+	return true
+}
+
+// mayBeFormer reports whether a list that ends at an offset may be from before the list was rewound: another instance may not have noticed it. It knew
+// about as much as this one, up to one record of each server.
+func (dmn *Daemon) mayBeFormer(to int64) bool {
+	return dmn.formerTo > 0 && to+int64(len(dmn.entries)) >= dmn.formerTo
+}
+
 // noteListGap has followServerList read what is missing of the list. It doesn't block.
 func (dmn *Daemon) noteListGap() {
 	dmn.gap = true
--- a/internal/process/daemon/wholelist.go
+++ b/internal/process/daemon/wholelist.go
@@ -103,7 +103,7 @@
 		dmn.log.Error().Err(err).Str("from", string(from)).Msg("list of servers is refused")
 		return
 	}
-	if dmn.follower.Known() && !dmn.gap || lst.To <= dmn.follower.KnownTo() {
+	if dmn.follower.Known() && !dmn.gap || dmn.mayBeFormer(lst.To) || lst.To <= dmn.follower.KnownTo() {
 		dmn.log.Info().Str("from", string(from)).Int64("offset", lst.To).Int64("known", dmn.follower.KnownTo()).Msg("list of servers is not used")
 		return
 	}
--- a/internal/version/serverlist/follower.go
+++ b/internal/version/serverlist/follower.go
@@ -83,6 +83,11 @@
 // Exact reports whether what is known is the list as it was at the offset KnownTo, with nothing that was written later.
 func (fol *Follower) Exact() bool { return fol.next != unknown && fol.next >= fol.fullReadTo }
 
+// Forget drops what is known of the list, so that the next read is a full one: its offsets have begun anew.
+func (fol *Follower) Forget(now time.Time) {
+	*fol = *NewFollower(fol.cfg, now)
+}
+
 // Known reports whether the list was read once, so that digests may continue what is known.
 func (fol *Follower) Known() bool { return fol.next != unknown }
 
--- a/internal/version/serverlist/readlimit.go
+++ b/internal/version/serverlist/readlimit.go
@@ -62,6 +62,8 @@
 	// ProgressAt is when the digests of another reader last went on.
 	Known, Gap          bool
 	KnownAt, ProgressAt time.Time
+	// Lacking is how many records others are known to know that this instance doesn't.
+	Lacking int64
 	// Asked is since when a leader has waited for a read, zero if none does. Failures is how many reads have failed, one after the other, by now.
 	Asked    time.Time
 	Failures int
@@ -74,11 +76,11 @@
 	assumedFullBytes   = 300
 	assumedLogBytes    = 150
 	heartbeatTime      = 1500 * time.Millisecond
-	// The reads of all instances together may take a half of the store's rate: a quarter for the first readers, another one for those that wait for their
-	// turn, or for the first reads. Reads for leaders after a start of many take an eighth. Digests take a quarter, mostly while nobody else reads.
-	readShare = 2
-	turnShare = 2 * readShare
-	askShare  = 4 * readShare
+	// The reads of all instances together may take a half of the store's rate: an eighth for the first readers, a quarter for those that wait for their
+	// turn, or for the first reads, and an eighth for leaders after a start of many. Digests take a quarter, mostly while nobody else reads.
+	readShare  = 2
+	turnShare  = 2 * readShare
+	eighthPart = 4 * readShare
 	// digestSpread is the time in which all instances may read one digest, and digestChangeBytes the size of one change in it.
 	digestSpread      = 300 * time.Millisecond
 	digestChangeBytes = 250
@@ -98,6 +100,8 @@
 	measureAge    = 10 * time.Second
 	// releaseShare is the part of their share below which reads are no longer limited.
 	releaseShare = 0.8
+	// maxSpread bounds the time over which reads are spread if the store's rate is absurdly low.
+	maxSpread = 10 * time.Minute
 	// maxHalvings is enough to leave one reader of any number.
 	maxHalvings = 20
 	// maxListBytes is more than any list has: a hundred times that of 3,000 servers.
@@ -120,6 +124,11 @@
 	lim.listed = max(lim.listed, num)
 }
 
+// HandleRewind takes note that all instances are to read the list in full again.
+func (lim *ReadLimit) HandleRewind(now time.Time) {
+	lim.listedAt, lim.starters, lim.windowAt = now, 0, time.Time{}
+}
+
 // HandleReport takes note of the size of the list that another instance has sent.
 func (lim *ReadLimit) HandleReport(siz ListSize) {
 	if siz.Full > 0 {
@@ -167,11 +176,7 @@
 	if took < measureTime {
 		return
 	}
-	bytes := lim.recordBytes
-	if bytes == 0 {
-		bytes = assumedLogBytes
-	}
-	rate := float64(end-lim.windowTo) * bytes / took.Seconds()
+	rate := float64(end-lim.windowTo) * lim.logRecordBytes() / took.Seconds()
 	if lim.own.PerSecond > 0 {
 		rate = measureWeight*rate + (1-measureWeight)*float64(lim.own.PerSecond)
 	}
@@ -222,7 +227,8 @@
 	}
 	lim.active = most > 0 && int64(num)*lms.ListBytes > most
 	if lim.active {
-		lms.Active, lms.Readers = true, int(max(1, lim.cfg.StoreBytes/turnShare/lms.ListBytes))
+		fit := min(maxSubstitutes+1, most/lms.ListBytes) // Those that replace the reader read, unless even their reads don't fit.
+		lms.Active, lms.Readers = true, int(max(1, fit, lim.cfg.StoreBytes/eighthPart/lms.ListBytes))
 	}
 	return lms
 }
@@ -241,8 +247,12 @@
 		rnk = int(lim.position * float64(lms.Instances)) // The rank says little yet.
 	}
 	// After a failure, fewer try again: the store has more to read than it can.
-	if !lms.Active || rnk < max(1, lms.Readers>>min(sta.Failures, maxHalvings)) {
+	readers := max(1, lms.Readers>>min(sta.Failures, maxHalvings))
+	switch {
+	case !lms.Active:
 		return 0
+	case rnk < readers:
+		return lim.readerWait(now, sta, rnk, lms)
 	}
 	if !sta.Asked.IsZero() && sta.Failures == 0 {
 		return lim.askedWait(now, sta, lms)
@@ -250,7 +260,7 @@
 	// The turns of all instances are spread over the time in which that many full reads fit into half of the share.
 	full := lim.size(lms.Instances).Full
 	turn := spreadTime(lms.Instances, full, lim.cfg.StoreBytes/turnShare)
-	pause := spreadTime(rnk+1-lms.Readers, full, lim.cfg.StoreBytes/turnShare)
+	pause := spreadTime(rnk+1-readers, full, lim.cfg.StoreBytes/turnShare)
 	news := sta.KnownAt
 	if !sta.Gap && sta.ProgressAt.After(news) {
 		news = sta.ProgressAt
@@ -262,13 +272,22 @@
 	return max(0, due.Sub(now))
 }
 
+// readerWait returns how long one of the first readers waits: not at all, unless all of them begin to read what came since the last digest.
+func (lim *ReadLimit) readerWait(now time.Time, sta ReadState, rnk int, lms Limits) time.Duration {
+	if !sta.Asked.IsZero() || now.Sub(sta.KnownAt) <= lim.cfg.DigestTimeout {
+		return 0
+	}
+	lacking := int64(float64(lms.ListBytes) * lim.cfg.DigestTimeout.Seconds())
+	return max(0, sta.KnownAt.Add(lim.cfg.DigestTimeout+spreadTime(rnk, lacking, lim.cfg.StoreBytes/turnShare)).Sub(now))
+}
+
 // askedWait returns how long a read for which a leader waits is put off: not at all, unless many instances have started at once.
 func (lim *ReadLimit) askedWait(now time.Time, sta ReadState, lms Limits) time.Duration {
 	if sta.Asked.Sub(lim.startedAt) > massStartTime {
 		return 0
 	}
-	lacking := min(lim.size(lms.Instances).Full, int64(float64(lms.ListBytes)*now.Sub(sta.KnownAt).Seconds()))
-	slot := time.Duration(lim.position * float64(spreadTime(lms.Instances, lacking, lim.cfg.StoreBytes/askShare)))
+	lacking := min(lim.size(lms.Instances).Full, lim.lacking(now, sta, lms))
+	slot := time.Duration(lim.position * float64(spreadTime(lms.Instances, lacking, lim.cfg.StoreBytes/eighthPart)))
 	return max(0, sta.Asked.Add(slot).Sub(now))
 }
 
@@ -281,9 +300,17 @@
 	if sta.Asked.IsZero() || sta.Failures > 0 {
 		lim.lateReadAt = now
 	}
-	return float64(lms.ListBytes)*now.Sub(sta.KnownAt).Seconds() > float64(lim.size(lms.Instances).Full)
+	return lim.lacking(now, sta, lms) > lim.size(lms.Instances).Full
 }
 
+// lacking returns the bytes of the records that an instance lacks.
+func (lim *ReadLimit) lacking(now time.Time, sta ReadState, lms Limits) int64 {
+	return max(int64(float64(lms.ListBytes)*now.Sub(sta.KnownAt).Seconds()), int64(float64(sta.Lacking)*lim.logRecordBytes()))
+}
+
+// logRecordBytes returns the size of one record of the list.
+func (lim *ReadLimit) logRecordBytes() float64 { return cmp.Or(lim.recordBytes, assumedLogBytes) }
+
 // firstWait returns how long the first read is to wait. Instances that start at once read one after the other; one that starts alone, as most others
 // know the list, reads at once.
 func (lim *ReadLimit) firstWait(now time.Time, sta ReadState) time.Duration {
@@ -324,5 +351,6 @@
 
 // spreadTime returns the time in which so many reads of a size take bytesPerSecond.
 func spreadTime(reads int, size, bytesPerSecond int64) time.Duration {
-	return time.Duration(float64(reads) * float64(size) / float64(max(1, bytesPerSecond)) * float64(time.Second))
+	seconds := float64(reads) * float64(size) / float64(max(1, bytesPerSecond))
+	return time.Duration(min(seconds, maxSpread.Seconds()) * float64(time.Second))
 }
