Don't take a digest that is written again for a rewound list

A digest whose write got no answer is written again from the same offset on, and may end lower, as its changes are cut by the number of instances. All instances of a large system would have forgotten the list and read it again. A list counts as rewound only if a digest ends before the one before it began (TestRewoundListIsForgotten).

--- a/internal/process/daemon/listlimit.go
+++ b/internal/process/daemon/listlimit.go
@@ -17,10 +17,10 @@
 	limit *serverlist.ReadLimit
 	// limited is set while the limit acts; deferred is set while a read is put off; gap is set while a part of the list is missing.
 	limited, deferred, gap bool
-	// digestsTo has where the newest digest of each reader ended. formerTo is the offset before which the list was known when it was found to have been
+	// digestsFrom has where the newest digest of each reader began. formerTo is the offset before which the list was known when it was found to have been
 	// rewound, until it is known again; 0 if it was not.
-	digestsTo map[string]int64
-	formerTo  int64
+	digestsFrom map[string]int64
+	formerTo    int64
 	// listEnd is the highest offset of the list that another instance knows.
 	listEnd int64
 	// knowing are the other instances that know the list.
@@ -36,7 +36,7 @@
 		limit: serverlist.NewReadLimit(serverlist.ReadLimitConfig{
 			StoreBytes: set.StoreReadBytes, DigestTimeout: pcs.list.DigestTimeout,
 		}, now),
-		knowing: map[shard.InstanceID]bool{}, digestsTo: map[string]int64{}, listedInstances: map[string]bool{}, listGapNoted: make(chan struct{}, 1),
+		knowing: map[shard.InstanceID]bool{}, digestsFrom: map[string]int64{}, listedInstances: map[string]bool{}, listGapNoted: make(chan struct{}, 1),
 	}
 }
 
@@ -206,11 +206,12 @@
 }
 
 // handleRewind notices by a digest that the list's offsets have begun anew, as its reader's digests go back, and reports whether they have. Otherwise an
-// instance whose reads are put off would take digests for known ones until they end beyond what it knew before.
+// instance whose reads are put off would take digests for known ones until they end beyond what it knew before. A digest that was written without an answer
+// is written again from the same offset on, perhaps to a lower one.
 func (dmn *Daemon) handleRewind(now time.Time, dig *serverlist.Digest) bool {
-	last, wrote := dmn.digestsTo[dig.Reader]
-	dmn.digestsTo[dig.Reader] = dig.To
-	if !dmn.limited || !wrote || dig.Reader == dmn.prm.Settings.Instance || dig.To >= last || dig.To >= dmn.follower.KnownTo() {
+	last, wrote := dmn.digestsFrom[dig.Reader]
+	dmn.digestsFrom[dig.Reader] = dig.From
+	if !dmn.limited || !wrote || dig.Reader == dmn.prm.Settings.Instance || dig.To > last || dig.To >= dmn.follower.KnownTo() {
 		return false
 	}
 	dmn.log.Warn().Str("by", dig.Reader).Int64("to", dig.To).Int64("before", last).Int64("known", dmn.follower.KnownTo()).
--- /dev/null
+++ b/internal/process/daemon/listlimit_test.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/connection/mesh"
+	"chestnutstack/internal/version/serverlist"
+	"chestnutstack/platform"
+)
+
+// Guards against a list that is forgotten because a digest was written twice, and against one that was rewound and goes on being used.
+func TestRewoundListIsForgotten(t *testing.T) {
+	cases := map[string]struct {
+		again, unlimited bool
+		from, to         int64
+		forgets          bool
+	}{
+		"written again, shorter": {again: true, to: 5},
+		"rewound":                {from: -8, to: -2, forgets: true},
+		"nothing is limited":     {from: -8, to: -2, unlimited: true},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			inTestSystem(t, 1, 1, 1, func(sys *system) {
+				dmn := sys.instances["entry-1-1"].dmn
+				now := dmn.beginEvent()
+				defer dmn.endEvent(now)
+				dmn.follower.HandleRead(dmn.follower.KnownTo(), 100)
+				dmn.limited = !cse.unlimited
+				dmn.applyDigest(now, &serverlist.Digest{Reader: "one", From: 100, To: 110})
+				dmn.applyDigest(now, &serverlist.Digest{Reader: "one", From: 100 + cse.from, To: 100 + cse.to})
+				is.New(t).Equal(dmn.follower.Known(), !cse.forgets)
+				is.New(t).Equal(dmn.mayBeFormer(109), cse.forgets)
+			})
+		})
+	}
+}
+
+// Guards against a list of another instance, or its size, that is used though it can't be right or is older than what is known.
+func TestBadListIsNotUsed(t *testing.T) {
+	inTestSystem(t, 1, 1, 2, func(sys *system) {
+		chk := is.NewRelaxed(t)
+		dmn := sys.instances["entry-1-1"].dmn
+		older, err := platform.EncodeList(&platform.WholeList{By: "one", To: 1})
+		chk.NoErr(err)
+		dmn.mu.Lock()
+		dmn.gap = true
+		dmn.mu.Unlock()
+		dmn.handleServerList("one", []byte("x"))
+		dmn.handleServerList("one", older)
+		dmn.mu.Lock()
+		defer dmn.mu.Unlock()
+		chk.Equal(len(dmn.entries), 2)
+		chk.Equal(dmn.cnt.badDigests.Load(), int64(1))
+		before := dmn.limit.Limits(dmn.now(), 0)
+		dmn.handleListState("one", &mesh.Heartbeat{ListBytes: -1, ListRate: 1 << 60})
+		chk.Equal(dmn.limit.Limits(dmn.now(), 0), before)
+	})
+}
