Recall waiting tasks that fit the free room of other shards

Free room stayed unused while tasks waited: an owner stopped at the first task, in order of arrival, that was too large for it. Where speeds are used, it goes on to smaller ones, each for the server with the least room that has enough. So that not all owners recall tasks for the same room, each free server of a load is for one in four of them, by a hash of the owner, the load and the server.

--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -330,6 +330,7 @@
 // recallFor recalls as many waiting tasks from other shards as would start at once in the free capacity of this one.
 func (crd *Coordinator) recallFor(viw *shardView) {
 	var recalled int64
+	rom := crd.newRecallRoom(viw)
 	for _, jb := range crd.jobsByArrival() {
 		for _, tks := range jb.tasks {
 			for _, tsk := range tks {
@@ -340,7 +341,12 @@
 				if !viw.suits(jb, stp) {
 					continue
 				}
-				if crd.newFit(tsk, stp).startable(viw) <= recalled {
+				switch ft := crd.newFit(tsk, stp); {
+				case rom != nil && rom.done():
+					return
+				case rom != nil && !rom.take(ft):
+					continue // A smaller task may fit.
+				case rom == nil && ft.startable(viw) <= recalled:
 					return
 				}
 				recalled++
--- a/internal/request/submission/fit.go
+++ b/internal/request/submission/fit.go
@@ -1,6 +1,11 @@
 package submission
 
-import "math"
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+)
 
 const (
 	// factorUnit is the number of units of a factor in loads in one.
@@ -50,3 +55,57 @@
 	}
 	return num
 }
+
+// recallShare is the share of the owners, one in so many, that recall tasks for the same free server: if all did, most tasks would come too late and be
+// returned. Each load of a shard gives a server to others.
+const recallShare = 4
+
+// maxMisses is how many waiting tasks are tried for the free room of one load.
+const maxMisses = 128
+
+// recallRoom is the room of a shard for which this owner recalls tasks.
+type recallRoom struct {
+	viw  *shardView
+	free []int64
+	// misses counts the tasks that did not fit.
+	misses int
+}
+
+// done reports whether no room is left, or enough tasks did not fit: thousands may wait, and loads come hundreds of times a second.
+func (rom *recallRoom) done() bool {
+	return rom.misses >= maxMisses || slices.Max(rom.free) <= 0
+}
+
+// newRecallRoom returns the room of a shard for which this owner recalls tasks where speeds are used, nil elsewhere. What is free on a server is often too
+// little for the task that has waited longest, but enough for another.
+func (crd *Coordinator) newRecallRoom(viw *shardView) *recallRoom {
+	if !crd.cfg.Features.ServerSpeeds || len(viw.load.FreeFactors) == 0 {
+		return nil
+	}
+	rom := &recallRoom{viw: viw, free: slices.Clone(viw.load.Free)}
+	for idx := range rom.free {
+		hsh := fnv.New32a()
+		_, _ = fmt.Fprint(hsh, crd.cfg.Self, viw.name, viw.load.Number, idx) // Write of a hash returns no error.
+		if sum := hsh.Sum32(); (sum^sum>>16)%recallShare != 0 {
+			rom.free[idx] = 0
+		}
+	}
+	return rom
+}
+
+// take takes the room of a task on the server with the least room that has enough, and reports whether there is one.
+func (rom *recallRoom) take(ft *fit) bool {
+	bst := -1
+	for idx, free := range rom.free {
+		fits := free >= ft.stp.Processor && rom.viw.load.Startable(idx, ft.stp.Processor, ft.stp.Memory) > 0 && ft.inTime(rom.viw, idx)
+		if fits && (bst < 0 || free < rom.free[bst]) {
+			bst = idx
+		}
+	}
+	if bst < 0 || !rom.viw.suits(ft.jb, ft.stp) {
+		rom.misses++
+		return false
+	}
+	rom.free[bst] -= ft.stp.Processor
+	return true
+}
--- a/internal/request/submission/playspeeds_test.go
+++ b/internal/request/submission/playspeeds_test.go
@@ -25,7 +25,7 @@
 				for seed := range *compareSpeeds {
 					rep := play(playParams{
 						Features: shard.Features{ServerSpeeds: used}, Deployment: deps[idx], Load: loads[num], Seed: uint64(seed + 1),
-						Duration: 8 * time.Second,
+						Duration: 8 * time.Second, FullSize: *measurePlays,
 					})
 					worth += rep.worth()
 					bound += rep.bound.worth()
--- a/internal/request/submission/estimates_test.go
+++ b/internal/request/submission/speeds_test.go
@@ -93,3 +93,44 @@
 		})
 	}
 }
+
+func TestRecallsFillGaps(t *testing.T) {
+	// Guards against free room that stays unused as the task that has waited longest is too large for it, and against all owners recalling tasks for the same
+	// free server. Two jobs wait in another shard; only the later one, of 10 cores, fits the 12 that are free on each of 40 servers.
+	recalls := func(owner shard.InstanceID, factors []int64) int {
+		hrn := newHarness()
+		hrn.crd.cfg.Features, hrn.crd.cfg.Self = shard.AllFeatures(), owner
+		hrn.setLeader("b.0", true, other, 1, 0)
+		hrn.setLongQueue("b.0", 2)
+		for idx, prc := range []int64{20000, 10000} {
+			hrn.record(hrn.crd.HandleSubmit(hrn.now.Add(time.Duration(idx)), CallID(idx), Submission{
+				ID: fmt.Sprint("j", idx), Service: "render", MaxAttempts: 3, CallerTimeout: 5 * time.Second,
+				Steps:     []Step{{Count: 40, Processor: prc, ExpectedRunTime: 100 * time.Millisecond}},
+				Objective: func(time.Duration) time.Duration { return 4 * time.Second },
+			}))
+		}
+		hrn.setLeader("a.0", true, "third/3", 1, 0)
+		hrn.acts = nil
+		lod := shard.Load{Number: 9, ServiceRate: 1_000_000, FreeFactors: factors, LinkWindow: 1 << 20}
+		for range 40 {
+			lod.Free = append(lod.Free, 12000)
+		}
+		hrn.record(hrn.crd.HandleLoad("a.0", lod))
+		num := 0
+		for _, act := range hrn.acts {
+			if snd, ok := act.(SendOrder); ok && snd.Order.Recall {
+				num++
+			}
+		}
+		return num
+	}
+	chk := is.NewRelaxed(t)
+	sum := 0
+	for num := range 20 {
+		got := recalls(shard.InstanceID(fmt.Sprintf("owner-%d/1", num)), []int64{1000})
+		chk.True(got < 40/2)
+		sum += got
+	}
+	chk.True(sum > 20*40/recallShare/2 && sum < 20*40/recallShare*2)
+	chk.Equal(recalls("owner/1", nil), 0) // Where speeds are not used, as before.
+}
