--- a/internal/process/daemon/speeds.go
+++ b/internal/process/daemon/speeds.go
@@ -25,6 +25,7 @@
 		if !any {
 			continue
 		}
+		dmn.speedBook.Add(now, told) // This instance may lead the servers again, in another division.
 		uneven++
 		for _, spd := range told.Speeds {
 			if least == 0 || spd.Factor < least {
