--- a/internal/connection/mesh/wire_test.go
+++ b/internal/connection/mesh/wire_test.go
@@ -1,11 +1,13 @@
 package mesh
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"chestnutstack/internal/connection/meshpb"
 	"chestnutstack/internal/request/shard"
@@ -72,3 +74,17 @@
 	marked := func(msg Message) bool { ord, ok := msg.(Order); return ok && ord.Order.Preempted }
 	is.New(t).True(slices.ContainsFunc(decodeMessages(dlv, now, "one/1"), marked))
 }
+
+func TestSizeOfSpeeds(t *testing.T) {
+	// Guards against messages about speeds that fill narrow links: nine servers, each two seconds to each instance of the failure domain.
+	told := shard.ToldSpeeds{Shard: "domain-1.0", Token: 9 << 20}
+	hbt := Heartbeat{Leaderships: []Leadership{{Shard: "domain-1.0"}}}
+	before := proto.Size(encodeHeartbeat(hbt))
+	for num := range 9 {
+		told.Speeds = append(told.Speeds, shard.ServerSpeed{Server: shard.ServerID(fmt.Sprintf("server-1-%d", 10+num)), Incarnation: 1_790_000_000_000, Factor: 1670})
+		hbt.Leaderships[0].Load.FreeFactors = append(hbt.Leaderships[0].Load.FreeFactors, 1670)
+	}
+	msg, beat := proto.Size(encodeSpeeds(ServerSpeeds{Told: told})), proto.Size(encodeHeartbeat(hbt))-before
+	t.Logf("a message has %d bytes, a heartbeat %d more", msg, beat)
+	is.New(t).True(msg < 400 && beat < 40)
+}
