Explore runs that are stopped for urgent tasks, with faults at random times

Preemption adds stops at moments that no caller or fault asked for. All other searches have no features, as before.

--- a/internal/process/succession/explore_action_test.go
+++ b/internal/process/succession/explore_action_test.go
@@ -96,6 +96,9 @@
 		switch act := act.(type) {
 		case shard.SendReport:
 			nod.localActions = append(nod.localActions, func() { nod.report(act.Owner, act.Report) })
+		case shard.NotePreemption:
+			nod.sim.preemptions++
+			nod.sim.note("%s stops the run of %s for %s", nod.id, act.Task, act.For)
 		case shard.NoteIncarnation:
 			nod.sim.note("%s: %s of %s: known %d, told %d, %d runs carried", nod.id, act.Reason, act.Server, act.Known, act.Told, act.Carried)
 		case shard.StartRun:
--- a/internal/process/succession/explore_caller_test.go
+++ b/internal/process/succession/explore_caller_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
 )
 
@@ -15,6 +16,8 @@
 	tasks    int
 	runTime  time.Duration
 	attempts int
+	// urgent jobs go before all others, and their answers are due soon.
+	urgent bool
 	// mayHaveRun is set once an attempt ended with anything but "not run".
 	mayHaveRun, refused, succeeded bool
 }
@@ -54,6 +57,8 @@
 }
 
 const (
+	// urgentSlack is how much later than its run time an urgent job is due: the time of a stop and some messages.
+	urgentSlack   = 150 * time.Millisecond
 	callerTimeout = 4 * time.Second
 	resendAfter   = 1300 * time.Millisecond
 	maxAttempts   = 4
@@ -81,6 +86,14 @@
 		Steps:     []submission.Step{{Count: job.tasks, Processor: taskSize, Memory: 64, ExpectedRunTime: job.runTime}},
 		Objective: func(work time.Duration) time.Duration { return 3*work + time.Second },
 	}
+	switch {
+	case !sim.features.Preemption:
+		// All jobs have one priority.
+	case !job.urgent:
+		sub.Priority = shard.Priorities - 1
+	default:
+		sub.Objective = func(work time.Duration) time.Duration { return work + urgentSlack }
+	}
 	nod.deliver("caller "+job.id, func() {
 		nod.handle(func(now time.Time) { nod.runCoordinatorActions(nod.coordinator.HandleSubmit(now, att.call, sub)) })
 	})
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -343,7 +343,9 @@
 	nod.tokenRound++
 	tok := nod.tokenRound<<20 | nod.incarnation
 	nod.sim.note("%s begins to lead %s with token %d", nod.id, name, tok)
-	ldr := shard.NewLeader(shard.DefaultConfig(), nod.uplink, name, tok, now)
+	cfg := shard.DefaultConfig()
+	cfg.Features = nod.sim.features
+	ldr := shard.NewLeader(cfg, nod.uplink, name, tok, now)
 	nod.leaders[name] = ldr
 	nod.elector.HandleTakeover(now, name, tok)
 	nod.leadersChanged = true
--- a/internal/process/succession/explore_repeat_test.go
+++ b/internal/process/succession/explore_repeat_test.go
@@ -13,6 +13,7 @@
 		"orders":            func(seed uint64) *simRun { return simulate(seed, false) },
 		"restarted servers": func(seed uint64) *simRun { return simulate(seed, true) },
 		"second leaders":    simulateSecondLeaders,
+		"preemption":        simulatePreemption,
 	}
 	for name, search := range searches {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/succession/explore_test.go
+++ b/internal/process/succession/explore_test.go
@@ -91,8 +91,11 @@
 	// orders has the orders of each task by each owner; wrongLoads change what nodes tell of their loads.
 	orders     map[string]*sentOrder
 	wrongLoads map[string]func(lod shard.Load) shard.Load
-	violations []string
-	trace      []string
+	// features are those of all leaders and owners, preemptions counts the runs that were stopped for urgent tasks.
+	features    shard.Features
+	preemptions int
+	violations  []string
+	trace       []string
 }
 
 type event struct {
