--- a/internal/request/headroom/aside.go
+++ b/internal/request/headroom/aside.go
@@ -12,7 +12,7 @@
 	usageTime = 200 * time.Millisecond
 	// asideShare is the share of the room used by urgent runs that is set aside. The rest finds room on the other servers: with all of it, the
 	// servers that are set aside are idle whenever less urgent work arrives than usual.
-	asideShare = 0.65
+	asideShare = 0.75
 	// maxAsideShare is the largest share of all room that is set aside.
 	maxAsideShare = 0.5
 )
@@ -38,6 +38,21 @@
 // Means returns the means by priority; they are nil before the first Observe.
 func (usg *Usage) Means() []float64 { return usg.means }
 
+// Share returns the share of some rooms that runs of all priorities use; 0 if there are none.
+func (usg *Usage) Share(rooms []int64) float64 {
+	used, all := 0.0, 0.0
+	for _, num := range usg.means {
+		used += num
+	}
+	for _, room := range rooms {
+		all += float64(room)
+	}
+	if all == 0 {
+		return 0
+	}
+	return used / all
+}
+
 // SetAside divides servers, by the processor of each, among priorities. It returns for each server the number of priorities that may use it, the
 // most urgent ones: all of them if the server is not set aside.
 //
--- a/internal/request/headroom/aside_test.go
+++ b/internal/request/headroom/aside_test.go
@@ -42,6 +42,8 @@
 		return usg.Means()[0]
 	}
 	chk.Equal(mean(100, 20*time.Millisecond), 100.0)
+	chk.Equal(usg.Share([]int64{150, 50}), 0.5)
+	chk.Equal(usg.Share(nil), 0.0)
 	chk.True(mean(0, 20*time.Millisecond) > 80)
 	chk.True(mean(0, 2*time.Second) < 1)
 }
--- a/internal/request/shard/headroom.go
+++ b/internal/request/shard/headroom.go
@@ -38,6 +38,9 @@
 	// beginPressure and endPressure are the pressures from which and down to which servers are set aside.
 	beginPressure = 0.5
 	endPressure   = 0.1
+	// minUse is the least share of the room that runs use while servers are set aside. With more room free, less urgent tasks wait for a gap that is
+	// large enough, and servers set aside leave them fewer gaps.
+	minUse = 0.7
 	// waitsForRoom is the age from which a waiting order waits for room, rather than for the next placement round.
 	waitsForRoom = 20 * time.Millisecond
 	// maxReservations bounds the servers of a shard that are reserved at a time, about half of a small one.
@@ -131,7 +134,7 @@
 	if svh.settingAside {
 		limit = endPressure
 	}
-	svh.settingAside = svh.pressure > limit
+	svh.settingAside = svh.pressure > limit && svh.usage.Share(rooms) >= minUse
 	open := make([]int, len(srvs))
 	if svh.settingAside {
 		open = headroom.SetAside(rooms, svh.usage.Means())
