Keep the servers of each service set aside by themselves

In a shard with servers of two services, deciding for one opened the servers of the other to all tasks; found by reading, before any use. Each service now decides on its own servers only; TestServicesAreSetAsideByThemselves is red without the change.

--- a/internal/request/shard/headroom.go
+++ b/internal/request/shard/headroom.go
@@ -118,7 +118,10 @@
 	var rooms []int64
 	used := make([]int64, Priorities)
 	for _, srv := range ldr.serverList {
-		if srv.ent.Service != service || !srv.inService() {
+		if srv.ent.Service != service {
+			continue
+		}
+		if !srv.inService() {
 			srv.openTo = Priorities
 			continue
 		}
--- a/internal/request/shard/headroom_test.go
+++ b/internal/request/shard/headroom_test.go
@@ -109,6 +109,28 @@
 	}
 }
 
+// Guards against servers of one service that are set aside, or not, by what happens on those of another.
+func TestServicesAreSetAsideByThemselves(t *testing.T) {
+	for name, other := range map[string]string{"before it": "a", "after it": "z"} {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := busyHarness(t, Features{Headroom: true})
+			aside := har.ldr.ProcessorSetAside()
+			ent := serverEntry("other", 2*size)
+			ent.Service = other
+			var ents []ServerEntry
+			for _, srv := range har.ldr.serverList {
+				ents = append(ents, srv.ent)
+			}
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: append(ents, ent)}))
+			har.goOn(100 * time.Millisecond)
+			chk.True(aside > 0)
+			chk.Equal(har.ldr.ProcessorSetAside(), aside)
+			chk.True(!har.ldr.servers["other"].isAside(Priorities - 1))
+		})
+	}
+}
+
 // Guards against an urgent task that needs most of a server and never gets it, as smaller tasks behind it take each gap.
 func TestWaitingUrgentTaskReservesItsServer(t *testing.T) {
 	for name, fea := range map[string]Features{"on": {Headroom: true}, "off": {}} {
