--- a/internal/connection/mesh/types.go
+++ b/internal/connection/mesh/types.go
@@ -35,9 +35,15 @@
 	CompleteUpTo int64
 	// ListOffset is the offset up to which the instance knows exactly that list; 0 if there is none.
 	ListOffset int64
+	// ListBytes is the size of a full read of that list, ListRate what is written to it in a second, in bytes as the instance has measured them; 0 if
+	// it has not.
+	ListBytes, ListRate int64
+	// WantsList is set while the instance knows nothing of the list and waits for its turn to read it.
+	WantsList bool
 }
 
-// Message is sent from one instance to another: Order, Cancellation, Report, Configuration, ServerChanges or LossNotice.
+// Message is sent from one instance to another: Order, Cancellation, Report, Configuration, ServerChanges, ServerList, ServerSpeeds or
+// LossNotice.
 type Message interface{ message() }
 
 // Order asks the leader of a shard to run a task.
@@ -62,9 +68,15 @@
 // Configuration passes on the record of a configuration, as the platform publishes it.
 type Configuration struct{ Data []byte }
 
+// ServerList passes on the whole list of backend servers to an instance that has never read it, encoded.
+type ServerList struct{ Data []byte }
+
 // ServerChanges passes on changes of the list of backend servers that the receiver lacks, encoded as a digest.
 type ServerChanges struct{ Data []byte }
 
+// ServerSpeeds tells what the sender has learned of the speeds of a shard's servers.
+type ServerSpeeds struct{ Told shard.ToldSpeeds }
+
 // LossNotice says that the sender has lost an instance.
 type LossNotice struct{ Instance shard.InstanceID }
 
@@ -74,6 +86,8 @@
 func (Report) message()        {}
 func (Configuration) message() {}
 func (ServerChanges) message() {}
+func (ServerList) message()    {}
+func (ServerSpeeds) message()  {}
 
 // Handler handles what arrives from other instances. Its methods are called one at a time for each instance.
 type Handler interface {
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -42,6 +42,7 @@
 	msg := &meshpb.Beat{
 		Domain: hbt.Domain, Processor: int64(hbt.Processor * milli), Ready: hbt.Ready, Stopping: hbt.Stopping, Leaving: hbt.Leaving,
 		Version: hbt.ConfigVersion, Round: hbt.TokenRound, ListedTo: hbt.CompleteUpTo, ListOffset: hbt.ListOffset,
+		ListBytes: hbt.ListBytes, ListRate: hbt.ListRate, WantsList: hbt.WantsList,
 	}
 	for dom, dvn := range hbt.Divisions {
 		msg.Divisions = append(msg.Divisions, &meshpb.Division{Domain: dom, Count: int64(dvn.Count), Stamp: dvn.Stamp})
@@ -50,7 +51,8 @@
 		msg.Leads = append(msg.Leads, &meshpb.Lead{
 			Shard: string(led.Shard), Token: led.Token,
 			Number: led.Load.Number, Free: led.Load.Free, FreeMemory: led.Load.FreeMemory, Turnover: led.Load.ServiceRate, WaitsMicros: encodeWaits(led.Load.RankWaits),
-			LinkWindow: led.Load.LinkWindow, LinkBusy: led.Load.LinkBusy, Closed: led.Load.Closed,
+			LinkWindow: led.Load.LinkWindow, LinkBusy: led.Load.LinkBusy, Closed: led.Load.Closed, FreeFactors: led.Load.FreeFactors,
+			Headroom: encodeHeadroom(&led.Load),
 		})
 	}
 	if hbt.ClosedDomains.End != domainlist.Unread {
@@ -66,6 +68,7 @@
 		Stopping: msg.GetStopping(), Leaving: msg.GetLeaving(), ConfigVersion: msg.GetVersion(), TokenRound: msg.GetRound(),
 		Divisions:     make(map[string]shard.Division, len(msg.GetDivisions())),
 		ClosedDomains: domainlist.View{End: domainlist.Unread}, CompleteUpTo: msg.GetListedTo(), ListOffset: msg.GetListOffset(),
+		ListBytes: msg.GetListBytes(), ListRate: msg.GetListRate(), WantsList: msg.GetWantsList(),
 	}
 	if cld := msg.GetClosedDomains(); cld != nil {
 		hbt.ClosedDomains = domainlist.View{End: cld.GetEnd(), Closed: cld.GetNames()}
@@ -78,11 +81,12 @@
 	for _, led := range msg.GetLeads() {
 		lod := shard.Load{
 			Number: led.GetNumber(), Free: led.GetFree(), FreeMemory: led.GetFreeMemory(), ServiceRate: led.GetTurnover(),
-			LinkWindow: led.GetLinkWindow(), LinkBusy: led.GetLinkBusy(), Closed: led.GetClosed(),
+			LinkWindow: led.GetLinkWindow(), LinkBusy: led.GetLinkBusy(), Closed: led.GetClosed(), FreeFactors: led.GetFreeFactors(),
 		}
 		for rnk, num := range led.GetWaitsMicros()[:min(len(led.GetWaitsMicros()), shard.Ranks)] {
 			lod.RankWaits[rnk] = micros(num)
 		}
+		decodeHeadroom(led.GetHeadroom(), &lod)
 		hbt.Leaderships = append(hbt.Leaderships, Leadership{Shard: shard.Name(led.GetShard()), Token: led.GetToken(), Load: lod})
 	}
 	return hbt
@@ -110,15 +114,19 @@
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Report{Report: &meshpb.Report{
 			Task: msg.Report.Task, Token: msg.Report.Token, Outcome: int64(msg.Report.Outcome),
 			TookMicros: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server), MayHaveRun: msg.Report.MayHaveRun, Hopeless: msg.Report.TooLate,
-			Reason: int64(msg.Report.Reason),
+			Reason: int64(msg.Report.Reason), Factor: msg.Report.Factor, Preempted: msg.Report.Preempted, LostMicros: msg.Report.WorkLost.Microseconds(),
 		}}})
 	case LossNotice:
 		name, incarnation := splitID(msg.Instance)
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Missed{Missed: &meshpb.Missed{
 			Name: name, Life: incarnation,
 		}}})
+	case ServerSpeeds:
+		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_ServerSpeeds{ServerSpeeds: encodeSpeeds(msg)}})
 	case ServerChanges:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_ServerChanges{ServerChanges: msg.Data}})
+	case ServerList:
+		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_ServerList{ServerList: msg.Data}})
 	case Configuration:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Configuration{Configuration: msg.Data}})
 	}
@@ -141,7 +149,7 @@
 		ExpectedMicros: ord.ExpectedRunTime.Microseconds(),
 		Label:          ord.Label, Rack: ord.Rack, PerServer: int64(ord.MaxPerServer), Step: ord.Step,
 		Bounce: ord.ReturnIfBusy, Recall: ord.Recall, Followed: ord.Reassigned, At: string(ord.LastServer), RunsMicros: ord.MayRunFor.Microseconds(),
-		JobBegun: ord.JobStarted,
+		JobBegun: ord.JobStarted, Preempted: ord.Preempted,
 	}
 	for _, id := range ord.Avoid {
 		wir.Avoid = append(wir.Avoid, string(id))
@@ -172,12 +180,16 @@
 			msgs = append(msgs, Report{Report: shard.Report{
 				Task: rep.GetTask(), Token: rep.GetToken(), Outcome: shard.Outcome(rep.GetOutcome()),
 				Took: micros(rep.GetTookMicros()), Server: shard.ServerID(rep.GetServer()), MayHaveRun: rep.GetMayHaveRun(), TooLate: rep.GetHopeless(),
-				Reason: shard.ReturnReason(rep.GetReason()),
+				Reason: shard.ReturnReason(rep.GetReason()), Factor: rep.GetFactor(), Preempted: rep.GetPreempted(), WorkLost: micros(rep.GetLostMicros()),
 			}})
 		case *meshpb.Message_Missed:
 			msgs = append(msgs, LossNotice{Instance: ID(bdy.Missed.GetName(), bdy.Missed.GetLife())})
+		case *meshpb.Message_ServerSpeeds:
+			msgs = append(msgs, decodeSpeeds(bdy.ServerSpeeds))
 		case *meshpb.Message_ServerChanges:
 			msgs = append(msgs, ServerChanges{Data: bdy.ServerChanges})
+		case *meshpb.Message_ServerList:
+			msgs = append(msgs, ServerList{Data: bdy.ServerList})
 		case *meshpb.Message_Configuration:
 			msgs = append(msgs, Configuration{Data: bdy.Configuration})
 		}
@@ -194,7 +206,7 @@
 		ExpectedRunTime: micros(wir.GetExpectedMicros()), Label: wir.GetLabel(), Rack: wir.GetRack(),
 		MaxPerServer: int(wir.GetPerServer()), Step: wir.GetStep(),
 		ReturnIfBusy: wir.GetBounce(), Recall: wir.GetRecall(), Reassigned: wir.GetFollowed(), JobStarted: wir.GetJobBegun(), LastServer: shard.ServerID(wir.GetAt()),
-		MayRunFor: micros(wir.GetRunsMicros()),
+		MayRunFor: micros(wir.GetRunsMicros()), Preempted: wir.GetPreempted(),
 	}
 	for _, id := range wir.GetAvoid() {
 		ord.Avoid = append(ord.Avoid, shard.ServerID(id))
--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -32,6 +32,10 @@
 			dmn.replyToCaller(act)
 		case submission.RecordAdmission:
 			dmn.logAdmission(&act)
+		case submission.CorrectionChange:
+			dmn.logCorrectionChange(&act)
+		case submission.FeatureChange:
+			dmn.logFeatureChange("", &act.Change)
 		}
 	}
 }
@@ -67,7 +71,7 @@
 func (dmn *Daemon) logAdmission(act *submission.RecordAdmission) {
 	dmn.cnt.countAdmission(act)
 	lin := dmn.log.Info().Str("job", act.ID).Dur("work", act.ExpectedRunTime).Dur("due", act.DueIn).Dur("useful", act.UsefulFor).
-		Bool("room", act.HasFreeCapacity)
+		Bool("room", act.HasFreeCapacity).Float64("correction", act.Correction)
 	if len(act.ExpectedWaits) > 0 {
 		lin = lin.Durs("waits", act.ExpectedWaits)
 	}
@@ -96,13 +100,16 @@
 		case shard.SendReport:
 			dmn.localActions = append(dmn.localActions, func(now time.Time) { dmn.sendReport(now, act.Owner, act.Report) })
 		case shard.QuarantineServer:
-			dmn.log.Info().Str("server", string(act.Server)).Float64("measure", act.Measure).Dur("pause", act.Duration).
+			dmn.cnt.quarantines.Add(1)
+			dmn.log.Info().Str("server", string(act.Server)).Float64("measure", act.Measure).Float64("level", act.Level).Dur("pause", act.Duration).
 				Msg(act.Reason)
 		case shard.NoteIncarnation:
 			dmn.log.Info().Str("server", string(act.Server)).Str("shard", string(name)).Int64("known-incarnation", int64(act.Known)).
 				Int64("incarnation", int64(act.Told)).Int("runs-carried", act.Carried).Msg(act.Reason)
 		case shard.FeatureChange:
 			dmn.logFeatureChange(name, &act)
+		case shard.NotePreemption:
+			dmn.logPreemption(name, &act)
 		case shard.ReadList:
 			dmn.requestListRead()
 		case shard.NoteReturn:
@@ -110,6 +117,7 @@
 				Int("servers", act.Servers).Dur("oldest-confirmed", act.OldestConfirmed).Dur("waited", act.Waited).
 				Msg("order that followed runs nowhere")
 		case shard.StartRun:
+			dmn.cnt.urgent.waits[act.Priority].observe(act.Waited)
 			dmn.group.Go(func() error { return dmn.startRun(name, act, lst, timeout) })
 		case shard.StopRun:
 			dmn.group.Go(func() error { return dmn.stopRun(name, act, timeout) })
@@ -122,9 +130,12 @@
 	}
 }
 
-// logFeatureChange logs that a feature has begun or ended to act in a shard.
+// logFeatureChange logs that a feature has begun or ended to act in a shard or, without a shard, in this owner's decisions.
 func (dmn *Daemon) logFeatureChange(name shard.Name, act *shard.FeatureChange) {
-	lin := dmn.log.Info().Str("feature", string(act.Feature)).Str("shard", string(name))
+	lin := dmn.log.Info().Str("feature", string(act.Feature))
+	if name != "" {
+		lin = lin.Str("shard", string(name))
+	}
 	for _, fig := range act.Figures {
 		lin = lin.Float64(fig.Name, fig.Value)
 	}
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -37,12 +37,14 @@
 // counters are the metrics of a daemon: monotonic counters, except those that are described as gauges.
 type counters struct {
 	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses,
-	configsSent, changesSent, roomChanges atomic.Int64
+	configsSent, changesSent, roomChanges, listReadsDeferred, listsSent atomic.Int64
 	// closedDomains and closedRuns are gauges: the failure domains that are closed to new work, and the runs that this instance leads there.
 	closedDomains, closedRuns atomic.Int64
 	// overfullServers and listAge are gauges: the servers led here whose runs need more than their room, and how old the known list of
 	// servers is, in nanoseconds.
 	overfullServers, listAge atomic.Int64
+	// listBytes is a gauge: the bytes that are written to the list of servers in a second.
+	listBytes atomic.Int64
 	// admittedWithCapacity, admittedToWait and notAdmitted count the decisions on submissions; waits has, for
 	// each job admitted to wait, the expected wait in the last rank that was tried.
 	admittedWithCapacity, admittedToWait, notAdmitted atomic.Int64
@@ -50,10 +52,17 @@
 	// orders, recalls and reassignments count what was sent to leaders about tasks, returns the orders that came back, by reason.
 	orders, recalls, reassignments atomic.Int64
 	returns                        [shard.ReturnReasons]atomic.Int64
-	starts                         [shard.Outdated + 1]atomic.Int64
-	answers                        [submission.Unfinished + 1]atomic.Int64
-	startTimes, answerTimes        histogram
-	traffic                        traffic
+	// quarantines counts servers put off because they are slow or fail their runs, waitsForSpeed the tasks that waited for a server on which they
+	// can be in time, speedsRefused the messages about speeds that were not used. The gauges are the shards led here whose servers' speeds differ,
+	// the least and the largest run time there over that of an average server, in thousandths, and the routes whose estimates are corrected.
+	quarantines, waitsForSpeed, speedsRefused, unevenShards, leastFactor, mostFactor, correctedRoutes atomic.Int64
+
+	starts                  [shard.Outdated + 1]atomic.Int64
+	answers                 [submission.Unfinished + 1]atomic.Int64
+	startTimes, answerTimes histogram
+	urgent                  urgentCounters
+	claims                  claimCounters
+	traffic                 traffic
 }
 
 // countStart counts an answered or failed start call.
@@ -114,6 +123,9 @@
 		line("looks", cnt.renewals.Load())
 		line("store-reads", cnt.storeReads.Load())
 		line("list-reads", cnt.listReads.Load())
+		line("list-reads-put-off", cnt.listReadsDeferred.Load())
+		line("lists-sent", cnt.listsSent.Load())
+		line("list-bytes-a-second", cnt.listBytes.Load())
 		line("list-digests-written", cnt.digests.Load())
 		line("list-digests-refused", cnt.badDigests.Load())
 		line("configurations-sent", cnt.configsSent.Load())
@@ -137,9 +149,18 @@
 		for rsn := shard.NoReason + 1; rsn < shard.ReturnReasons; rsn++ {
 			line("returns-"+rsn.String(), cnt.returns[rsn].Load())
 		}
+		line("servers-put-off", cnt.quarantines.Load())
+		line("waits-for-a-faster-server", cnt.waitsForSpeed.Load())
+		line("server-speeds-refused", cnt.speedsRefused.Load())
+		line("shards-with-uneven-servers", cnt.unevenShards.Load())
+		line("server-run-time-least-thousandths", cnt.leastFactor.Load())
+		line("server-run-time-most-thousandths", cnt.mostFactor.Load())
+		line("routes-with-corrected-estimates", cnt.correctedRoutes.Load())
+		cnt.claims.write(line)
 		for res := range cnt.answers {
 			line("answers-"+submission.Result(res).String(), cnt.answers[res].Load())
 		}
+		cnt.urgent.write(line)
 		for _, cls := range cnt.traffic.classes() {
 			line(cls.name+"-bytes-in", int64(cls.cnt.Stats().BytesIn))
 			line(cls.name+"-bytes-out", int64(cls.cnt.Stats().BytesOut))
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -135,11 +135,14 @@
 		closedRuns += ldr.RunsWhileClosed()
 		overfull += ldr.OverfullServers()
 	}
+	dmn.tellSpeeds(now)
 	dmn.cnt.closedRuns.Store(int64(closedRuns))
 	dmn.cnt.overfullServers.Store(int64(overfull))
+	dmn.updateHeadroomGauges()
 	dmn.cnt.listAge.Store(int64(dmn.listState(now).age))
 	dmn.coordinator.SetServersComplete(dmn.knowsAllServers(now))
 	dmn.runCoordinatorActions(dmn.coordinator.HandleTick(now))
+	dmn.cnt.claims.store(dmn.coordinator)
 }
 
 // resignSuperseded resigns the shards that another instance leads with a newer token.
@@ -187,6 +190,7 @@
 			dmn.runLeaderActions(name, ldr.SetServers(now, dmn.shardListing(now, shd)))
 		}
 	}
+	dmn.useSpeeds(now, name, ldr)
 	dmn.mesh.SendHeartbeats()
 }
 
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -162,6 +162,8 @@
 	// Recall sets ReturnIfBusy on an earlier order that still waits. It never starts the task: the earlier order may be on its way back
 	// already, and its owner then sends it to another leader.
 	Recall bool
+	// Preempted is set once a run of the task was stopped for a more urgent one; it is not stopped for another again.
+	Preempted bool
 }
 
 // Outcome is what a leader reports about an order.
@@ -200,6 +202,8 @@
 	// Took is the run time, and Server is where the task ran.
 	Took   time.Duration
 	Server ServerID
+	// Factor is the lasting run time on that server over that of an average server, in thousandths; 0 if it is not known.
+	Factor int64
 	// MayHaveRun is set if a server may have begun the task. It has a meaning only with NotRun: a start got no answer, or its run was cut
 	// short, and that run is over.
 	MayHaveRun bool
@@ -207,6 +211,10 @@
 	Reason ReturnReason
 	// TooLate is set with NotRun if the task would not have been done here while its answer is of use.
 	TooLate bool
+	// Preempted is set if the order has it set, as its owner sends the mark with further orders.
+	Preempted bool
+	// WorkLost is set with Started if the run is being stopped for a more urgent task: how long it has run. The task waits to be started again.
+	WorkLost time.Duration
 }
 
 // Division is the number of shards that the backend servers of a failure domain are divided into. Instances with different divisions would
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/speed"
 )
 
 // CallID identifies one request of a caller that waits for an answer.
 type CallID int64
 
-// Action is a decision of a Coordinator that its caller carries out: SendOrder, CancelOrder, Reply or RecordAdmission.
+// Action is a decision of a Coordinator that its caller carries out: SendOrder, CancelOrder, Reply, RecordAdmission, CorrectionChange or
+// FeatureChange.
 type Action interface{ action() }
 
 // SendOrder sends an order, or the recall of one, to the leader of a shard.
@@ -37,6 +39,8 @@
 // RecordAdmission has the numbers by which a submission was admitted or refused, for logs and metrics.
 type RecordAdmission struct {
 	ID string
+	// Correction is the factor by which the caller's estimates were corrected, 1 if they were not.
+	Correction float64
 	// ExpectedRunTime is the estimated run time of the job. DueIn is the time left until its answer is due, UsefulFor until it is
 	// useless.
 	ExpectedRunTime, DueIn, UsefulFor time.Duration
@@ -107,7 +111,10 @@
 	// heldBytes is the sum of the bytes (shard.StartBytes) of the orders held back by the link since the last resume; a task held back
 	// several times counts each time, also if its job was answered since.
 	heldBytes int64
+	sharing   sharing
 	acts      []Action
+	// routes has what was learned of the estimates of each route.
+	routes map[string]*speed.Route
 }
 
 // job is a submission that is not answered yet.
@@ -121,7 +128,9 @@
 	due, usefulUntil time.Time
 	// refusing is set once the job is recalled because it can't be done in time any more.
 	refusing bool
-	tasks    [][]*task
+	// correction is the logarithm of the factor by which the caller's estimates were corrected.
+	correction float64
+	tasks      [][]*task
 	// remaining is the number of tasks of each step that are not done.
 	remaining []int
 	// started is set once a task may have started.
@@ -159,16 +168,22 @@
 	// queued is set if the order, not a reassigned one, was sent without ReturnIfBusy, so that the task waits in its leader's queue until
 	// it starts; recalled is set once the order was recalled.
 	queued, recalled bool
+	// claims is set while the order is one for free capacity of another instance's leader and has no known outcome.
+	claims bool
 	// reassigned is set while the order is one that was with an earlier leader.
 	reassigned bool
+	// preempted is set once a run of the task was stopped for a more urgent one.
+	preempted bool
 }
 
 // NewCoordinator returns a Coordinator without submissions.
 func NewCoordinator(cfg Config, now time.Time) *Coordinator {
-	return &Coordinator{
+	crd := &Coordinator{
 		cfg: cfg, servingAt: now, jobs: map[string]*job{}, calls: map[CallID]*job{}, tasks: map[string]*task{},
-		shards: map[shard.Name]*shardView{}, fullTimeoutShare: map[string]float64{},
+		shards: map[shard.Name]*shardView{}, fullTimeoutShare: map[string]float64{}, routes: map[string]*speed.Route{}, now: now,
 	}
+	crd.beginSharing(now)
+	return crd
 }
 
 // OpenCount returns the number of submissions that are not answered yet.
@@ -200,6 +215,7 @@
 		crd.emit(Reply{Call: cal, ID: sub.ID, Answer: ans})
 		return crd.takeActions()
 	}
+	crd.correctEstimates(jb)
 	crd.setDueTimes(now, jb)
 	if ans, refused := crd.admit(now, jb); refused {
 		crd.emit(Reply{Call: cal, ID: sub.ID, Answer: ans})
@@ -284,6 +300,7 @@
 		ExpectedRunTime: stp.ExpectedRunTime, Label: stp.Label, Rack: stp.Rack,
 		MaxPerServer: stp.PerServer, Step: fmt.Sprintf("%s.%d", jb.sub.ID, tsk.step),
 		Avoid: slices.Clone(tsk.avoid), JobStarted: jb.started, ReturnIfBusy: how.ReturnIfBusy, Reassigned: how.Reassigned, LastServer: how.LastServer, MayRunFor: how.MayRunFor,
+		Preempted: tsk.preempted,
 	}})
 }
 
@@ -294,15 +311,24 @@
 	if tsk == nil || tsk.done {
 		return crd.takeActions()
 	}
+	if tsk.leader == from && tsk.token == rep.Token {
+		crd.noteOutcome(tsk, &rep)
+	}
 	if rep.Outcome == shard.Done {
+		crd.learnEstimate(tsk, &rep)
 		crd.taskDone(tsk, from)
 		return crd.takeActions()
 	}
 	if tsk.leader != from || tsk.token != rep.Token {
 		return crd.takeActions() // The order was sent to another leader since.
 	}
+	tsk.preempted = tsk.preempted || rep.Preempted
 	switch rep.Outcome {
 	case shard.Started:
+		if rep.WorkLost > 0 {
+			crd.notePreempted(tsk)
+			break
+		}
 		tsk.started, tsk.job.started, tsk.server, tsk.moves = true, true, rep.Server, 0
 		if tsk.job.refusing {
 			crd.completeRefusal(tsk.job)
