--- a/internal/request/submission/playrun_test.go
+++ b/internal/request/submission/playrun_test.go
@@ -11,7 +11,10 @@
 	"chestnutstack/internal/request/shard"
 )
 
-var measurePlays = flag.String("measure-plays", "", "play with and without each optional decision: small, or full for whole deployments")
+var (
+	measurePlays = flag.Bool("measure-plays", false, "play with and without each optional decision")
+	fullPlays    = flag.Bool("full-plays", false, "measure whole deployments")
+)
 
 // TestPlay guards LIMIT, TWICE and REFUSED with all optional decisions, and the play itself: one in which most urgent jobs are late would compare
 // nothing.
@@ -38,7 +41,7 @@
 
 // TestMeasurePlays prints what each optional decision changes, as sums over some seeds.
 func TestMeasurePlays(t *testing.T) {
-	if *measurePlays == "" {
+	if !*measurePlays {
 		t.Skip("takes minutes; see -measure-plays")
 	}
 	for _, load := range []playLoad{usualLoad, burstLoad, outageLoad} {
@@ -47,7 +50,7 @@
 				for _, fts := range []shard.Features{
 					{}, {ServerSpeeds: true}, {Headroom: true}, {Preemption: true}, {Headroom: true, Preemption: true}, {Reservations: true}, shard.AllFeatures(),
 				} {
-					sum := playSeeds(playParams{Features: fts, Deployment: dep, Load: load, Duration: 8 * time.Second, FullSize: *measurePlays == "full"})
+					sum := playSeeds(playParams{Features: fts, Deployment: dep, Load: load, Duration: 8 * time.Second, FullSize: *fullPlays})
 					t.Logf("%+v\n%s", fts, sum.summary())
 				}
 			})
