Remove from the play what no measurement uses

Callers would see no change. Removed: results by width and by owner, the long form of the report, features that began, the parameter SpeedByKind, and the bound's own types; sums over seeds are now plays that count into one report, and room is counted instead of summed. playrun and playbound are merged into playreport and playserver.

--- a/internal/request/submission/play_test.go
+++ b/internal/request/submission/play_test.go
@@ -22,9 +22,8 @@
 	Seed       uint64
 	// Duration is the time during which jobs arrive, at least until the end of what Load does.
 	Duration time.Duration
-	// FullSize plays the whole deployment, otherwise 12 instances and 108 servers with the same load per server. SpeedByKind gives all servers
-	// of a kind and size one speed; otherwise speed and kind are independent.
-	FullSize, SpeedByKind bool
+	// FullSize plays the whole deployment, otherwise 12 instances and 108 servers with the same load per server.
+	FullSize bool
 }
 
 // playLoad is what happens to the load during a play.
@@ -61,53 +60,55 @@
 // playDeployment describes a deployment of playServers backend servers. Processor is in cores and memory in GB, of the smaller servers; wave is the
 // share by which the demand of a failure domain varies.
 type playDeployment struct {
-	domains, instances, shards int
-	processor, memory, cores   float64
-	speeds                     [3]float64
-	wave                       float64
-	streams                    [shard.Priorities]playStream
+	domains, instances       int
+	processor, memory, cores float64
+	speeds                   [3]float64
+	wave                     float64
+	streams                  [shard.Priorities]playStream
 }
 
-const playServers = 350
+const playServers, playShards = 350, 39
 
 var (
 	firstDeployment = &playDeployment{
-		domains: 3, instances: 35, shards: 39, processor: 64, memory: 128, cores: 32, speeds: [...]float64{1, 1, 1.3}, wave: 0.15,
+		domains: 3, instances: 35, processor: 64, memory: 128, cores: 32, speeds: [...]float64{1, 1, 1.3}, wave: 0.15,
 		streams: [...]playStream{
 			{206, 8, 0.00485, 0.00097, 60 * time.Millisecond}, {600, 2, 0.00167, 0.000333, 200 * time.Millisecond}, {37.5, 4, 0.0267, 0.00533, 900 * time.Millisecond},
 		},
 	}
 	secondDeployment = &playDeployment{
-		domains: 4, instances: 45, shards: 39, processor: 16, memory: 64, cores: 8, speeds: [...]float64{0.6, 1, 1.6}, wave: 0.55,
+		domains: 4, instances: 45, processor: 16, memory: 64, cores: 8, speeds: [...]float64{0.6, 1, 1.6}, wave: 0.55,
 		streams: [...]playStream{
 			{181, 8, 0.00485, 0.00097, 51 * time.Millisecond}, {529, 2, 0.00167, 0.000333, 170 * time.Millisecond}, {33, 4, 0.0267, 0.00533, 760 * time.Millisecond},
 		},
 	}
 )
 
-// playJob is a job of a caller.
+// playJob is a job of a caller. coreSeconds is the work of its runs that ended as done, longest the time of the longest.
 type playJob struct {
-	id              string
-	priority        int
-	domain, caller  int
-	processor       int64
-	estimate, limit time.Duration
-	// works has the run time of each task on a server of speed 1; the first run of those in fails fails.
-	works []time.Duration
-	fails []bool
+	id               string
+	priority, domain int
+	caller           int
+	processor        int64
+	estimate, limit  time.Duration
+	tasks            []playTask
 	// arrived is when the job was first sent, sentAt when it was last; call is the last sending.
 	arrived, sentAt time.Time
 	call            submission.CallID
-	owner           *playInstance
 	outcome         playOutcome
-	// live, done and runs have the live runs of each task, whether one ended as done since the last sending, and all starts.
-	live, runs []int
-	done       []bool
-	// started is set once a task has started since the last sending.
-	started bool
-	// coreSeconds is the work of the runs that ended as done, longest the time of the longest.
-	coreSeconds float64
-	longest     time.Duration
+	coreSeconds     float64
+	longest         time.Duration
+	// started is set once a task has started since the last sending; begun and ended are the bound's counts of tasks.
+	started      bool
+	begun, ended int
+}
+
+// playTask is a task with its run time on a server of speed 1. If fails is set, the next run fails. done is set if a run ended as done since the job
+// was last sent.
+type playTask struct {
+	work        time.Duration
+	live        int
+	fails, done bool
 }
 
 // simulation is the state of a play. Events that are due at one time happen in the order in which they were added.
@@ -130,11 +131,10 @@
 
 // playShard is a shard with the instance that leads it.
 type playShard struct {
-	name    shard.Name
-	domain  int
-	leader  int
-	token   int64
-	servers []shard.ServerEntry
+	name           shard.Name
+	domain, leader int
+	token          int64
+	servers        []shard.ServerEntry
 }
 
 type playEvent struct {
@@ -172,45 +172,47 @@
 	}
 }
 
-// play plays a deployment and returns the report, with the bound for the same jobs.
-func play(prm playParams) *playReport {
-	sim := newSimulation(prm)
-	for _, ins := range sim.instances {
-		ins.begin()
-	}
-	for _, jb := range sim.order {
-		sim.after(jb.arrived.Sub(sim.from), func() { sim.submit(jb) })
-	}
-	if prm.Load == outageLoad {
-		sim.after(outageFrom, sim.loseAll)
-		sim.after(outageTo, func() {
-			sim.down = false
-			for _, ins := range sim.instances {
-				ins.begin()
-			}
-		})
+// play plays a deployment and returns the report, with the bound for the same jobs; of several plays, the sums.
+func play(prms ...playParams) *playReport {
+	rep := &playReport{reasons: map[string]int{}, bound: &playReport{}}
+	for _, prm := range prms {
+		sim := newSimulation(prm, rep)
+		sim.beginAll()
+		for _, jb := range sim.order {
+			sim.after(jb.arrived.Sub(sim.from), func() { sim.submit(jb) })
+		}
+		if prm.Load == outageLoad {
+			sim.after(outageFrom, sim.loseAll)
+			sim.after(outageTo, sim.beginAll)
+		}
+		sim.sampleRoom()
+		sim.run(prm.Duration + drainTime)
+		playBound(prm, rep.bound)
 	}
-	sim.sampleRoom()
-	sim.run(sim.prm.Duration + drainTime)
-	sim.rep.bound = bound(prm)
-	return sim.rep
+	return rep
+}
+
+// playSeeds returns the sums of plays with three seeds.
+func playSeeds(prm playParams) *playReport {
+	two, three := prm, prm
+	two.Seed, three.Seed = prm.Seed+1, prm.Seed+2
+	return play(prm, two, three)
 }
 
 // drainTime is how long a play goes on after the last arrival: longer than callers wait for the usual job.
 const drainTime = 4 * time.Second
 
 // newSimulation returns a play with its servers, shards and jobs, which follow from the seed alone, and with instances that have not begun.
-func newSimulation(prm playParams) *simulation {
-	dep := prm.Deployment
-	from := time.Unix(1000, 0)
+func newSimulation(prm playParams, rep *playReport) *simulation {
+	dep, from := prm.Deployment, time.Unix(1000, 0)
 	sim := &simulation{
-		prm: prm, rnd: rand.New(rand.NewPCG(prm.Seed, 1)), now: from, from: from, jobs: map[string]*playJob{}, byID: map[shard.InstanceID]*playInstance{},
+		prm: prm, rnd: rand.New(rand.NewPCG(prm.Seed, 1)), now: from, from: from, jobs: map[string]*playJob{}, byID: map[shard.InstanceID]*playInstance{}, rep: rep,
 	}
-	instances, shards, servers := dep.instances, dep.shards, playServers
+	instances, shards, servers := dep.instances, playShards, playServers
 	if !prm.FullSize {
 		instances, shards, servers = 12, 12, 108
 	}
-	sim.rep = newReport(sim)
+	rep.begin(sim)
 	for num := range instances {
 		sim.instances = append(sim.instances, &playInstance{sim: sim, num: num, domain: num % dep.domains})
 	}
@@ -219,7 +221,7 @@
 		sim.shards = append(sim.shards, playShard{name: shard.Name(fmt.Sprintf("domain-%d.%d", dom, num)), domain: dom, leader: sim.instanceOf(dom, num/dep.domains)})
 	}
 	for num := range servers {
-		sim.addServer(num, sim.rnd.IntN(shards))
+		sim.addServer(num, &sim.shards[sim.rnd.IntN(shards)])
 	}
 	sim.addJobs(float64(servers) / playServers)
 	return sim
@@ -231,22 +233,15 @@
 	return domain + dms*(num%((len(sim.instances)-domain+dms-1)/dms))
 }
 
-func (sim *simulation) addServer(num, shd int) {
-	dep, size, spd := sim.prm.Deployment, 1.0, num/3
-	if num%3 == 2 {
-		size = 1.5
-	}
-	if sim.prm.SpeedByKind {
-		spd = num
-	}
+func (sim *simulation) addServer(num int, shd *playShard) {
+	dep, size := sim.prm.Deployment, []float64{1, 1, 1.5}[num%3]
 	ent := shard.ServerEntry{
-		ID: shard.ServerID(fmt.Sprintf("s%d", num)), Incarnation: 1, FailureDomain: fmt.Sprint(sim.shards[shd].domain), Service: "render",
+		ID: shard.ServerID(fmt.Sprintf("s%d", num)), Incarnation: 1, FailureDomain: fmt.Sprint(shd.domain), Service: "render",
 		Processor: int64(1000 * size * dep.processor), Memory: int64(1000 * size * dep.memory),
 		Labels: []string{"kind=" + string("aab"[num%3]), fmt.Sprintf("rack=%d", num/8)},
 	}
-	sim.servers = append(sim.servers, &playServer{sim: sim, ent: ent, speed: dep.speeds[spd%3]})
-	sim.shards[shd].servers = append(sim.shards[shd].servers, ent)
-	sim.rep.room += ent.Processor
+	sim.servers = append(sim.servers, &playServer{sim: sim, ent: ent, speed: dep.speeds[num/3%3], free: ent.Processor})
+	shd.servers = append(shd.servers, ent)
 }
 
 // addJobs adds the jobs of all priorities, a share of those of the whole deployment.
@@ -291,11 +286,10 @@
 		if rnd.Float64() < 0.03 {
 			wrk = min(7*wrk, 9.5*float64(stm.work))
 		}
-		jb.works, jb.fails = append(jb.works, time.Duration(wrk)), append(jb.fails, rnd.Float64() < 0.002)
+		jb.tasks = append(jb.tasks, playTask{work: time.Duration(wrk), fails: rnd.Float64() < 0.002})
 		longest = max(longest, time.Duration(wrk))
 	}
 	jb.limit = objective(longest)
-	jb.live, jb.runs, jb.done = make([]int, wid), make([]int, wid), make([]bool, wid)
 	return jb
 }
 
@@ -321,7 +315,9 @@
 func (sim *simulation) submit(jb *playJob) {
 	sim.calls++
 	jb.call, jb.sentAt, jb.started = sim.calls, sim.now, false
-	clear(jb.done)
+	for num := range jb.tasks {
+		jb.tasks[num].done = false
+	}
 	if sim.down {
 		sim.resend(jb)
 		return
@@ -329,13 +325,12 @@
 	hsh := fnv.New32a()
 	_, _ = fmt.Fprint(hsh, jb.caller) // Write of a hash returns no error.
 	ins := sim.instances[sim.instanceOf(jb.domain, int(hsh.Sum32()>>8))]
-	jb.owner = ins
 	cal, left := jb.call, jb.until().Sub(sim.now)
 	ins.later(callerDelay, func() {
 		ins.runCoordinator(ins.crd.HandleSubmit(sim.now, cal, submission.Submission{
 			ID: jb.id, Route: fmt.Sprint(jb.priority), Service: "render", Priority: jb.priority, MaxAttempts: 3, Objective: objective,
 			CallerTimeout: left, RouteTimeout: callerPatience,
-			Steps: []submission.Step{{Count: len(jb.works), Processor: jb.processor, Memory: taskMemory, ExpectedRunTime: jb.estimate}},
+			Steps: []submission.Step{{Count: len(jb.tasks), Processor: jb.processor, Memory: taskMemory, ExpectedRunTime: jb.estimate}},
 		}))
 	})
 	ins.later(left, func() { sim.finish(jb, cal, gaveUp) })
@@ -352,6 +347,13 @@
 	sim.after(resendDelay, func() { sim.submit(jb) })
 }
 
+func (sim *simulation) beginAll() {
+	sim.down = false
+	for _, ins := range sim.instances {
+		ins.begin()
+	}
+}
+
 // loseAll ends all instances at once.
 func (sim *simulation) loseAll() {
 	sim.down = true
--- a/internal/request/submission/playinstance_test.go
+++ b/internal/request/submission/playinstance_test.go
@@ -218,8 +218,6 @@
 					to.runLeader(ldr, ldr.Cancel(sim.now, ins.id, act.Task, act.Followed))
 				}
 			})
-		case submission.FeatureChange:
-			sim.rep.features[act.Change.Feature]++
 		case submission.Reply:
 			sim.after(callerDelay, func() { sim.finish(sim.jobs[act.ID], act.Call, sim.outcomeOf(sim.jobs[act.ID], act.Answer.Result)) })
 		}
@@ -227,7 +225,7 @@
 }
 
 func (ins *playInstance) sendReport(owner shard.InstanceID, rep shard.Report) {
-	ins.sim.rep.countReport(ins.sim.now, &rep)
+	ins.sim.rep.countReport(&rep)
 	ins.send(owner, func(to *playInstance) { to.runCoordinator(to.crd.HandleReport(ins.sim.now, ins.id, rep)) })
 }
 
@@ -263,8 +261,6 @@
 			})
 		case shard.QuarantineServer:
 			sim.rep.quarantines++
-		case shard.FeatureChange:
-			sim.rep.features[act.Feature]++
 		}
 	}
 }
--- a/internal/request/submission/playreport_test.go
+++ b/internal/request/submission/playreport_test.go
@@ -1,16 +1,65 @@
 package submission_test
 
 import (
+	"flag"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
+	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
 )
 
+var (
+	measurePlays = flag.Bool("measure-plays", false, "play with and without each optional decision")
+	fullPlays    = flag.Bool("full-plays", false, "measure whole deployments")
+)
+
+// TestPlay guards LIMIT, TWICE and REFUSED with all optional decisions, and the play itself: one in which most urgent jobs are late would compare
+// nothing.
+func TestPlay(t *testing.T) {
+	for name, tst := range map[string]struct {
+		dep  *playDeployment
+		load playLoad
+		// least is the least share in time of the most urgent jobs: at least three standard errors of some 110 jobs below what the play gives.
+		least float64
+	}{
+		"first, burst":  {firstDeployment, burstLoad, 0.5},
+		"first, outage": {firstDeployment, outageLoad, 0.1},
+		"second, usual": {secondDeployment, usualLoad, 0.9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rep := play(playParams{Features: shard.AllFeatures(), Deployment: tst.dep, Load: tst.load, Seed: 1, Duration: 4 * time.Second})
+			t.Log(rep)
+			chk := is.New(t)
+			chk.Equal(len(rep.violations), 0)
+			chk.True(rep.priorities[0].share(inTime) >= tst.least)
+		})
+	}
+}
+
+// TestMeasurePlays prints what each optional decision changes, as sums over some seeds.
+func TestMeasurePlays(t *testing.T) {
+	if !*measurePlays {
+		t.Skip("takes minutes; see -measure-plays")
+	}
+	for _, load := range []playLoad{usualLoad, burstLoad, outageLoad} {
+		for num, dep := range []*playDeployment{firstDeployment, secondDeployment} {
+			t.Run(fmt.Sprintf("deployment %d, load %d", num+1, load), func(t *testing.T) {
+				for _, fts := range []shard.Features{
+					{}, {ServerSpeeds: true}, {Headroom: true}, {Preemption: true}, {Headroom: true, Preemption: true}, {Reservations: true}, shard.AllFeatures(),
+				} {
+					t.Logf("%+v\n%v", fts, playSeeds(playParams{Features: fts, Deployment: dep, Load: load, Duration: 8 * time.Second, FullSize: *fullPlays}))
+				}
+			})
+		}
+	}
+}
+
 // playOutcome is what a caller got.
 type playOutcome int
 
@@ -25,30 +74,23 @@
 	playOutcomes
 )
 
-// playGroup counts the jobs of a group by outcome.
+// playGroup counts jobs by outcome.
 type playGroup [playOutcomes]int
 
-func (grp *playGroup) jobs() (num int) {
-	for _, cnt := range grp {
-		num += cnt
-	}
-	return num
-}
-
 // share returns the share of the jobs with an outcome.
 func (grp *playGroup) share(out playOutcome) float64 {
-	return float64(grp[out]) / float64(max(grp.jobs(), 1))
+	jobs := 0
+	for _, cnt := range grp {
+		jobs += cnt
+	}
+	return float64(grp[out]) / float64(max(jobs, 1))
 }
 
-// playReport is the result of a play. All but violations and features is counted within the measured time, for jobs last sent within it.
+// playReport is the result of a play. All but quarantines and violations is counted within the measured time, for jobs last sent within it.
 type playReport struct {
 	sim        *simulation
 	fromAt, to time.Time
-	room       int64
 	priorities [shard.Priorities]playGroup
-	owners     map[string]*playGroup
-	// widths has the groups by priority and number of tasks.
-	widths map[string]*playGroup
 	// value is what answers earned, most what answers in time to all jobs would have, discarded the core-seconds of runs that led to no answer of
 	// use.
 	value, most, discarded float64
@@ -62,16 +104,12 @@
 	// use has samples of the share of the room that runs used, excess by priority how much longer answers took than their jobs' longest runs.
 	use        []float64
 	excess     [shard.Priorities][]time.Duration
-	features   map[shard.Feature]int
 	violations []string
 	bound      *playReport
 }
 
-// newReport returns an empty report, with the measured time that suits the load.
-func newReport(sim *simulation) *playReport {
-	rep := &playReport{
-		sim: sim, owners: map[string]*playGroup{}, widths: map[string]*playGroup{}, reasons: map[string]int{}, recalled: map[string]bool{}, features: map[shard.Feature]int{},
-	}
+// begin begins a play, with the measured time that suits the load.
+func (rep *playReport) begin(sim *simulation) {
 	from, to := time.Second, sim.prm.Duration
 	switch sim.prm.Load {
 	case usualLoad:
@@ -80,8 +118,7 @@
 	case outageLoad:
 		from, to = outageTo, min(outageTo+2*time.Second, to)
 	}
-	rep.fromAt, rep.to = sim.from.Add(from), sim.from.Add(to)
-	return rep
+	rep.sim, rep.fromAt, rep.to, rep.recalled = sim, sim.from.Add(from), sim.from.Add(to), map[string]bool{}
 }
 
 // measures reports whether a time is measured.
@@ -105,15 +142,16 @@
 	rep.count(&rep.orders)
 }
 
-func (rep *playReport) countReport(now time.Time, rpt *shard.Report) {
-	if rpt.Outcome == shard.NotRun && rep.measures(now) {
-		rep.returned++
-		if rep.recalled[rpt.Task] {
-			rep.reasons["recalled"]++
-			return
-		}
-		rep.reasons[rpt.Reason.String()]++
+func (rep *playReport) countReport(rpt *shard.Report) {
+	if rpt.Outcome != shard.NotRun || !rep.measures(rep.sim.now) {
+		return
+	}
+	rep.returned++
+	if rep.recalled[rpt.Task] {
+		rep.reasons["recalled"]++
+		return
 	}
+	rep.reasons[rpt.Reason.String()]++
 }
 
 // countRun counts the work of a run that has ended.
@@ -121,9 +159,7 @@
 	if kind == shard.EndedDone && rn.jb.outcome == open {
 		rn.jb.coreSeconds += coreSeconds
 		rn.jb.longest = max(rn.jb.longest, rep.sim.clock()-rn.from)
-		return
-	}
-	if rep.measures(rep.sim.now) {
+	} else if rep.measures(rep.sim.now) {
 		rep.discarded += coreSeconds
 	}
 }
@@ -154,18 +190,14 @@
 		return
 	}
 	jb.outcome = out
+	rep, stm := sim.rep, &sim.prm.Deployment.streams[jb.priority]
 	if out == refused && jb.started {
-		sim.rep.violate("REFUSED", "job "+jb.id)
+		rep.violate("REFUSED", "job "+jb.id)
 	}
-	rep, stm := sim.rep, &sim.prm.Deployment.streams[jb.priority]
 	if !rep.measures(jb.sentAt) {
 		return
 	}
 	rep.priorities[jb.priority][out]++
-	group(rep.widths, fmt.Sprintf("p%d width %2d+", jb.priority, widthFrom(len(jb.works))))[out]++
-	if jb.owner != nil {
-		group(rep.owners, fmt.Sprintf("i%02d", jb.owner.num))[out]++
-	}
 	rep.most += stm.value
 	if out == inTime || out == late || out == useless {
 		rep.excess[jb.priority] = append(rep.excess[jb.priority], sim.now.Sub(jb.sentAt)-2*callerDelay-jb.longest)
@@ -180,31 +212,14 @@
 	}
 }
 
-// widthFrom returns the largest power of two that is not above a number of tasks.
-func widthFrom(num int) int {
-	from := 1
-	for 2*from <= num {
-		from *= 2
-	}
-	return from
-}
-
-func group(grps map[string]*playGroup, name string) *playGroup {
-	if grps[name] == nil {
-		grps[name] = &playGroup{}
-	}
-	return grps[name]
-}
-
 // sampleRoom samples the use of the room at each tick.
 func (sim *simulation) sampleRoom() {
 	if sim.rep.measures(sim.now) {
-		free := int64(0)
+		free, room := int64(0), int64(0)
 		for _, srv := range sim.servers {
-			prc, _ := srv.free()
-			free += prc
+			free, room = free+srv.free, room+srv.ent.Processor
 		}
-		sim.rep.use = append(sim.rep.use, 1-float64(free)/float64(sim.rep.room))
+		sim.rep.use = append(sim.rep.use, 1-float64(free)/float64(room))
 	}
 	sim.after(tick, sim.sampleRoom)
 }
@@ -223,59 +238,8 @@
 	return (rep.value - price*rep.discarded) / rep.most
 }
 
-// String returns the report as a table; lines in brackets are those of the bound.
+// String returns the report in some lines.
 func (rep *playReport) String() string {
-	var txt strings.Builder
-	line := func(name string, grp *playGroup) {
-		fmt.Fprintf(&txt, "%-16s %6d jobs: in time %.3f late %.3f useless %.3f refused %.3f failed %.3f gave up %.3f\n", name, grp.jobs(),
-			grp.share(inTime), grp.share(late), grp.share(useless), grp.share(refused), grp.share(failed), grp.share(gaveUp))
-	}
-	for pri := range rep.priorities {
-		line(fmt.Sprintf("priority %d", pri), &rep.priorities[pri])
-		if rep.bound != nil {
-			line("  (bound)", &rep.bound.priorities[pri])
-		}
-	}
-	for _, grps := range []map[string]*playGroup{rep.widths, rep.owners} {
-		for _, name := range slices.Sorted(maps.Keys(grps)) {
-			line(name, grps[name])
-		}
-	}
-	for pri, exc := range rep.excess {
-		fmt.Fprintf(&txt, "answers of priority %d are later than the longest run by %v, one in ten by %v\n", pri,
-			quantile(exc, 0.5).Round(time.Millisecond), quantile(exc, 0.9).Round(time.Millisecond))
-	}
-	fmt.Fprintf(&txt, "worth %.3f, value %.3f of %.3f, discarded core-seconds %.0f; use of the room: least %.3f median %.3f most %.3f\n", rep.worth(),
-		rep.value, rep.most, rep.discarded, quantile(rep.use, 0), quantile(rep.use, 0.5), quantile(rep.use, 1))
-	fmt.Fprintf(&txt, "starts %d, orders %d (%.3f a start), returned %d (%.3f of orders) %v, recalls %d, stops %d, servers put off %d, features %v\n", rep.starts,
-		rep.orders, float64(rep.orders)/float64(max(rep.starts, 1)), rep.returned, float64(rep.returned)/float64(max(rep.orders, 1)), rep.reasons,
-		rep.recalls, rep.stops, rep.quarantines, rep.features)
-	if rep.bound != nil {
-		fmt.Fprintf(&txt, "bound: worth %.3f, use of the room: median %.3f most %.3f\n", rep.bound.worth(), quantile(rep.bound.use, 0.5), quantile(rep.bound.use, 1))
-	}
-	fmt.Fprintf(&txt, "violations %d %v\n", len(rep.violations), rep.violations[:min(len(rep.violations), 3)])
-	return txt.String()
-}
-
-// add adds the counts of a play with another seed.
-func (rep *playReport) add(oth *playReport) {
-	for pri := range rep.priorities {
-		for out := range rep.priorities[pri] {
-			rep.priorities[pri][out] += oth.priorities[pri][out]
-		}
-		rep.excess[pri] = append(rep.excess[pri], oth.excess[pri]...)
-	}
-	rep.value, rep.most, rep.discarded = rep.value+oth.value, rep.most+oth.most, rep.discarded+oth.discarded
-	rep.orders, rep.recalls, rep.starts = rep.orders+oth.orders, rep.recalls+oth.recalls, rep.starts+oth.starts
-	rep.returned, rep.stops, rep.quarantines = rep.returned+oth.returned, rep.stops+oth.stops, rep.quarantines+oth.quarantines
-	rep.use, rep.violations = append(rep.use, oth.use...), append(rep.violations, oth.violations...)
-	if rep.bound != nil && oth.bound != nil {
-		rep.bound.add(oth.bound)
-	}
-}
-
-// summary returns the report in two lines.
-func (rep *playReport) summary() string {
 	var txt strings.Builder
 	txt.WriteString("  in time, late, refused by priority:")
 	for pri := range rep.priorities {
@@ -284,8 +248,8 @@
 	}
 	fmt.Fprintf(&txt, " worth %.3f (bound %.3f), answers of priority 0 later than their longest run by %v, one in ten by %v\n", rep.worth(), rep.bound.worth(),
 		quantile(rep.excess[0], 0.5).Round(time.Millisecond), quantile(rep.excess[0], 0.9).Round(time.Millisecond))
-	fmt.Fprintf(&txt, "  orders a start %.3f, returned share %.3f, recalls %d, stops %d, put off %d, discarded %.0f, median use %.3f, violations %d\n",
-		float64(rep.orders)/float64(max(rep.starts, 1)), float64(rep.returned)/float64(max(rep.orders, 1)), rep.recalls, rep.stops, rep.quarantines,
-		rep.discarded, quantile(rep.use, 0.5), len(rep.violations))
+	fmt.Fprintf(&txt, "  orders a start %.3f, returned share %.3f %v, recalls %d, stops %d, put off %d, discarded %.0f, median use %.3f, violations %d %v\n",
+		float64(rep.orders)/float64(max(rep.starts, 1)), float64(rep.returned)/float64(max(rep.orders, 1)), rep.reasons, rep.recalls, rep.stops, rep.quarantines,
+		rep.discarded, quantile(rep.use, 0.5), len(rep.violations), rep.violations[:min(len(rep.violations), 3)])
 	return txt.String()
 }
--- a/internal/request/submission/playserver_test.go
+++ b/internal/request/submission/playserver_test.go
@@ -1,7 +1,9 @@
 package submission_test
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -9,15 +11,17 @@
 	"time"
 
 	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
 )
 
-// playServer is a backend server. It starts whatever the leader with the highest token tells it to, and reports what
-// breaks LIMIT and TWICE.
+// playServer is a backend server. It starts whatever the leader with the highest token tells it to, and reports what breaks LIMIT and TWICE.
 type playServer struct {
 	sim   *simulation
 	ent   shard.ServerEntry
 	speed float64
 	token int64
+	// free is the processor that no run takes up.
+	free  int64
 	runs  []*playRun
 	ended []shard.End
 	seq   int64
@@ -29,7 +33,7 @@
 type playRun struct {
 	id                 shard.RunID
 	jb                 *playJob
-	task               int
+	task               *playTask
 	from, until, lease time.Duration
 }
 
@@ -43,50 +47,34 @@
 	return sim.servers[num]
 }
 
-// taskOf returns the job and the number of a task by its name.
-func (sim *simulation) taskOf(name string) (*playJob, int) {
-	pts := strings.Split(name, ".")
-	num, _ := strconv.Atoi(pts[len(pts)-1]) // The Coordinator names them.
-	return sim.jobs[pts[0]], num
-}
-
 // fences reports whether a token is outdated, else notes it.
 func (srv *playServer) fences(token int64) bool {
 	srv.token = max(srv.token, token)
 	return token < srv.token
 }
 
-// free returns the processor and memory that no run takes up.
-func (srv *playServer) free() (processor, memory int64) {
-	processor, memory = srv.ent.Processor, srv.ent.Memory
-	for _, rn := range srv.runs {
-		processor, memory = processor-rn.jb.processor, memory-taskMemory
-	}
-	return processor, memory
-}
-
 func (srv *playServer) start(act *shard.StartRun) shard.CallResult {
 	if srv.fences(act.Token) {
 		return shard.Fenced
 	}
-	sim := srv.sim
-	jb, num := sim.taskOf(act.Run.Task)
-	if jb.live[num] > 0 || jb.done[num] {
-		sim.rep.violate("TWICE", fmt.Sprintf("task %s on %s: %d live, done %t", act.Run.Task, srv.ent.ID, jb.live[num], jb.done[num]))
+	sim, pts := srv.sim, strings.Split(act.Run.Task, ".")
+	num, _ := strconv.Atoi(pts[len(pts)-1]) // The Coordinator names the tasks.
+	jb := sim.jobs[pts[0]]
+	tsk := &jb.tasks[num]
+	if tsk.live > 0 || tsk.done {
+		sim.rep.violate("TWICE", fmt.Sprintf("task %s on %s: %d live, done %t", act.Run.Task, srv.ent.ID, tsk.live, tsk.done))
 	}
-	if prc, mem := srv.free(); prc < jb.processor || mem < taskMemory {
-		sim.rep.violate("LIMIT", fmt.Sprintf("task %s on %s: %d of %d, %d of %d", act.Run.Task, srv.ent.ID, jb.processor, prc, taskMemory, mem))
+	if srv.free < jb.processor || int64(len(srv.runs)+1)*taskMemory > srv.ent.Memory {
+		sim.rep.violate("LIMIT", fmt.Sprintf("task %s on %s: %d of %d, beside %d runs", act.Run.Task, srv.ent.ID, jb.processor, srv.free, len(srv.runs)))
 	}
-	took, kind := time.Duration(float64(jb.works[num])/srv.speed), shard.EndedDone
-	if jb.fails[num] && jb.runs[num] == 0 {
+	took, kind := time.Duration(float64(tsk.work)/srv.speed), shard.EndedDone
+	if tsk.fails {
 		took, kind = took/2, shard.EndedFailed
 	}
-	jb.live[num]++
-	jb.runs[num]++
-	jb.started = true
+	tsk.live, tsk.fails, jb.started = tsk.live+1, false, true
 	sim.rep.count(&sim.rep.starts)
-	rn := &playRun{id: act.Run, jb: jb, task: num, from: sim.clock(), until: sim.clock() + took, lease: act.LeaseUntil}
-	srv.runs = append(srv.runs, rn)
+	rn := &playRun{id: act.Run, jb: jb, task: tsk, from: sim.clock(), until: sim.clock() + took, lease: act.LeaseUntil}
+	srv.runs, srv.free = append(srv.runs, rn), srv.free-jb.processor
 	sim.after(took, func() { srv.end(rn, kind) })
 	srv.watchLease(rn)
 	return shard.Accepted
@@ -95,27 +83,23 @@
 // watchLease ends a run when its lease is over.
 func (srv *playServer) watchLease(rn *playRun) {
 	srv.sim.after(rn.lease-srv.sim.clock(), func() {
-		switch {
-		case !slices.Contains(srv.runs, rn):
-		case rn.lease > srv.sim.clock():
-			srv.watchLease(rn)
-		default:
+		if rn.lease <= srv.sim.clock() {
 			srv.end(rn, shard.EndedStopped)
+		} else if slices.Contains(srv.runs, rn) {
+			srv.watchLease(rn)
 		}
 	})
 }
 
 // end ends a run that has not ended, and answers the renewals that wait for an end.
 func (srv *playServer) end(rn *playRun, kind shard.EndKind) {
-	idx := slices.Index(srv.runs, rn)
-	if idx < 0 {
+	if !srv.remove(rn) {
 		return
 	}
-	srv.runs = slices.Delete(srv.runs, idx, idx+1)
 	srv.seq++
 	srv.ended = append(srv.ended, shard.End{Seq: srv.seq, Run: rn.id, Kind: kind})
-	rn.jb.live[rn.task]--
-	rn.jb.done[rn.task] = rn.jb.done[rn.task] || kind == shard.EndedDone
+	rn.task.live--
+	rn.task.done = rn.task.done || kind == shard.EndedDone
 	srv.sim.rep.countRun(rn, kind, (srv.sim.clock()-rn.from).Seconds()*float64(rn.jb.processor)/1000)
 	for _, answer := range srv.held {
 		answer()
@@ -123,6 +107,15 @@
 	srv.held = nil
 }
 
+// remove removes a run and reports whether it was there.
+func (srv *playServer) remove(rn *playRun) bool {
+	idx := slices.Index(srv.runs, rn)
+	if idx >= 0 {
+		srv.runs, srv.free = slices.Delete(srv.runs, idx, idx+1), srv.free+rn.jb.processor
+	}
+	return idx >= 0
+}
+
 func (srv *playServer) stop(act *shard.StopRun) shard.CallResult {
 	if srv.fences(act.Token) {
 		return shard.Fenced
@@ -147,7 +140,13 @@
 	for _, rn := range srv.runs {
 		rn.lease = max(rn.lease, act.LeaseUntil)
 	}
-	answer := sync.OnceFunc(func() { reply(srv.list(), shard.Accepted) })
+	answer := sync.OnceFunc(func() {
+		ans := shard.RenewResult{Incarnation: 1, Clock: srv.sim.clock(), Ended: slices.Clone(srv.ended)}
+		for _, rn := range srv.runs {
+			ans.Running = append(ans.Running, shard.Progress{Run: rn.id, Percent: int(100 * (ans.Clock - rn.from) / max(rn.until-rn.from, 1))})
+		}
+		reply(ans, shard.Accepted)
+	})
 	if act.WaitForEnd == 0 || len(srv.ended) > 0 {
 		answer()
 		return
@@ -156,12 +155,77 @@
 	srv.sim.after(act.WaitForEnd, answer)
 }
 
-// list returns the answer to a renewal.
-func (srv *playServer) list() shard.RenewResult {
-	ans := shard.RenewResult{Incarnation: 1, Clock: srv.sim.clock(), Ended: slices.Clone(srv.ended)}
-	for _, rn := range srv.runs {
-		pct := int(100 * (ans.Clock - rn.from) / max(rn.until-rn.from, 1))
-		ans.Running = append(ans.Running, shard.Progress{Run: rn.id, Percent: pct})
+// playBound plays one queue before all servers that knows all run times and all room, without delay of messages: by priority, in time before late, and
+// by due time. It refuses what can't be of use.
+func playBound(prm playParams, rep *playReport) {
+	sim := newSimulation(prm, rep)
+	fastest := slices.Max(prm.Deployment.speeds[:])
+	var waiting []*playJob
+	took := func(jb *playJob, spd float64) time.Duration {
+		return time.Duration(float64(jb.tasks[jb.begun].work) / spd)
+	}
+	least := func(jb *playJob) time.Duration { return sim.now.Sub(jb.arrived) + took(jb, fastest) }
+	var place func()
+	place = func() {
+		waiting = slices.DeleteFunc(waiting, func(jb *playJob) bool {
+			if jb.begun == 0 && least(jb) > lateFactor*jb.limit {
+				sim.finish(jb, 0, refused)
+			}
+			return jb.outcome == refused
+		})
+		slices.SortStableFunc(waiting, func(one, two *playJob) int {
+			lateness := func(jb *playJob) int { return map[bool]int{true: 1}[least(jb) > jb.limit] }
+			return cmp.Or(cmp.Compare(one.priority, two.priority), cmp.Compare(lateness(one), lateness(two)),
+				one.arrived.Add(one.limit).Compare(two.arrived.Add(two.limit)))
+		})
+		for _, jb := range waiting {
+			for jb.begun < len(jb.tasks) {
+				srv := sim.boundServer(jb)
+				if srv == nil {
+					break
+				}
+				dur, rn := took(jb, srv.speed), &playRun{jb: jb}
+				srv.runs, srv.free = append(srv.runs, rn), srv.free-jb.processor
+				jb.begun++
+				sim.after(dur, func() {
+					srv.remove(rn)
+					jb.coreSeconds += dur.Seconds() * float64(jb.processor) / 1000
+					if jb.ended++; jb.ended == len(jb.tasks) {
+						sim.finish(jb, 0, sim.outcomeOf(jb, submission.Succeeded))
+					}
+					place()
+				})
+			}
+		}
+		waiting = slices.DeleteFunc(waiting, func(jb *playJob) bool { return jb.begun == len(jb.tasks) })
+	}
+	for _, jb := range sim.order {
+		slices.SortFunc(jb.tasks, func(one, two playTask) int { return cmp.Compare(two.work, one.work) })
+		at := jb.arrived.Sub(sim.from)
+		if prm.Load == outageLoad && at >= outageFrom && at < outageTo {
+			at += resendDelay
+		}
+		sim.after(at, func() {
+			jb.sentAt, waiting = sim.now, append(waiting, jb)
+			place()
+		})
+	}
+	sim.sampleRoom()
+	sim.run(prm.Duration + drainTime)
+}
+
+// boundServer returns the slowest server with room on which a job's longest task is in time, or the fastest if it is in time on none, and of those the
+// one with the least room; nil if none has room.
+func (sim *simulation) boundServer(jb *playJob) (best *playServer) {
+	least, rest := math.Inf(1), jb.limit-sim.now.Sub(jb.arrived)
+	for _, srv := range sim.servers {
+		cost := float64(srv.free)/1e9 + srv.speed
+		if time.Duration(float64(jb.tasks[jb.begun].work)/srv.speed) > rest {
+			cost += 1e3/srv.speed - srv.speed
+		}
+		if srv.free >= jb.processor && cost < least {
+			best, least = srv, cost
+		}
 	}
-	return ans
+	return best
 }
