--- a/internal/request/submission/play_test.go
+++ b/internal/request/submission/play_test.go
@@ -1,8 +1,6 @@
 package submission_test
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -49,6 +47,11 @@
 	nearPause, farPause  = 6 * beat, 9 * beat   // Between loads where no orders are open, a half less to a half more.
 	loadShare            = 4 * time.Millisecond // Between loads of an instance's leaders to its own Coordinator.
 	wavePeriod           = 20 * time.Second
+	drainTime            = 4 * time.Second // After the last arrival: longer than callers wait for the usual job.
+	lateFactor           = 3
+	callersPerInstance   = 8     // Some instances get twice the jobs of others.
+	workFactor           = 1.083 // From the median of a spread of 0.4 to the mean.
+	taskMemory           = 64    // MB; it never binds.
 )
 
 // playStream describes the jobs of one priority. The values are those of an answer in time and of a late one.
@@ -111,13 +114,15 @@
 	fails, done bool
 }
 
-// simulation is the state of a play. Events that are due at one time happen in the order in which they were added.
+// on returns the task's run time on a server of a speed.
+func (tsk *playTask) on(speed float64) time.Duration { return time.Duration(float64(tsk.work) / speed) }
+
+// simulation is the state of a play. evs has the events to come, the last one first.
 type simulation struct {
 	prm       playParams
 	rnd       *rand.Rand
 	now, from time.Time
-	evs       playEvents
-	added     int
+	evs       []playEvent
 	jobs      map[string]*playJob
 	order     []*playJob
 	instances []*playInstance
@@ -138,36 +143,22 @@
 }
 
 type playEvent struct {
-	at  time.Time
-	num int
-	do  func()
-}
-
-type playEvents []playEvent
-
-func (evs playEvents) Len() int { return len(evs) }
-func (evs playEvents) Less(one, two int) bool {
-	return cmp.Or(evs[one].at.Compare(evs[two].at), cmp.Compare(evs[one].num, evs[two].num)) < 0
-}
-func (evs playEvents) Swap(one, two int) { evs[one], evs[two] = evs[two], evs[one] }
-func (evs *playEvents) Push(evt any)     { *evs = append(*evs, evt.(playEvent)) }
-func (evs *playEvents) Pop() any {
-	evt := (*evs)[len(*evs)-1]
-	*evs = (*evs)[:len(*evs)-1]
-	return evt
+	at time.Time
+	do func()
 }
 
-// after has something done after a time.
+// after has something done after a time. Events that are due at one time happen in the order in which they were added.
 func (sim *simulation) after(dur time.Duration, do func()) {
-	sim.added++
-	heap.Push(&sim.evs, playEvent{sim.now.Add(dur), sim.added, do})
+	evt := playEvent{sim.now.Add(dur), do}
+	idx, _ := slices.BinarySearchFunc(sim.evs, evt.at, func(oth playEvent, at time.Time) int { return at.Compare(oth.at) })
+	sim.evs = slices.Insert(sim.evs, idx, evt)
 }
 
 // run handles events until a time since the start.
 func (sim *simulation) run(until time.Duration) {
-	for len(sim.evs) > 0 && !sim.evs[0].at.After(sim.from.Add(until)) {
-		evt := heap.Pop(&sim.evs).(playEvent)
-		sim.now = evt.at
+	for num := len(sim.evs) - 1; num >= 0 && !sim.evs[num].at.After(sim.from.Add(until)); num = len(sim.evs) - 1 {
+		evt := sim.evs[num]
+		sim.evs, sim.now = sim.evs[:num], evt.at
 		evt.do()
 	}
 }
@@ -178,7 +169,7 @@
 	for _, prm := range prms {
 		sim := newSimulation(prm, rep)
 		sim.beginAll()
-		for _, jb := range sim.order {
+		for _, jb := range slices.Backward(sim.order) {
 			sim.after(jb.arrived.Sub(sim.from), func() { sim.submit(jb) })
 		}
 		if prm.Load == outageLoad {
@@ -199,9 +190,6 @@
 	return play(prm, two, three)
 }
 
-// drainTime is how long a play goes on after the last arrival: longer than callers wait for the usual job.
-const drainTime = 4 * time.Second
-
 // newSimulation returns a play with its servers, shards and jobs, which follow from the seed alone, and with instances that have not begun.
 func newSimulation(prm playParams, rep *playReport) *simulation {
 	dep, from := prm.Deployment, time.Unix(1000, 0)
@@ -293,20 +281,8 @@
 	return jb
 }
 
-const (
-	workFactor = 1.083 // From the median of a spread of 0.4 to the mean.
-	taskMemory = 64    // MB; it never binds.
-)
-
-// callersPerInstance makes some instances get twice the jobs of others.
-const callersPerInstance = 8
-
 // objective returns the time within which an answer is in time; up to lateFactor times that it is late.
-func objective(work time.Duration) time.Duration {
-	return 60*time.Millisecond + work*16/10
-}
-
-const lateFactor = 3
+func objective(work time.Duration) time.Duration { return 60*time.Millisecond + work*16/10 }
 
 // until returns when the caller of a job gives up.
 func (jb *playJob) until() time.Time { return jb.arrived.Add(lateFactor*jb.limit + callerPatience) }
--- a/internal/request/submission/playserver_test.go
+++ b/internal/request/submission/playserver_test.go
@@ -16,17 +16,14 @@
 
 // playServer is a backend server. It starts whatever the leader with the highest token tells it to, and reports what breaks LIMIT and TWICE.
 type playServer struct {
-	sim   *simulation
-	ent   shard.ServerEntry
-	speed float64
-	token int64
-	// free is the processor that no run takes up.
-	free  int64
-	runs  []*playRun
-	ended []shard.End
-	seq   int64
-	// held answers the renewals that wait for an end.
-	held []func()
+	sim        *simulation
+	ent        shard.ServerEntry
+	speed      float64
+	token, seq int64
+	free       int64 // The processor that no run takes up.
+	runs       []*playRun
+	ended      []shard.End
+	held       []func() // Answers to the renewals that wait for an end.
 }
 
 // playRun is a run of a task. It has from, until and lease by the server's clock.
@@ -67,7 +64,7 @@
 	if srv.free < jb.processor || int64(len(srv.runs)+1)*taskMemory > srv.ent.Memory {
 		sim.rep.violate("LIMIT", fmt.Sprintf("task %s on %s: %d of %d, beside %d runs", act.Run.Task, srv.ent.ID, jb.processor, srv.free, len(srv.runs)))
 	}
-	took, kind := time.Duration(float64(tsk.work)/srv.speed), shard.EndedDone
+	took, kind := tsk.on(srv.speed), shard.EndedDone
 	if tsk.fails {
 		took, kind = took/2, shard.EndedFailed
 	}
@@ -93,10 +90,11 @@
 
 // end ends a run that has not ended, and answers the renewals that wait for an end.
 func (srv *playServer) end(rn *playRun, kind shard.EndKind) {
-	if !srv.remove(rn) {
+	idx := slices.Index(srv.runs, rn)
+	if idx < 0 {
 		return
 	}
-	srv.seq++
+	srv.runs, srv.free, srv.seq = slices.Delete(srv.runs, idx, idx+1), srv.free+rn.jb.processor, srv.seq+1
 	srv.ended = append(srv.ended, shard.End{Seq: srv.seq, Run: rn.id, Kind: kind})
 	rn.task.live--
 	rn.task.done = rn.task.done || kind == shard.EndedDone
@@ -107,15 +105,6 @@
 	srv.held = nil
 }
 
-// remove removes a run and reports whether it was there.
-func (srv *playServer) remove(rn *playRun) bool {
-	idx := slices.Index(srv.runs, rn)
-	if idx >= 0 {
-		srv.runs, srv.free = slices.Delete(srv.runs, idx, idx+1), srv.free+rn.jb.processor
-	}
-	return idx >= 0
-}
-
 func (srv *playServer) stop(act *shard.StopRun) shard.CallResult {
 	if srv.fences(act.Token) {
 		return shard.Fenced
@@ -159,12 +148,10 @@
 // by due time. It refuses what can't be of use.
 func playBound(prm playParams, rep *playReport) {
 	sim := newSimulation(prm, rep)
-	fastest := slices.Max(prm.Deployment.speeds[:])
 	var waiting []*playJob
-	took := func(jb *playJob, spd float64) time.Duration {
-		return time.Duration(float64(jb.tasks[jb.begun].work) / spd)
-	}
-	least := func(jb *playJob) time.Duration { return sim.now.Sub(jb.arrived) + took(jb, fastest) }
+	fastest := slices.Max(prm.Deployment.speeds[:])
+	// least returns how long after its arrival the longest task that waits can end.
+	least := func(jb *playJob) time.Duration { return sim.now.Sub(jb.arrived) + jb.tasks[jb.begun].on(fastest) }
 	var place func()
 	place = func() {
 		waiting = slices.DeleteFunc(waiting, func(jb *playJob) bool {
@@ -175,20 +162,15 @@
 		})
 		slices.SortStableFunc(waiting, func(one, two *playJob) int {
 			lateness := func(jb *playJob) int { return map[bool]int{true: 1}[least(jb) > jb.limit] }
-			return cmp.Or(cmp.Compare(one.priority, two.priority), cmp.Compare(lateness(one), lateness(two)),
-				one.arrived.Add(one.limit).Compare(two.arrived.Add(two.limit)))
+			return cmp.Or(one.priority-two.priority, lateness(one)-lateness(two), one.arrived.Add(one.limit).Compare(two.arrived.Add(two.limit)))
 		})
 		for _, jb := range waiting {
-			for jb.begun < len(jb.tasks) {
-				srv := sim.boundServer(jb)
-				if srv == nil {
-					break
-				}
-				dur, rn := took(jb, srv.speed), &playRun{jb: jb}
-				srv.runs, srv.free = append(srv.runs, rn), srv.free-jb.processor
+			for srv := sim.boundServer(jb); srv != nil; srv = sim.boundServer(jb) {
+				dur := jb.tasks[jb.begun].on(srv.speed)
+				srv.free -= jb.processor
 				jb.begun++
 				sim.after(dur, func() {
-					srv.remove(rn)
+					srv.free += jb.processor
 					jb.coreSeconds += dur.Seconds() * float64(jb.processor) / 1000
 					if jb.ended++; jb.ended == len(jb.tasks) {
 						sim.finish(jb, 0, sim.outcomeOf(jb, submission.Succeeded))
@@ -199,14 +181,14 @@
 		}
 		waiting = slices.DeleteFunc(waiting, func(jb *playJob) bool { return jb.begun == len(jb.tasks) })
 	}
-	for _, jb := range sim.order {
+	for _, jb := range slices.Backward(sim.order) {
 		slices.SortFunc(jb.tasks, func(one, two playTask) int { return cmp.Compare(two.work, one.work) })
-		at := jb.arrived.Sub(sim.from)
-		if prm.Load == outageLoad && at >= outageFrom && at < outageTo {
-			at += resendDelay
+		jb.sentAt = jb.arrived
+		if at := jb.arrived.Sub(sim.from); prm.Load == outageLoad && at >= outageFrom && at < outageTo {
+			jb.sentAt = jb.arrived.Add(resendDelay)
 		}
-		sim.after(at, func() {
-			jb.sentAt, waiting = sim.now, append(waiting, jb)
+		sim.after(jb.sentAt.Sub(sim.from), func() {
+			waiting = append(waiting, jb)
 			place()
 		})
 	}
@@ -215,12 +197,15 @@
 }
 
 // boundServer returns the slowest server with room on which a job's longest task is in time, or the fastest if it is in time on none, and of those the
-// one with the least room; nil if none has room.
+// one with the least room; nil if none has room or no task is left.
 func (sim *simulation) boundServer(jb *playJob) (best *playServer) {
+	if jb.begun == len(jb.tasks) {
+		return nil
+	}
 	least, rest := math.Inf(1), jb.limit-sim.now.Sub(jb.arrived)
 	for _, srv := range sim.servers {
 		cost := float64(srv.free)/1e9 + srv.speed
-		if time.Duration(float64(jb.tasks[jb.begun].work)/srv.speed) > rest {
+		if jb.tasks[jb.begun].on(srv.speed) > rest {
 			cost += 1e3/srv.speed - srv.speed
 		}
 		if srv.free >= jb.processor && cost < least {
