--- a/internal/request/submission/play_test.go
+++ b/internal/request/submission/play_test.go
@@ -24,14 +24,12 @@
 	FullSize bool
 }
 
-// playLoad is what happens to the load during a play.
+// playLoad is what happens to the load during a play: nothing, more of the least urgent jobs (burst...), or a time without instances (outage...).
 type playLoad int
 
 const (
 	usualLoad playLoad = iota
-	// burstLoad has burstFactor times the least urgent jobs between burstFrom and burstTo.
 	burstLoad
-	// outageLoad has no instance between outageFrom and outageTo.
 	outageLoad
 )
 
@@ -44,8 +42,9 @@
 	callerDelay          = 3 * time.Millisecond
 	nearDelay, farDelay  = 500 * time.Microsecond, 1500 * time.Microsecond
 	beat, tick           = 100 * time.Millisecond, 20 * time.Millisecond
-	nearPause, farPause  = 6 * beat, 9 * beat   // Between loads where no orders are open, a half less to a half more.
-	loadShare            = 4 * time.Millisecond // Between loads of an instance's leaders to its own Coordinator.
+	nearPause, farPause  = 6 * beat, 9 * beat    // Between loads where no orders are open, a half less to a half more.
+	loadShare            = 4 * time.Millisecond  // Between loads of an instance's leaders to its own Coordinator.
+	eventCost            = 70 * time.Microsecond // Of a core; whole processes take more, but also give the smallest instances less to do.
 	wavePeriod           = 20 * time.Second
 	drainTime            = 4 * time.Second // After the last arrival: longer than callers wait for the usual job.
 	lateFactor           = 3
@@ -268,16 +267,14 @@
 	wid := int(math.Round(max(1, min(spread(stm.width, 0.4), 4*stm.width))))
 	work := spread(workFactor*float64(stm.work), 0.4)
 	jb.estimate = time.Duration(spread(work, 0.4))
-	longest := time.Duration(0)
 	for range wid {
 		wrk := spread(work, 0.15)
 		if rnd.Float64() < 0.03 {
 			wrk = min(7*wrk, 9.5*float64(stm.work))
 		}
 		jb.tasks = append(jb.tasks, playTask{work: time.Duration(wrk), fails: rnd.Float64() < 0.002})
-		longest = max(longest, time.Duration(wrk))
+		jb.limit = max(jb.limit, objective(time.Duration(wrk)))
 	}
-	jb.limit = objective(longest)
 	return jb
 }
 
@@ -315,12 +312,11 @@
 
 // resend has a caller that has lost its connection send its job again, if it still waits then.
 func (sim *simulation) resend(jb *playJob) {
-	cal := jb.call
-	if !sim.now.Add(resendDelay).Before(jb.until()) {
-		sim.finish(jb, cal, gaveUp)
-		return
+	if sim.now.Add(resendDelay).Before(jb.until()) {
+		sim.after(resendDelay, func() { sim.submit(jb) })
+	} else {
+		sim.finish(jb, jb.call, gaveUp)
 	}
-	sim.after(resendDelay, func() { sim.submit(jb) })
 }
 
 func (sim *simulation) beginAll() {
--- a/internal/request/submission/playinstance_test.go
+++ b/internal/request/submission/playinstance_test.go
@@ -9,23 +9,18 @@
 	"chestnutstack/internal/request/submission"
 )
 
-// playInstance is an instance: an owner and the leader of some shards.
+// playInstance is an instance: an owner and the leader of some shards. Events for a former life (incarnation) are dropped, and the instance handles
+// events one after another: it is busy until a time. peers has what it has to send to the others, one batch at a time.
 type playInstance struct {
-	sim         *simulation
-	num, domain int
-	// life is the number of the instance's incarnation; events for a former one are dropped.
-	life     int
-	id       shard.InstanceID
-	crd      *submission.Coordinator
-	leaders  []*shard.Leader
-	open     map[shard.InstanceID]bool
-	peers    map[*playInstance]*playPeer
-	sharedAt time.Time
-	// busy is until when the instance handles earlier events; its processor is shared.
-	busy time.Time
+	sim               *simulation
+	num, domain, life int
+	id                shard.InstanceID
+	crd               *submission.Coordinator
+	leaders           []*shard.Leader
+	peers             map[*playInstance]*playPeer
+	sharedAt, busy    time.Time
 }
 
-// playPeer is what an instance has to send to another one; one batch at a time is under way.
 type playPeer struct {
 	waiting []func(to *playInstance)
 	calling bool
@@ -34,12 +29,10 @@
 
 // begin begins a new incarnation, which takes over its shards.
 func (ins *playInstance) begin() {
-	sim := ins.sim
+	sim, link, cfg := ins.sim, shard.NewUplink(0), shard.DefaultConfig()
 	ins.life++
 	ins.id = shard.InstanceID(fmt.Sprintf("i%d/%d", ins.num, ins.life))
-	sim.byID[ins.id] = ins
-	link := shard.NewUplink(0)
-	ins.leaders, ins.open, ins.peers = nil, map[shard.InstanceID]bool{}, map[*playInstance]*playPeer{}
+	ins.leaders, ins.peers, sim.byID[ins.id] = nil, map[*playInstance]*playPeer{}, ins
 	for _, oth := range sim.instances {
 		ins.peers[oth] = &playPeer{}
 	}
@@ -47,22 +40,19 @@
 		Self: ins.id, FailureDomain: fmt.Sprint(ins.domain), OrphanExpiry: 1300 * time.Millisecond, RetryAfter: time.Second,
 		LeaderlessTimeout: 1500 * time.Millisecond, Link: link, Features: sim.prm.Features,
 	}, sim.now)
-	cfg := shard.DefaultConfig()
 	cfg.Features = sim.prm.Features
 	kinds := map[shard.Name][]shard.ServerKind{}
 	for num := range sim.shards {
 		shd := &sim.shards[num]
 		kinds[shd.name] = shard.Kinds(shd.servers)
-		if shd.leader != ins.num {
-			continue
+		if shd.leader == ins.num {
+			shd.token = int64(ins.life*len(sim.instances) + ins.num)
+			ldr := shard.NewLeader(cfg, link, shd.name, shd.token, sim.now)
+			ins.leaders = append(ins.leaders, ldr)
+			ins.later(0, func() {
+				ins.runLeader(ldr, ldr.SetServers(sim.now, shard.Listing{Listed: shd.servers, ReadAt: sim.now}))
+			})
 		}
-		shd.token = int64(ins.life*len(sim.instances) + ins.num)
-		ldr := shard.NewLeader(cfg, link, shd.name, shd.token, sim.now)
-		ins.leaders = append(ins.leaders, ldr)
-		ins.later(0, func() {
-			lst := shard.Listing{Listed: shd.servers, ReadAt: sim.now}
-			ins.runLeader(ldr, ldr.SetServers(sim.now, lst))
-		})
 	}
 	ins.crd.HandleServers(kinds)
 	ins.crd.SetServersComplete(true)
@@ -78,34 +68,25 @@
 
 // later has something done at the instance after a time, if it lives then, and passes the loads of its shards to its own Coordinator.
 func (ins *playInstance) later(dur time.Duration, do func()) {
-	life, sim := ins.life, ins.sim
+	life, sim, cores := ins.life, ins.sim, 0.2+0.6*float64(ins.num*7%12)/11
 	var handle func()
 	handle = func() {
-		if ins.life != life || sim.down {
+		if wait := ins.busy.Sub(sim.now); ins.life != life || sim.down {
 			return
-		}
-		if wait := ins.busy.Sub(sim.now); wait > 0 {
+		} else if wait > 0 {
 			sim.after(wait, handle)
 			return
 		}
-		ins.busy = sim.now.Add(time.Duration(float64(eventCost) / ins.cores()))
+		ins.busy = sim.now.Add(time.Duration(float64(eventCost) / cores))
 		do()
-		if now := ins.sim.now; now.Sub(ins.sharedAt) >= loadShare {
-			ins.sharedAt = now
+		if sim.now.Sub(ins.sharedAt) >= loadShare {
+			ins.sharedAt = sim.now
 			ins.loads()(ins)
 		}
 	}
 	sim.after(dur, handle)
 }
 
-// eventCost is the processor time of an event of an instance. Whole processes take more, but also give the smallest instances less to do.
-const eventCost = 70 * time.Microsecond
-
-// cores returns how many cores the instance has.
-func (ins *playInstance) cores() float64 {
-	return 0.2 + 0.6*float64(ins.num*7%12)/11
-}
-
 func (ins *playInstance) tick() {
 	for _, ldr := range ins.leaders {
 		ins.runLeader(ldr, ldr.Tick(ins.sim.now))
@@ -117,14 +98,13 @@
 // beat sends the loads of the instance's shards to the others: at each beat to those with open orders between the two, else after a pause that
 // differs from pair to pair and is longer between failure domains.
 func (ins *playInstance) beat() {
-	sim := ins.sim
-	clear(ins.open)
-	ins.crd.AddLeaders(ins.open)
+	pairs := map[shard.InstanceID]bool{}
+	ins.crd.AddLeaders(pairs)
 	for _, ldr := range ins.leaders {
-		ldr.AddOwners(ins.open)
+		ldr.AddOwners(pairs)
 	}
-	for _, oth := range sim.instances {
-		if per := ins.peers[oth]; oth != ins && (ins.open[oth.id] || !sim.now.Before(per.nextAt)) {
+	for _, oth := range ins.sim.instances {
+		if oth != ins && (pairs[oth.id] || !ins.sim.now.Before(ins.peers[oth].nextAt)) {
 			ins.call(oth)
 		}
 	}
@@ -133,8 +113,7 @@
 
 // send has a message handled by an instance, which may be this one.
 func (ins *playInstance) send(id shard.InstanceID, handle func(to *playInstance)) {
-	to := ins.sim.byID[id]
-	switch {
+	switch to := ins.sim.byID[id]; {
 	case to == ins:
 		ins.later(0, func() { handle(ins) })
 	case to.id == id: // Else the receiver has started again.
@@ -145,11 +124,10 @@
 
 // call sends what waits for an instance in one batch, unless one is under way. The batch and its receipt have the loads of their senders.
 func (ins *playInstance) call(to *playInstance) {
-	sim, per := ins.sim, ins.peers[to]
+	sim, per, delay, pause := ins.sim, ins.peers[to], nearDelay, nearPause
 	if per.calling {
 		return
 	}
-	delay, pause := nearDelay, nearPause
 	if ins.domain != to.domain {
 		delay, pause = farDelay, farPause
 	}
@@ -185,10 +163,10 @@
 	}
 }
 
-// leader returns the leader of a shard with a token, nil if it isn't here.
-func (ins *playInstance) leader(name shard.Name, token int64) *shard.Leader {
+// leader returns the leader of a target, nil if it isn't here.
+func (ins *playInstance) leader(tgt submission.Target) *shard.Leader {
 	for _, ldr := range ins.leaders {
-		if ldr.Name() == name && ldr.Token() == token {
+		if ldr.Name() == tgt.Shard && ldr.Token() == tgt.Token {
 			return ldr
 		}
 	}
@@ -202,19 +180,16 @@
 		switch act := act.(type) {
 		case submission.SendOrder:
 			sim.rep.countOrder(&act.Order)
-			ins.open[act.Target.Leader] = true
 			ins.send(act.Target.Leader, func(to *playInstance) {
-				ldr := to.leader(act.Target.Shard, act.Target.Token)
-				if ldr == nil {
+				if ldr := to.leader(act.Target); ldr != nil {
+					to.runLeader(ldr, ldr.HandleOrder(sim.now, act.Order))
+				} else {
 					to.sendReport(act.Order.Owner, shard.Report{Task: act.Order.Task, Token: act.Target.Token, Outcome: shard.Lost})
-					return
 				}
-				to.open[act.Order.Owner] = true
-				to.runLeader(ldr, ldr.HandleOrder(sim.now, act.Order))
 			})
 		case submission.CancelOrder:
 			ins.send(act.Target.Leader, func(to *playInstance) {
-				if ldr := to.leader(act.Target.Shard, act.Target.Token); ldr != nil {
+				if ldr := to.leader(act.Target); ldr != nil {
 					to.runLeader(ldr, ldr.Cancel(sim.now, ins.id, act.Task, act.Followed))
 				}
 			})
@@ -235,27 +210,27 @@
 	if !slices.Contains(ins.leaders, ldr) {
 		return
 	}
+	handle := func(do func() []shard.Action) { ins.later(nearDelay, func() { ins.runLeader(ldr, do()) }) }
 	for _, act := range acts {
 		switch act := act.(type) {
 		case shard.SendReport:
 			ins.sendReport(act.Owner, act.Report)
 		case shard.StartRun:
 			sim.after(nearDelay, func() {
-				res := sim.serverOf(act.Server.ID).start(&act)
-				clock := sim.clock()
-				ins.later(nearDelay, func() { ins.runLeader(ldr, ldr.HandleStartResult(sim.now, act.Server.ID, act.Run, res, clock)) })
+				res, clock := sim.serverOf(act.Server.ID).start(&act), sim.clock()
+				handle(func() []shard.Action { return ldr.HandleStartResult(sim.now, act.Server.ID, act.Run, res, clock) })
 			})
 		case shard.StopRun:
 			sim.after(nearDelay, func() {
 				res := sim.serverOf(act.Server.ID).stop(&act)
-				ins.later(nearDelay, func() { ins.runLeader(ldr, ldr.HandleStopResult(sim.now, act, res)) })
+				handle(func() []shard.Action { return ldr.HandleStopResult(sim.now, act, res) })
 			})
 		case shard.Renew:
 			ins.later(act.Delay, func() {
 				sent := sim.now
 				sim.after(nearDelay, func() {
 					sim.serverOf(act.Server.ID).renew(&act, func(ans shard.RenewResult, res shard.CallResult) {
-						ins.later(nearDelay, func() { ins.runLeader(ldr, ldr.HandleRenewResult(sim.now, sent, act, ans, res)) })
+						handle(func() []shard.Action { return ldr.HandleRenewResult(sim.now, sent, act, ans, res) })
 					})
 				})
 			})
--- a/internal/request/submission/playreport_test.go
+++ b/internal/request/submission/playreport_test.go
@@ -97,9 +97,9 @@
 	// orders, starts and returned are counts of orders sent, runs started and orders returned; recalls are no orders. stops counts stopped runs of
 	// jobs whose callers waited.
 	orders, recalls, starts, returned, stops, quarantines int
-	// reasons has the returned orders by the leader's reason, those that their owners had recalled apart.
-	reasons map[string]int
-	// recalled has the tasks of which the last message to a leader was a recall.
+	// reasons has the returned orders by the leader's reason, those that their owners had recalled apart; recalled has the tasks of which the last
+	// message to a leader was a recall.
+	reasons  map[string]int
 	recalled map[string]bool
 	// use has samples of the share of the room that runs used, excess by priority how much longer answers took than their jobs' longest runs.
 	use        []float64
@@ -137,21 +137,21 @@
 	rep.recalled[ord.Task] = ord.Recall
 	if ord.Recall {
 		rep.count(&rep.recalls)
-		return
+	} else {
+		rep.count(&rep.orders)
 	}
-	rep.count(&rep.orders)
 }
 
 func (rep *playReport) countReport(rpt *shard.Report) {
 	if rpt.Outcome != shard.NotRun || !rep.measures(rep.sim.now) {
 		return
 	}
-	rep.returned++
+	rsn := rpt.Reason.String()
 	if rep.recalled[rpt.Task] {
-		rep.reasons["recalled"]++
-		return
+		rsn = "recalled"
 	}
-	rep.reasons[rpt.Reason.String()]++
+	rep.reasons[rsn]++
+	rep.returned++
 }
 
 // countRun counts the work of a run that has ended.
