--- a/internal/request/submission/play_test.go
+++ b/internal/request/submission/play_test.go
@@ -205,7 +205,7 @@
 	}
 	for num := range shards {
 		dom := num % dep.domains
-		sim.shards = append(sim.shards, playShard{name: shard.Name(fmt.Sprintf("domain-%d.%d", dom, num)), domain: dom, leader: sim.instanceOf(dom, num/dep.domains)})
+		sim.shards = append(sim.shards, playShard{name: shard.Name(fmt.Sprintf("domain-%d.%d", dom, num)), domain: dom, leader: sim.instance(dom, num/dep.domains).num})
 	}
 	for num := range servers {
 		sim.addServer(num, &sim.shards[sim.rnd.IntN(shards)])
@@ -214,10 +214,10 @@
 	return sim
 }
 
-// instanceOf returns the number of an instance of a failure domain.
-func (sim *simulation) instanceOf(domain, num int) int {
+// instance returns one of the instances of a failure domain.
+func (sim *simulation) instance(domain, num int) *playInstance {
 	dms := sim.prm.Deployment.domains
-	return domain + dms*(num%((len(sim.instances)-domain+dms-1)/dms))
+	return sim.instances[domain+dms*(num%((len(sim.instances)-domain+dms-1)/dms))]
 }
 
 func (sim *simulation) addServer(num int, shd *playShard) {
@@ -297,7 +297,7 @@
 	}
 	hsh := fnv.New32a()
 	_, _ = fmt.Fprint(hsh, jb.caller) // Write of a hash returns no error.
-	ins := sim.instances[sim.instanceOf(jb.domain, int(hsh.Sum32()>>8))]
+	ins := sim.instance(jb.domain, int(hsh.Sum32()>>8))
 	cal, left := jb.call, jb.until().Sub(sim.now)
 	ins.later(callerDelay, func() {
 		ins.runCoordinator(ins.crd.HandleSubmit(sim.now, cal, submission.Submission{
--- a/internal/request/submission/playreport_test.go
+++ b/internal/request/submission/playreport_test.go
@@ -101,24 +101,20 @@
 	// message to a leader was a recall.
 	reasons  map[string]int
 	recalled map[string]bool
-	// use has samples of the share of the room that runs used, excess by priority how much longer answers took than their jobs' longest runs.
+	// use has samples of the share of the room that runs used, excess how much longer answers of priority 0 took than their jobs' longest runs.
 	use        []float64
-	excess     [shard.Priorities][]time.Duration
+	excess     []time.Duration
 	violations []string
 	bound      *playReport
 }
 
 // begin begins a play, with the measured time that suits the load.
 func (rep *playReport) begin(sim *simulation) {
-	from, to := time.Second, sim.prm.Duration
-	switch sim.prm.Load {
-	case usualLoad:
-	case burstLoad:
-		from, to = burstFrom, min(burstTo, to)
-	case outageLoad:
-		from, to = outageTo, min(outageTo+2*time.Second, to)
-	}
-	rep.sim, rep.fromAt, rep.to, rep.recalled = sim, sim.from.Add(from), sim.from.Add(to), map[string]bool{}
+	end := sim.prm.Duration
+	tim := [...][2]time.Duration{
+		usualLoad: {time.Second, end}, burstLoad: {burstFrom, min(burstTo, end)}, outageLoad: {outageTo, min(outageTo+2*time.Second, end)},
+	}[sim.prm.Load]
+	rep.sim, rep.fromAt, rep.to, rep.recalled = sim, sim.from.Add(tim[0]), sim.from.Add(tim[1]), map[string]bool{}
 }
 
 // measures reports whether a time is measured.
@@ -199,15 +195,11 @@
 	}
 	rep.priorities[jb.priority][out]++
 	rep.most += stm.value
-	if out == inTime || out == late || out == useless {
-		rep.excess[jb.priority] = append(rep.excess[jb.priority], sim.now.Sub(jb.sentAt)-2*callerDelay-jb.longest)
-	}
-	switch out {
-	case inTime:
-		rep.value += stm.value
-	case late:
-		rep.value += stm.late
-	default:
+	rep.value += [playOutcomes]float64{inTime: stm.value, late: stm.late}[out]
+	if jb.priority == 0 && (out == inTime || out == late || out == useless) {
+		rep.excess = append(rep.excess, sim.now.Sub(jb.sentAt)-2*callerDelay-jb.longest)
+	}
+	if out != inTime && out != late {
 		rep.discarded += jb.coreSeconds
 	}
 }
@@ -247,7 +239,7 @@
 		fmt.Fprintf(&txt, " %.3f %.3f %.3f;", grp.share(inTime), grp.share(late), grp.share(refused))
 	}
 	fmt.Fprintf(&txt, " worth %.3f (bound %.3f), answers of priority 0 later than their longest run by %v, one in ten by %v\n", rep.worth(), rep.bound.worth(),
-		quantile(rep.excess[0], 0.5).Round(time.Millisecond), quantile(rep.excess[0], 0.9).Round(time.Millisecond))
+		quantile(rep.excess, 0.5).Round(time.Millisecond), quantile(rep.excess, 0.9).Round(time.Millisecond))
 	fmt.Fprintf(&txt, "  orders a start %.3f, returned share %.3f %v, recalls %d, stops %d, put off %d, discarded %.0f, median use %.3f, violations %d %v\n",
 		float64(rep.orders)/float64(max(rep.starts, 1)), float64(rep.returned)/float64(max(rep.orders, 1)), rep.reasons, rep.recalls, rep.stops, rep.quarantines,
 		rep.discarded, quantile(rep.use, 0.5), len(rep.violations), rep.violations[:min(len(rep.violations), 3)])
