--- a/internal/request/submission/playserver_test.go
+++ b/internal/request/submission/playserver_test.go
@@ -1,41 +1,39 @@
 package submission_test
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
 )
 
 // playServer is a backend server. It starts whatever the leader with the highest token tells it to, and reports what breaks LIMIT and TWICE.
 type playServer struct {
-	sim   *simulation
-	ent   shard.ServerEntry
-	speed float64
-	token int64
-	runs  []*playRun
-	ended []shard.End
-	seq   int64
-	// held has the renewals that wait for an end.
-	held []*heldRenewal
+	sim        *simulation
+	ent        shard.ServerEntry
+	speed      float64
+	token, seq int64
+	free       int64 // The processor that no run takes up.
+	runs       []*playRun
+	ended      []shard.End
+	held       []func() // Answers to the renewals that wait for an end.
 }
 
 // playRun is a run of a task. It has from, until and lease by the server's clock.
 type playRun struct {
 	id                 shard.RunID
 	jb                 *playJob
-	task               int
+	task               *playTask
 	from, until, lease time.Duration
 }
 
-type heldRenewal struct {
-	answered bool
-	reply    func(shard.RenewResult, shard.CallResult)
-}
-
 const stopTime = 50 * time.Millisecond
 
 // clock returns the time on all servers' clocks.
@@ -46,48 +44,34 @@
 	return sim.servers[num]
 }
 
-// taskOf returns the job and the number of a task by its name.
-func (sim *simulation) taskOf(name string) (*playJob, int) {
-	pts := strings.Split(name, ".")
-	num, _ := strconv.Atoi(pts[len(pts)-1]) // The Coordinator names them.
-	return sim.jobs[pts[0]], num
-}
-
 // fences reports whether a token is outdated, else notes it.
 func (srv *playServer) fences(token int64) bool {
 	srv.token = max(srv.token, token)
 	return token < srv.token
 }
 
-// used returns the processor and memory of the runs.
-func (srv *playServer) used() (processor int64) {
-	for _, rn := range srv.runs {
-		processor += rn.jb.processor
-	}
-	return processor
-}
-
 func (srv *playServer) start(act *shard.StartRun) shard.CallResult {
 	if srv.fences(act.Token) {
 		return shard.Fenced
 	}
-	sim := srv.sim
-	jb, num := sim.taskOf(act.Run.Task)
-	if jb.live[num] > 0 || jb.done[num] {
-		sim.rep.violate("TWICE", fmt.Sprintf("task %s on %s: %d live, done %t", act.Run.Task, srv.ent.ID, jb.live[num], jb.done[num]))
+	sim, pts := srv.sim, strings.Split(act.Run.Task, ".")
+	num, _ := strconv.Atoi(pts[len(pts)-1]) // The Coordinator names the tasks.
+	jb := sim.jobs[pts[0]]
+	tsk := &jb.tasks[num]
+	if tsk.live > 0 || tsk.done {
+		sim.rep.violate("TWICE", fmt.Sprintf("task %s on %s: %d live, done %t", act.Run.Task, srv.ent.ID, tsk.live, tsk.done))
 	}
-	if used := srv.used() + jb.processor; used > srv.ent.Processor || used > srv.ent.Memory {
-		sim.rep.violate("LIMIT", fmt.Sprintf("task %s on %s: %d of %d and %d", act.Run.Task, srv.ent.ID, used, srv.ent.Processor, srv.ent.Memory))
+	if srv.free < jb.processor || int64(len(srv.runs)+1)*taskMemory > srv.ent.Memory {
+		sim.rep.violate("LIMIT", fmt.Sprintf("task %s on %s: %d of %d, beside %d runs", act.Run.Task, srv.ent.ID, jb.processor, srv.free, len(srv.runs)))
 	}
-	took, kind := time.Duration(float64(jb.works[num])/srv.speed), shard.EndedDone
-	if jb.fails[num] && jb.runs[num] == 0 {
+	took, kind := tsk.on(srv.speed), shard.EndedDone
+	if tsk.fails {
 		took, kind = took/2, shard.EndedFailed
 	}
-	jb.live[num]++
-	jb.runs[num]++
+	tsk.live, tsk.fails, jb.started = tsk.live+1, false, true
 	sim.rep.count(&sim.rep.starts)
-	rn := &playRun{id: act.Run, jb: jb, task: num, from: sim.clock(), until: sim.clock() + took, lease: act.LeaseUntil}
-	srv.runs = append(srv.runs, rn)
+	rn := &playRun{id: act.Run, jb: jb, task: tsk, from: sim.clock(), until: sim.clock() + took, lease: act.LeaseUntil}
+	srv.runs, srv.free = append(srv.runs, rn), srv.free-jb.processor
 	sim.after(took, func() { srv.end(rn, kind) })
 	srv.watchLease(rn)
 	return shard.Accepted
@@ -96,12 +80,10 @@
 // watchLease ends a run when its lease is over.
 func (srv *playServer) watchLease(rn *playRun) {
 	srv.sim.after(rn.lease-srv.sim.clock(), func() {
-		switch {
-		case !slices.Contains(srv.runs, rn):
-		case rn.lease > srv.sim.clock():
-			srv.watchLease(rn)
-		default:
+		if rn.lease <= srv.sim.clock() {
 			srv.end(rn, shard.EndedStopped)
+		} else if slices.Contains(srv.runs, rn) {
+			srv.watchLease(rn)
 		}
 	})
 }
@@ -112,14 +94,13 @@
 	if idx < 0 {
 		return
 	}
-	srv.runs = slices.Delete(srv.runs, idx, idx+1)
-	srv.seq++
+	srv.runs, srv.free, srv.seq = slices.Delete(srv.runs, idx, idx+1), srv.free+rn.jb.processor, srv.seq+1
 	srv.ended = append(srv.ended, shard.End{Seq: srv.seq, Run: rn.id, Kind: kind})
-	rn.jb.live[rn.task]--
-	rn.jb.done[rn.task] = rn.jb.done[rn.task] || kind == shard.EndedDone
+	rn.task.live--
+	rn.task.done = rn.task.done || kind == shard.EndedDone
 	srv.sim.rep.countRun(rn, kind, (srv.sim.clock()-rn.from).Seconds()*float64(rn.jb.processor)/1000)
-	for _, hld := range srv.held {
-		srv.answer(hld)
+	for _, answer := range srv.held {
+		answer()
 	}
 	srv.held = nil
 }
@@ -148,25 +129,88 @@
 	for _, rn := range srv.runs {
 		rn.lease = max(rn.lease, act.LeaseUntil)
 	}
-	hld := &heldRenewal{reply: reply}
+	answer := sync.OnceFunc(func() {
+		ans := shard.RenewResult{Incarnation: 1, Clock: srv.sim.clock(), Ended: slices.Clone(srv.ended)}
+		for _, rn := range srv.runs {
+			ans.Running = append(ans.Running, shard.Progress{Run: rn.id, Percent: int(100 * (ans.Clock - rn.from) / max(rn.until-rn.from, 1))})
+		}
+		reply(ans, shard.Accepted)
+	})
 	if act.WaitForEnd == 0 || len(srv.ended) > 0 {
-		srv.answer(hld)
+		answer()
 		return
 	}
-	srv.held = append(srv.held, hld)
-	srv.sim.after(act.WaitForEnd, func() { srv.answer(hld) })
+	srv.held = append(srv.held, answer)
+	srv.sim.after(act.WaitForEnd, answer)
 }
 
-// answer answers a renewal once.
-func (srv *playServer) answer(hld *heldRenewal) {
-	if hld.answered {
-		return
+// playBound plays one queue before all servers that knows all run times and all room, without delay of messages: by priority, in time before late, and
+// by due time. It refuses what can't be of use.
+func playBound(prm playParams, rep *playReport) {
+	sim := newSimulation(prm, rep)
+	var waiting []*playJob
+	fastest := slices.Max(prm.Deployment.speeds[:])
+	// least returns how long after its arrival the longest task that waits can end.
+	least := func(jb *playJob) time.Duration { return sim.now.Sub(jb.arrived) + jb.tasks[jb.begun].on(fastest) }
+	var place func()
+	place = func() {
+		waiting = slices.DeleteFunc(waiting, func(jb *playJob) bool {
+			if jb.begun == 0 && least(jb) > lateFactor*jb.limit {
+				sim.finish(jb, 0, refused)
+			}
+			return jb.outcome == refused
+		})
+		slices.SortStableFunc(waiting, func(one, two *playJob) int {
+			lateness := func(jb *playJob) int { return map[bool]int{true: 1}[least(jb) > jb.limit] }
+			return cmp.Or(one.priority-two.priority, lateness(one)-lateness(two), one.arrived.Add(one.limit).Compare(two.arrived.Add(two.limit)))
+		})
+		for _, jb := range waiting {
+			for srv := sim.boundServer(jb); srv != nil; srv = sim.boundServer(jb) {
+				dur := jb.tasks[jb.begun].on(srv.speed)
+				srv.free -= jb.processor
+				jb.begun++
+				sim.after(dur, func() {
+					srv.free += jb.processor
+					jb.coreSeconds += dur.Seconds() * float64(jb.processor) / 1000
+					if jb.ended++; jb.ended == len(jb.tasks) {
+						sim.finish(jb, 0, sim.outcomeOf(jb, submission.Succeeded))
+					}
+					place()
+				})
+			}
+		}
+		waiting = slices.DeleteFunc(waiting, func(jb *playJob) bool { return jb.begun == len(jb.tasks) })
 	}
-	hld.answered = true
-	ans := shard.RenewResult{Incarnation: 1, Clock: srv.sim.clock(), Ended: slices.Clone(srv.ended)}
-	for _, rn := range srv.runs {
-		pct := int(100 * (ans.Clock - rn.from) / max(rn.until-rn.from, 1))
-		ans.Running = append(ans.Running, shard.Progress{Run: rn.id, Percent: pct})
+	for _, jb := range slices.Backward(sim.order) {
+		slices.SortFunc(jb.tasks, func(one, two playTask) int { return cmp.Compare(two.work, one.work) })
+		jb.sentAt = jb.arrived
+		if at := jb.arrived.Sub(sim.from); prm.Load == outageLoad && at >= outageFrom && at < outageTo {
+			jb.sentAt = jb.arrived.Add(resendDelay)
+		}
+		sim.after(jb.sentAt.Sub(sim.from), func() {
+			waiting = append(waiting, jb)
+			place()
+		})
+	}
+	sim.sampleRoom()
+	sim.run(prm.Duration + drainTime)
+}
+
+// boundServer returns the slowest server with room on which a job's longest task is in time, or the fastest if it is in time on none, and of those the
+// one with the least room; nil if none has room or no task is left.
+func (sim *simulation) boundServer(jb *playJob) (best *playServer) {
+	if jb.begun == len(jb.tasks) {
+		return nil
+	}
+	least, rest := math.Inf(1), jb.limit-sim.now.Sub(jb.arrived)
+	for _, srv := range sim.servers {
+		cost := float64(srv.free)/1e9 + srv.speed
+		if jb.tasks[jb.begun].on(srv.speed) > rest {
+			cost += 1e3/srv.speed - srv.speed
+		}
+		if srv.free >= jb.processor && cost < least {
+			best, least = srv, cost
+		}
 	}
-	hld.reply(ans, shard.Accepted)
+	return best
 }
