Keep headroom on the servers of all services, and open it to tasks that fit nowhere else

Callers would see less urgent tasks wait for as long as urgent work comes: larger servers are set aside first, and a task that only they can run, by its label or size, found no server open to it and by its own wait kept them set aside. Such a task may use them now (closedTo).

In a shard of several services only the last one, by name, had servers set aside: those of the others were opened again in the same tick. A task that waits for a faster server reserved the idle one that it had declined. Reservations stayed in the metric when no order waited.

Each of the added tests fails without its part of the change.

--- a/internal/request/shard/headroom.go
+++ b/internal/request/shard/headroom.go
@@ -115,7 +115,10 @@
 	var rooms []int64
 	used := make([]int64, Priorities)
 	for _, srv := range ldr.serverList {
-		if srv.ent.Service != service || !srv.inService() {
+		if srv.ent.Service != service {
+			continue
+		}
+		if !srv.inService() {
 			srv.openTo = Priorities
 			continue
 		}
@@ -193,10 +196,20 @@
 // isAside reports whether a server is set aside for tasks that are more urgent than a priority.
 func (srv *server) isAside(priority int) bool { return srv.openTo > 0 && priority >= srv.openTo }
 
+// closedTo reports whether a server is set aside for tasks that are more urgent than an order. One is open to an order that no other server could
+// run: it would wait for as long as urgent work comes.
+func (ldr *Leader) closedTo(srv *server, ord *order) bool {
+	pri := priorityOf(ord)
+	return srv.isAside(pri) && slices.ContainsFunc(ldr.serverList, func(oth *server) bool {
+		knd := oth.ent.Kind()
+		return oth.inService() && !oth.isAside(pri) && knd.Fits(ord.Service, ord.Label, ord.Processor, ord.Memory)
+	})
+}
+
 // mayUse reports whether headroom lets an order start on a server: it is not set aside for more urgent tasks, and is not reserved, or the order
 // leaves the reserved room or ends before that is due.
 func (ldr *Leader) mayUse(srv *server, ord *order) bool {
-	if srv.isAside(priorityOf(ord)) {
+	if ldr.closedTo(srv, ord) {
 		return false
 	}
 	res, reserved := ldr.reserved[srv.ent.ID]
@@ -212,7 +225,7 @@
 	var bst *server
 	var bstRes reservation
 	for _, srv := range ldr.serverList {
-		if _, taken := ldr.reserved[srv.ent.ID]; taken || srv.unclaimed > 0 || !srv.acceptsTasks(now, ldr.missedTolerated()) || srv.isAside(priorityOf(ord)) || !srv.suits(ord) {
+		if _, taken := ldr.reserved[srv.ent.ID]; taken || !ldr.reservable(now, srv, ord) {
 			continue
 		}
 		if res, fits := ldr.fitTime(now, srv, ord); fits && (bst == nil || res.after < bstRes.after) {
@@ -225,6 +238,16 @@
 	}
 }
 
+// reservable reports whether an order that found no room may reserve a server. One that has room for it now is too slow for it (see bestServer), and
+// would be idle.
+func (ldr *Leader) reservable(now time.Time, srv *server, ord *order) bool {
+	if srv.unclaimed > 0 || !srv.acceptsTasks(now, ldr.missedTolerated()) || !srv.suits(ord) || ldr.closedTo(srv, ord) {
+		return false
+	}
+	prc, mem := srv.free()
+	return prc < ord.Processor || mem < ord.Memory
+}
+
 // severalPriorities reports whether tasks of more than one priority have run lately.
 func (svh *serviceHeadroom) severalPriorities() bool {
 	num := 0
--- a/internal/request/shard/headroom_test.go
+++ b/internal/request/shard/headroom_test.go
@@ -148,3 +148,61 @@
 	chk.Equal(har.ldr.ReservedServers(), 0)
 	chk.Equal(har.featureChanges(Headroom, true), 0)
 }
+
+// Guards against servers of one service that are opened again as those of the next one are looked at.
+func TestHeadroomOfSeveralServices(t *testing.T) {
+	chk := is.New(t)
+	har := busyHarness(t, Features{Headroom: true})
+	aside := har.ldr.ProcessorSetAside()
+	ents := []ServerEntry{serverEntry("s5", 2*size)}
+	ents[0].Service = "zoom"
+	for _, srv := range har.ldr.serverList {
+		ents = append(ents, srv.ent)
+	}
+	har.record(har.ldr.SetServers(har.now, Listing{Listed: ents}))
+	har.goOn(100 * time.Millisecond)
+	chk.True(aside > 0)
+	chk.Equal(har.ldr.ProcessorSetAside(), aside)
+}
+
+// Guards against a task that never starts as the only servers that can run it are set aside, and against other tasks on those.
+func TestTaskThatOnlyServersSetAsideCanRun(t *testing.T) {
+	cases := map[string]struct {
+		processor int64
+		label     string
+		want      bool
+	}{
+		"others could run it":         {size, "", false},
+		"it is too large for others":  {2*size + 1, "", true},
+		"it needs a label of it":      {size, "large", true},
+		"no server can ever run this": {4 * size, "", true},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			large := serverEntry("s1", 3*size)
+			large.Labels = []string{"large"}
+			har := newHarness(t, large, serverEntry("s2", 2*size))
+			har.ldr.serverList[0].openTo = 1
+			ord := &order{Order: har.order(2, "j.0")}
+			ord.Processor, ord.Label = cas.processor, cas.label
+			is.New(t).Equal(har.ldr.mayUse(har.ldr.serverList[0], ord), cas.want)
+		})
+	}
+}
+
+// Guards against idle servers that are reserved for a task which waits for a faster one, and against reservations that outlive their orders.
+func TestServersWithRoomAreNotReserved(t *testing.T) {
+	chk := is.New(t)
+	har := newHarness(t, serverEntry("s1", 2*size), serverEntry("s2", 2*size))
+	har.ldr.cfg.Features = Features{Headroom: true}
+	har.send(0, "a.0", time.Second)
+	har.send(2, "b.0", 2*time.Second)
+	har.goOn(100 * time.Millisecond)
+	waiting := &order{Order: har.order(0, "u.0")}
+	har.ldr.reserve(har.now, waiting)
+	_, idle := har.ldr.reserved["s2"]
+	chk.Equal(har.ldr.ReservedServers(), 1)
+	chk.True(!idle) // Both runs are on the other server.
+	har.advance(10 * time.Millisecond)
+	chk.Equal(har.ldr.ReservedServers(), 0) // No order waits.
+}
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -15,6 +15,10 @@
 	if now.Before(ldr.noStartsUntil) {
 		return
 	}
+	if len(ldr.que.orders) == 0 {
+		clear(ldr.reserved)
+		return
+	}
 	fss := ldr.freeServers(now)
 	if !ldr.anyToPlace(fss) {
 		return
