Stop no run for a task that may not use its server, and learn stops from servers that answer

A run on a server that is set aside for more urgent tasks was stopped for a task that could not start there, and then another one, up to the budget.

A stop that a server accepted only after seconds, as in a pause of servers, raised the expected time of stops so far that each urgent task counted as late even with one; where no other run was stopped it never fell again. Stops that were accepted after Config.StopTimeout are left out.

A run that is being stopped counted with its expected run time when a server was reserved, so that its room could go to smaller, less urgent tasks before the urgent one that it was stopped for. It counts until its stop is proven now.

The end of preemption is announced in a closed shard, too.

Each of the added tests fails without its part of the change.

--- a/internal/request/shard/preempt.go
+++ b/internal/request/shard/preempt.go
@@ -68,17 +68,17 @@
 
 // preempt stops runs for urgent tasks that would otherwise be late.
 func (ldr *Leader) preempt(now time.Time) {
+	ldr.endPreemption(now)
 	if !ldr.cfg.Features.Preemption || !ldr.takeoverComplete || ldr.closed || ldr.lostServers > 0 || now.Before(ldr.noStartsUntil) {
 		return
 	}
-	ldr.endPreemption(now)
 	ords, wts := ldr.preemptors(now)
 	if len(ords) == 0 {
 		return
 	}
 	rns, descs := ldr.preemptible(now)
 	stp := ldr.preempting.stopTime
-	chs := headroom.Choose(wts, descs, stp, func(wait, run int) bool { return leavesRoom(rns[run], ords[wait]) })
+	chs := headroom.Choose(wts, descs, stp, func(wait, run int) bool { return ldr.leavesRoom(rns[run], ords[wait]) })
 	for _, chc := range chs {
 		ldr.preemptRun(now, ords[chc.Waiting], rns[chc.Run], &wts[chc.Waiting], &descs[chc.Run], chc)
 	}
@@ -103,11 +103,11 @@
 	return ords, wts
 }
 
-// leavesRoom reports whether the server of a run has enough room for an order once the run is over.
-func leavesRoom(rn *run, ord *order) bool {
+// leavesRoom reports whether the server of a run has enough room for an order, which may use it, once the run is over.
+func (ldr *Leader) leavesRoom(rn *run, ord *order) bool {
 	srv := rn.ord.srv
 	prc, mem := srv.ent.Processor-srv.usedProcessor, srv.ent.Memory-srv.usedMemory
-	return srv.suits(ord) && prc+rn.ord.Processor >= ord.Processor && mem+rn.ord.Memory >= ord.Memory
+	return srv.suits(ord) && prc+rn.ord.Processor >= ord.Processor && mem+rn.ord.Memory >= ord.Memory && !ldr.closedTo(srv, ord)
 }
 
 // preemptible returns the runs whose room waiting orders can count on, and what is known of them.
@@ -143,17 +143,18 @@
 	des.Late = now.Add(des.Left).After(ord.Due)
 	young := float64(took) <= maxShareLost*float64(expected)
 	des.Stoppable = young && hasSibling && rn.state == running && !rn.stopInProgress && !ord.cancelled && !ord.Reassigned && !ord.Preempted
-	if des.Ending {
-		des.Left = max(0, ldr.preempting.stopTime-now.Sub(rn.stopAt))
-	}
 	return des
 }
 
 // coreMillis is the number of thousandths of a core in a core.
 const coreMillis = 1000
 
-// remainingTime returns how long a run is expected to go on. One that has taken longer than expected goes on for as long as it is over.
+// remainingTime returns how long a run is expected to go on or, if it is being stopped, until that is proven. One that has taken longer than expected
+// goes on for as long as it is over.
 func (ldr *Leader) remainingTime(now time.Time, rn *run) time.Duration {
+	if rn.state == ending {
+		return max(0, ldr.preempting.stopTime-now.Sub(rn.stopAt))
+	}
 	took := now.Sub(rn.sentAt)
 	whole := ldr.expectedTime(rn.ord)
 	if rn.percent >= minPercent && rn.progressAt.After(rn.sentAt) {
@@ -232,9 +233,10 @@
 	}
 }
 
-// noteStopped learns how long stops take from a run that is over.
+// noteStopped learns how long stops take from a run that is over. One whose server did not answer for a while says nothing of the servers that do,
+// which alone are asked to stop runs for others.
 func (ldr *Leader) noteStopped(now time.Time, rn *run) {
-	if rn.state == ending && !rn.stopAcceptedAt.IsZero() {
+	if rn.state == ending && !rn.stopAcceptedAt.IsZero() && rn.stopAcceptedAt.Sub(rn.stopAt) < ldr.cfg.StopTimeout {
 		ldr.preempting.stopTime += (now.Sub(rn.stopAt) - ldr.preempting.stopTime) / stopTimeWeight
 	}
 }
--- a/internal/request/shard/preempt_test.go
+++ b/internal/request/shard/preempt_test.go
@@ -194,3 +194,43 @@
 		})
 	}
 }
+
+// Guards against a run that is stopped for a task which may not use its server.
+func TestNoPreemptionOnServersSetAside(t *testing.T) {
+	for openTo, want := range map[int]int{1: 0, 2: 1} {
+		har := newHarness(t, serverEntry("s1", 2*size), serverEntry("s2", size))
+		har.ldr.cfg.Features = Features{Preemption: true}
+		har.send(0, "full.0", 2*time.Second)
+		har.send(2, "v.0", time.Second)
+		har.send(2, "v.1", time.Second)
+		har.goOn(20 * time.Millisecond)
+		har.ldr.servers["s1"].openTo = openTo
+		har.acts = nil
+		har.send(1, "u.0", 100*time.Millisecond)
+		har.advance(20 * time.Millisecond)
+		is.New(t).Equal(har.stops(), want)
+	}
+}
+
+// Guards against room that is given away while a run is being stopped for a task, as its server seems to have room last, and against a stop of a
+// server that did not answer for seconds, after which all urgent tasks seem late.
+func TestTimeOfStops(t *testing.T) {
+	chk := is.New(t)
+	har, victim := preemptHarness(t)
+	chk.True(har.ldr.remainingTime(har.now, victim) <= initialStopTime)
+	before := har.ldr.preempting.stopTime
+	victim.stopAcceptedAt = victim.stopAt.Add(3 * time.Second)
+	har.ldr.noteStopped(victim.stopAcceptedAt, victim)
+	chk.Equal(har.ldr.preempting.stopTime, before)
+	victim.stopAcceptedAt = victim.stopAt.Add(20 * time.Millisecond)
+	har.ldr.noteStopped(victim.stopAt.Add(140*time.Millisecond), victim)
+	chk.Equal(har.ldr.preempting.stopTime, before+10*time.Millisecond)
+}
+
+// Guards against preemption that is announced as acting for as long as the shard is closed.
+func TestPreemptionEndsInAClosedShard(t *testing.T) {
+	har, _ := preemptHarness(t)
+	har.record(har.ldr.SetClosed(har.now, true))
+	har.advance(preemptionEnds + 100*time.Millisecond)
+	is.New(t).Equal(har.featureChanges(Preemption, false), 1)
+}
