Share room from the start of an owner, and while leaders are lost

An owner begins with a contention of 32, as the owners that start after a loss of all instances send the jobs of a second at once. But the contention is at most the number of owners, which was taken from the leaders that are known: with none, or one, it is 1. So sharing ended with the first tick, before the first job, and began again only with an outcome of an order; and it ended as all leaders were lost.

A shard without a leader counts as an owner now, and nothing ends while no shard is known.

The added test fails without the change.

--- a/internal/request/submission/kinds.go
+++ b/internal/request/submission/kinds.go
@@ -17,6 +17,7 @@
 			viw.kinds = []shard.ServerKind{}
 		}
 	}
+	crd.countOwners()
 }
 
 // SetServersComplete sets whether the recorded kinds are surely those of all servers that may live.
--- a/internal/request/submission/reserve.go
+++ b/internal/request/submission/reserve.go
@@ -18,7 +18,7 @@
 	contention grant.Contention
 	// active is set while this owner counts on a share of the free capacity in loads only.
 	active bool
-	// owners is the number of instances that lead a shard, as an estimate of the number of owners.
+	// owners is the number of instances that lead a shard, as an estimate of the number of owners; 0 until a shard is known.
 	owners int
 	stats  ClaimStats
 	// former is stats when active last changed.
@@ -99,7 +99,7 @@
 func (crd *Coordinator) updateSharing() {
 	shr := &crd.sharing
 	lvl := crd.Contention()
-	if !crd.cfg.Features.Reservations || shr.active && lvl > endContention || !shr.active && lvl < beginContention {
+	if !crd.cfg.Features.Reservations || shr.owners == 0 || shr.active && lvl > endContention || !shr.active && lvl < beginContention {
 		return
 	}
 	shr.active = !shr.active
@@ -119,15 +119,20 @@
 	shr.former = shr.stats
 }
 
-// countOwners counts the instances that lead a shard.
+// countOwners counts the instances that lead a shard. A shard without a leader counts as one that has its own: while leaders are lost or not known
+// yet, the owners that are about to send their orders again must not seem few.
 func (crd *Coordinator) countOwners() {
+	num := 0
 	leds := make(map[shard.InstanceID]bool, len(crd.shardsByName))
 	for _, viw := range crd.shardsByName {
-		if viw.leader != "" {
+		switch {
+		case viw.leader != "":
 			leds[viw.leader] = true
+		case viw.kinds == nil || len(viw.kinds) > 0:
+			num++
 		}
 	}
-	crd.sharing.owners = len(leds)
+	crd.sharing.owners = num + len(leds)
 }
 
 // claimableTasks returns how many tasks of a job's step this owner counts on starting at once in a shard. The loads of its own shards are a
--- a/internal/request/submission/reserve_test.go
+++ b/internal/request/submission/reserve_test.go
@@ -277,3 +277,38 @@
 		}
 	}
 }
+
+// Guards against an owner that has just started and counts on all room, as it ticks before it knows leaders or learns of them one by one, and against
+// one that does so as all leaders are lost.
+func TestSharingWhileLeadersAreUnknown(t *testing.T) {
+	chk := is.New(t)
+	hrn := newHarness()
+	cfg := hrn.crd.cfg
+	cfg.Features.Reservations = true
+	hrn.crd = NewCoordinator(cfg, hrn.now)
+	tick := func() {
+		hrn.now = hrn.now.Add(10 * time.Millisecond)
+		hrn.record(hrn.crd.HandleTick(hrn.now))
+		chk.True(hrn.crd.sharing.active)
+	}
+	tick()
+	kinds := map[shard.Name][]shard.ServerKind{}
+	for num := range shareShards {
+		kinds[shard.Name(fmt.Sprintf("a.%d", num))] = []shard.ServerKind{{Service: "render", Processor: 1_000_000, Memory: 1_000_000}}
+	}
+	hrn.crd.HandleServers(kinds)
+	for num := range shareShards {
+		tick()
+		hrn.record(hrn.crd.HandleLeader(Target{
+			Shard: shard.Name(fmt.Sprintf("a.%d", num)), Leader: shard.InstanceID(fmt.Sprintf("leader-%d/1", num)), Token: 1,
+		}, sameDomain))
+	}
+	for num := range shareShards {
+		tick()
+		hrn.record(hrn.crd.HandleInstanceLost(hrn.now, shard.InstanceID(fmt.Sprintf("leader-%d/1", num))))
+	}
+	tick()
+	chk.Equal(hrn.crd.sharing.owners, shareShards)
+	hrn.crd.HandleServers(nil) // The shards are no more.
+	chk.Equal(hrn.crd.sharing.owners, 0)
+}
