--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -395,11 +395,3 @@
 	tsk.avoid = append(tsk.avoid, rep.Server)
 	crd.orderTask(tsk)
 }
-
-// markOrphaned records that a task may still run with a leader that was lost or lost its server; it is not ordered anew before
-// OrphanExpiry.
-func (crd *Coordinator) markOrphaned(now time.Time, tsk *task) {
-	tsk.job.started = true
-	tsk.leader, tsk.started = "", false
-	tsk.orphanedUntil = now.Add(crd.cfg.OrphanExpiry)
-}
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -140,3 +140,11 @@
 		crd.orderReady(jb)
 	}
 }
+
+// markOrphaned records that a task may still run with a leader that was lost or lost its server; it is not ordered anew before
+// OrphanExpiry.
+func (crd *Coordinator) markOrphaned(now time.Time, tsk *task) {
+	tsk.job.started = true
+	tsk.leader, tsk.started = "", false
+	tsk.orphanedUntil = now.Add(crd.cfg.OrphanExpiry)
+}
