Bound the mean level of a shard's servers

Seen: in a virtual play of 50,000 steps (1,000 s) on servers of 0.6, 1.0 and 1.6 times the speed with 3% of long tasks, the mean of the learned levels went to -0.23 and kept falling; without long tasks it walked between -0.07 and 0.01. Callers would see estimates corrected that are right, and tasks kept from shards whose factors have drifted, after some hours.

Cause: runs tell only how servers compare with each other, and the bias of estimates follows the levels, so that nothing holds their mean.

Change: once the mean of the known levels exceeds 0.1, below the 0.14 at which owners correct estimates, it is subtracted from all levels; the bias of estimates, the run times kept of siblings and the mean run time change with it, so that all expected times stay the same.

Without the change TestMeanLevelIsBounded fails (mean beyond 0.12 in four of ten checks).

--- a/internal/request/shard/speeds.go
+++ b/internal/request/shard/speeds.go
@@ -22,6 +22,9 @@
 	siblingBiasWeight = 0.01
 	// speedsInterval is the time between two checks of whether speeds differ.
 	speedsInterval = 250 * time.Millisecond
+	// maxMeanLevel bounds the mean level of a shard's servers. It is below the offset from which owners correct the estimates of a route, ln 1.15, so
+	// that they never do so because of the mean level.
+	maxMeanLevel = 0.1
 	// milli is the number of units of a factor in loads in one.
 	milli = 1000
 )
@@ -154,6 +157,9 @@
 		}
 	}
 	sprd := learn.SpreadOf(lvls)
+	if math.Abs(sprd.Mean) > maxMeanLevel {
+		ldr.shiftLevels(-sprd.Mean)
+	}
 	if used := sprd.Matters(ldr.speeds.used); used != ldr.speeds.used {
 		ldr.speeds.used = used
 		ldr.emit(FeatureChange{Feature: ServerSpeeds, Active: used, Figures: []Figure{
@@ -165,6 +171,21 @@
 	}
 }
 
+// shiftLevels adds a difference to the levels of all servers and changes what is relative to them, so that all expected times stay the same. Runs tell
+// only how servers compare with each other: without a bound the mean of the levels drifts, by some 0.2 in a quarter of an hour.
+func (ldr *Leader) shiftLevels(by float64) {
+	for _, srv := range ldr.serverList {
+		srv.spd.level.Shift(by)
+	}
+	for _, sib := range ldr.steps {
+		for idx := range sib.sound {
+			sib.sound[idx].log -= by
+		}
+	}
+	ldr.speeds.estimateBias -= by
+	ldr.speeds.meanRun = time.Duration(math.Exp(-by) * float64(ldr.speeds.meanRun))
+}
+
 // traits returns what a server may have in common with others that are as fast: its labels and its size.
 func (srv *server) traits() []string {
 	size := strconv.FormatInt(srv.ent.Processor, 10) + "/" + strconv.FormatInt(srv.ent.Memory, 10)
--- a/internal/request/shard/speeds_test.go
+++ b/internal/request/shard/speeds_test.go
@@ -176,6 +176,48 @@
 	}
 }
 
+func TestMeanLevelIsBounded(t *testing.T) {
+	// Guards against levels that drift together in the course of hours, so that owners take the factors of a shard for those of slow or fast servers and
+	// correct estimates that are right.
+	chk := is.NewRelaxed(t)
+	stm := newSpeedStream(t, 1, true, 0.03, 0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6)
+	for range 10 {
+		stm.run(5000)
+		mean := 0.0
+		for _, srv := range stm.har.ldr.serverList {
+			mean += srv.spd.level.Mean() / float64(len(stm.speeds))
+		}
+		chk.True(math.Abs(mean) < maxMeanLevel+0.02)
+	}
+}
+
+func TestShiftKeepsExpectedTimes(t *testing.T) {
+	// Guards against tasks whose expected time, or whose server's evidence of a fault, jumps when the levels are shifted.
+	chk := is.NewRelaxed(t)
+	stm := newSpeedStream(t, 1, true, 0.03, 0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6)
+	stm.run(200)
+	ldr := stm.har.ldr
+	ldr.speeds.meanRun = 100 * time.Millisecond
+	ords := [2]*order{{Order: stm.har.order(1, "new.0")}, {Order: stm.har.order(1, fmt.Sprintf("j%d.0.0", stm.steps))}}
+	ords[0].ExpectedRunTime, ords[1].Step = 70*time.Millisecond, fmt.Sprintf("j%d.0", stm.steps)
+	figures := func() (figs []float64) {
+		for _, srv := range ldr.serverList {
+			for _, ord := range ords {
+				mean, known := ldr.expectedOn(srv, ord)
+				smp, sampled := ldr.speedSample(srv, ord, -2)
+				chk.True(known && sampled)
+				figs = append(figs, mean, smp.change)
+			}
+		}
+		return append(figs, ldr.serviceRateBySpeed()/1e6)
+	}
+	before := figures()
+	ldr.shiftLevels(0.3)
+	for idx, fig := range figures() {
+		chk.True(math.Abs(fig-before[idx]) < 1e-6)
+	}
+}
+
 // useLevels makes a leader use given levels of its servers' run times.
 func (har *harness) useLevels(lvls ...float64) {
 	har.ldr.cfg.Features.ServerSpeeds, har.ldr.speeds.used = true, true
--- a/internal/request/speed/differ.go
+++ b/internal/request/speed/differ.go
@@ -17,6 +17,8 @@
 	// Known is the number of servers whose level is known, Range the difference of the largest and smallest level.
 	Known int
 	Range float64
+	// Mean is the mean level of the known servers; 0 if too few are known.
+	Mean float64
 	// Excess is by how many standard deviations the levels differ more than those of equal servers would.
 	Excess float64
 }
@@ -44,7 +46,7 @@
 		}
 	}
 	degrees := float64(sprd.Known - 1)
-	sprd.Range, sprd.Excess = most-least, (squares-degrees)/math.Sqrt(2*degrees)
+	sprd.Mean, sprd.Range, sprd.Excess = mean, most-least, (squares-degrees)/math.Sqrt(2*degrees)
 	return sprd
 }
 
--- a/internal/request/speed/level.go
+++ b/internal/request/speed/level.go
@@ -54,6 +54,9 @@
 	lvl.samples++
 }
 
+// Shift adds a difference to the level, when the average server that all levels refer to is redefined.
+func (lvl *Level) Shift(by float64) { lvl.mean += by }
+
 // Mean returns the estimate of the level.
 func (lvl *Level) Mean() float64 { return lvl.mean }
 
