Take the usual mean run time for the service rate of a leader before its first run

Callers would see: after a takeover with told speeds, all owners send their tasks to the new leader's shard, whose advertised service rate is 200 times what it is (128,000 instead of 640 thousandths of a core per millisecond for two servers of 64 cores), and the leader returns no order that finds no room.

Cause: told speeds are in use before any run has ended here; the mean run time on an average server is 0 then and counted as 1 ms.

Change: the mean run time, 200 ms at first, is used until a run has ended. The service rate is also no longer summed up twice where speeds are in use.

--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -112,15 +112,15 @@
 // serviceRate returns how much processor comes free per millisecond while all servers are busy, in thousandths of a core. A waiting task
 // waits for running tasks to end, so its own run time and those of the tasks before it don't count.
 func (ldr *Leader) serviceRate() float64 {
+	if ldr.speeds.used {
+		return ldr.serviceRateBySpeed()
+	}
 	var num int64
 	for _, srv := range ldr.serverList {
 		if srv.inService() {
 			num += srv.ent.Processor
 		}
 	}
-	if ldr.speeds.used {
-		return ldr.serviceRateBySpeed()
-	}
 	return float64(num) / millis(ldr.meanRun)
 }
 
--- a/internal/request/shard/speeds.go
+++ b/internal/request/shard/speeds.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -220,7 +221,8 @@
 			sum += float64(srv.ent.Processor) * math.Exp(-srv.spd.level.Mean())
 		}
 	}
-	return sum / millis(max(ldr.speeds.meanRun, time.Millisecond))
+	// A new leader uses told speeds before the first run has ended.
+	return sum / millis(max(cmp.Or(ldr.speeds.meanRun, ldr.meanRun), time.Millisecond))
 }
 
 // ServerFactor returns the lasting run time on the server of a report over that of an average server, 1 if it is not known or absurd.
