Don't wait for a faster server that is set aside for more urgent tasks

Callers would see: a less urgent task waits while a slow server is free, until its slack has gone, and then starts there and is late.

Cause: a task may wait for the fastest server of the shard, which headroom may keep it from.

Change: servers that are set aside for more urgent tasks don't count as the fastest. TestNoWaitForAServerSetAside fails without it.

--- a/internal/request/shard/fit.go
+++ b/internal/request/shard/fit.go
@@ -71,11 +71,12 @@
 	return left, expected, known
 }
 
-// fastestLevel returns the level of the fastest server that accepts tasks and could run an order if it were idle; +Inf if there is none.
+// fastestLevel returns the level of the fastest server that accepts tasks, isn't set aside for more urgent ones, and could run an order if it were idle;
+// +Inf if there is none.
 func (ldr *Leader) fastestLevel(now time.Time, ord *order) float64 {
 	least := math.Inf(1)
 	for _, srv := range ldr.serverList {
-		fits := srv.ent.Processor >= ord.Processor && srv.ent.Memory >= ord.Memory && srv.suits(ord)
+		fits := srv.ent.Processor >= ord.Processor && srv.ent.Memory >= ord.Memory && srv.suits(ord) && !srv.isAside(priorityOf(ord))
 		if fits && srv.acceptsTasks(now, ldr.missedTolerated()) {
 			least = min(least, srv.spd.level.Mean())
 		}
