Write no digest that lacks changes which were dropped while another one was written

Others would see: a digest of the list that covers a part whose changes it doesn't have, such as a server that is leaving.

Cause: a full read by another instance drops the changes to publish; the end of a write that was under way then made the follower go on from that digest's end. Digests that are paced are written for as long as 0.4 s and more, in which this can happen.

Change: the end of a write counts only while changes are kept.

--- a/internal/version/serverlist/follower.go
+++ b/internal/version/serverlist/follower.go
@@ -291,8 +291,11 @@
 	return len(fol.changes) > 0 && fol.changes[0].Offset < fol.next
 }
 
-// HandlePublished takes note that a digest was written. A digest whose write got no answer may be written again.
+// HandlePublished takes note that a digest was written. A digest whose write got no answer may be written again. If the changes to publish were dropped
+// while it was written, those after it are missing here, and no digest may go on from its end.
 func (fol *Follower) HandlePublished(now time.Time, dig *Digest) {
 	fol.publishedAt = now
-	fol.noteDigested(dig.To)
+	if fol.digestedTo != unknown {
+		fol.noteDigested(dig.To)
+	}
 }
