Read a part of the list that is found missing during a read

Others would see: an instance that finds a digest missing while it reads the list learns of the changes in between, such as a server that is leaving, only after the next digest, up to 0.7 s later.

Cause: each answer of the store cleared the mark of a missing part, also if the part was found missing after the read had begun.

Change: a read clears the mark only if it began later.

--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -152,7 +152,7 @@
 		dmn.listReadAt, dmn.knownAt = began, began
 		dmn.coverage.HandleRead(now)
 	}
-	dmn.gap = false
+	dmn.gap = dmn.gap && dmn.gapNotedAt.After(began) // The read may end before a part that was found missing since.
 	dmn.limit.HandleRecords(len(chk.Records), recordSize(chk.Records))
 	dmn.limit.HandleEnd(began, chk.End)
 	known := dmn.follower.HandleRead(from, chk.Next)
@@ -210,7 +210,7 @@
 	chgs, follows := dmn.follower.HandleDigest(now, dig)
 	if !follows {
 		dmn.log.Info().Str("by", dig.Reader).Int64("from", dig.From).Int64("known", known).Msg("digest of the list of servers is missing")
-		dmn.noteListGap()
+		dmn.noteListGap(now)
 		return
 	}
 	dmn.gap = false
--- a/internal/process/daemon/listlimit.go
+++ b/internal/process/daemon/listlimit.go
@@ -15,8 +15,10 @@
 // listLimit limits this instance's reads of the list of servers to what the store can read for all.
 type listLimit struct {
 	limit *serverlist.ReadLimit
-	// limited is set while the limit acts; deferred is set while a read is put off; gap is set while a part of the list is missing.
+	// limited is set while the limit acts; deferred is set while a read is put off; gap is set while a part of the list is missing, last noted at
+	// gapNotedAt.
 	limited, deferred, gap bool
+	gapNotedAt             time.Time
 	// knowing are the other instances that know the list.
 	knowing map[shard.InstanceID]bool
 	// listedInstances are the names in the list of instances.
@@ -179,8 +181,8 @@
 }
 
 // noteListGap has followServerList read what is missing of the list. It doesn't block.
-func (dmn *Daemon) noteListGap() {
-	dmn.gap = true
+func (dmn *Daemon) noteListGap(now time.Time) {
+	dmn.gap, dmn.gapNotedAt = true, now
 	select {
 	case dmn.listGapNoted <- struct{}{}:
 	default:
