Recall tasks for a free slow server past those that would be late on it

Callers would see: a free slow server stays idle while tasks wait in the queues of other shards that would be in time on it.

Cause: the walk over an owner's waiting tasks ended at the first one that finds no server on which it is in time, as it did at the first one for which no room is left.

Change: a task that finds room, but only where it is late, is passed over. Where leaders tell no speeds nothing changes. TestRecallPassesOverLateTasks fails without it; go test ./internal/request/submission is green (46 s).

--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -349,7 +349,11 @@
 				if !viw.suits(jb, stp) {
 					continue
 				}
-				if crd.claimableTasks(viw, crd.newFit(tsk, stp)) <= recalled {
+				fit := crd.newFit(tsk, stp)
+				if fit.startable(viw) == 0 && viw.startableTasks(jb, stp) > 0 {
+					continue // It would be late there; others may not.
+				}
+				if crd.claimableTasks(viw, fit) <= recalled {
 					return
 				}
 				recalled++
--- a/internal/request/submission/estimates_test.go
+++ b/internal/request/submission/estimates_test.go
@@ -93,3 +93,38 @@
 		})
 	}
 }
+
+func TestRecallPassesOverLateTasks(t *testing.T) {
+	// Guards against a free server that stays idle although a waiting task would be in time on it, as an older task would be late there.
+	cases := map[string]struct {
+		factor int64
+		want   string
+	}{"in time on any server": {1000, "old.0.0.0"}, "the older one is late": {1600, "new.0.0.0"}}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			hrn := newHarness()
+			hrn.crd.cfg.Features = shard.AllFeatures()
+			hrn.setLeader("a.0", true, self, 1, 0)
+			for num, id := range []string{"old", "new"} {
+				hrn.now = hrn.now.Add(time.Millisecond)
+				hrn.record(hrn.crd.HandleSubmit(hrn.now, CallID(num), Submission{
+					ID: id, Service: "render", MaxAttempts: 3, CallerTimeout: 5 * time.Second,
+					Steps:     []Step{{Count: 1, Processor: 14000, ExpectedRunTime: 100 * time.Millisecond}},
+					Objective: func(time.Duration) time.Duration { return []time.Duration{140 * time.Millisecond, time.Second}[num] },
+				}))
+			}
+			hrn.setLongQueue("a.0", 9)
+			hrn.setLeader("b.0", false, other, 1, 0)
+			hrn.acts = nil
+			lod := shard.Load{Number: 9, ServiceRate: 1_000_000, Free: freeList(1), FreeFactors: []int64{cse.factor}, LinkWindow: 1 << 20}
+			hrn.record(hrn.crd.HandleLoad("b.0", lod))
+			var got string
+			for _, act := range hrn.acts {
+				if snd, ok := act.(SendOrder); ok && snd.Order.Recall {
+					got += snd.Order.Task
+				}
+			}
+			is.New(t).Equal(got, cse.want)
+		})
+	}
+}
