--- a/internal/process/daemon/listlimit.go
+++ b/internal/process/daemon/listlimit.go
@@ -15,7 +15,8 @@
 // listLimit limits this instance's reads of the list of servers to what the store can read for all.
 type listLimit struct {
 	limit *serverlist.ReadLimit
-	// limited is set while the limit acts; deferred is set while a read is put off; gap is set while a part of the list is missing.
+	// limited is set while the limit acts; deferred is set while a read is put off; gap is set while a part of the list is missing, last noted at
+	// gapNotedAt.
 	limited, deferred, gap bool
 	// digestsFrom has where the newest digest of each reader began. formerTo is the offset before which the list was known when it was found to have been
 	// rewound, until it is known again; 0 if it was not.
@@ -23,6 +24,7 @@
 	formerTo    int64
 	// listEnd is the highest offset of the list that another instance knows.
 	listEnd int64
+	gapNotedAt             time.Time
 	// knowing are the other instances that know the list.
 	knowing map[shard.InstanceID]bool
 	// listedInstances are the names in the list of instances.
@@ -231,8 +233,8 @@
 }
 
 // noteListGap has followServerList read what is missing of the list. It doesn't block.
-func (dmn *Daemon) noteListGap() {
-	dmn.gap = true
+func (dmn *Daemon) noteListGap(now time.Time) {
+	dmn.gap, dmn.gapNotedAt = true, now
 	select {
 	case dmn.listGapNoted <- struct{}{}:
 	default:
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -355,6 +355,8 @@
 					return
 				case rom != nil && !rom.take(ft):
 					continue // A smaller task may fit.
+				case rom == nil && ft.startable(viw) == 0 && viw.startableTasks(jb, stp) > 0:
+					continue // It would be late there; others may not.
 				case rom == nil && crd.claimableTasks(viw, ft) <= recalled:
 					return
 				}
