--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -28,8 +28,9 @@
 	// sentSinceLoad is the processor need, in thousandths of a core, of the tasks sent since the last load report without free capacity
 	// for them.
 	sentSinceLoad int64
-	// sentForRoom is the number of tasks sent since the last load report for free capacity.
+	// sentForRoom is the number of tasks sent since the last load report for free capacity; loadAt is when that came.
 	sentForRoom int64
+	loadAt      time.Time
 	// lastPayloadJob is the id of the job whose payload was last sent to the leader.
 	lastPayloadJob string
 }
@@ -308,7 +309,7 @@
 		return crd.takeActions()
 	}
 	opened := viw.load.Closed && !lod.Closed
-	viw.load, viw.sentSinceLoad, viw.sentForRoom = lod, 0, 0
+	viw.load, viw.sentSinceLoad, viw.sentForRoom, viw.loadAt = lod, 0, 0, crd.now
 	viw.load.Free, viw.load.FreeMemory = slices.Clone(lod.Free), slices.Clone(lod.FreeMemory)
 	if opened {
 		crd.orderAllReady()
@@ -357,7 +358,7 @@
 					continue // A smaller task may fit.
 				case rom == nil && ft.startable(viw) == 0 && viw.startableTasks(jb, stp) > 0:
 					continue // It would be late there; others may not.
-				case rom == nil && crd.claimableTasks(viw, ft) <= recalled:
+				case rom == nil && crd.claimableTasks(viw, ft, crd.Contention()) <= recalled:
 					return
 				}
 				recalled++
