Check recalls past late tasks with as many free servers as each owner gets one of

TestRecallPassesOverLateTasks freed one server, which an owner now recalls for in one case of four. With 40 free servers it checks the same: a task that would be late there doesn't keep the one behind it from being recalled.

--- a/internal/request/submission/speeds_test.go
+++ b/internal/request/submission/speeds_test.go
@@ -140,7 +140,7 @@
 	cases := map[string]struct {
 		factor int64
 		want   string
-	}{"in time on any server": {1000, "old.0.0.0"}, "the older one is late": {1600, "new.0.0.0"}}
+	}{"in time on any server": {1000, "old.0.0.0 new.0.0.0 "}, "the older one is late": {1600, "new.0.0.0 "}}
 	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
 			hrn := newHarness()
@@ -157,12 +157,15 @@
 			hrn.setLongQueue("a.0", 9)
 			hrn.setLeader("b.0", false, other, 1, 0)
 			hrn.acts = nil
-			lod := shard.Load{Number: 9, ServiceRate: 1_000_000, Free: freeList(1), FreeFactors: []int64{cse.factor}, LinkWindow: 1 << 20}
+			lod := shard.Load{Number: 9, ServiceRate: 1_000_000, Free: freeList(40), LinkWindow: 1 << 20}
+			for range lod.Free { // An owner recalls for its share of the free servers.
+				lod.FreeFactors = append(lod.FreeFactors, cse.factor)
+			}
 			hrn.record(hrn.crd.HandleLoad("b.0", lod))
 			var got string
 			for _, act := range hrn.acts {
 				if snd, ok := act.(SendOrder); ok && snd.Order.Recall {
-					got += snd.Order.Task
+					got += snd.Order.Task + " "
 				}
 			}
 			is.New(t).Equal(got, cse.want)
