--- a/internal/process/daemon/listlimit.go
+++ b/internal/process/daemon/listlimit.go
@@ -23,8 +23,8 @@
 	digestsFrom map[string]int64
 	formerTo    int64
 	// listEnd is the highest offset of the list that another instance knows.
-	listEnd int64
-	gapNotedAt             time.Time
+	listEnd    int64
+	gapNotedAt time.Time
 	// knowing are the other instances that know the list.
 	knowing map[shard.InstanceID]bool
 	// listedInstances are the names in the list of instances.
