Send the whole list also to an instance that lacks much of it after its start

While all servers of a large system register, all instances must read what changes in digests, which are paced to a quarter of the store's rate: 11 s at 300 instances and 3,000 servers. At 150 and 1,500 (TestServersRegisterAtHundreds with -measure) 28 of 150 instances knew all servers 6 s after the start. One that lacks more than 2 s of the list within 20 s of its start now takes it from a neighbour, like one that knows nothing.

A list from a neighbour that has not noticed a rewind could then have come back (2 of 30 instances knew of a leaving server): for 30 s after a rewind, noticed by digests or by an own read, lists that may be from before are not used.

--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -27,7 +27,7 @@
 		bet.ListOffset = dmn.follower.KnownTo()
 	}
 	siz := dmn.limit.Size()
-	bet.ListBytes, bet.ListRate, bet.WantsList = siz.Full, siz.PerSecond, dmn.wants && (dmn.gap || !dmn.follower.Known())
+	bet.ListBytes, bet.ListRate, bet.WantsList = siz.Full, siz.PerSecond, dmn.wants && (dmn.gap || !dmn.follower.Known()) || dmn.behind
 	for name, ldr := range dmn.leaders {
 		// Capacity that has just become free is also in the report of the run's end, as the next heartbeat may be 400 ms away.
 		bet.Leaderships = append(bet.Leaderships, mesh.Leadership{Shard: name, Token: ldr.Token(), Load: ldr.Load(now)})
--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -107,6 +107,9 @@
 	defer dmn.endEvent(now)
 	dmn.listReadAt = began
 	dmn.limit.HandleFullRead(began, len(snp.Records), snp.Bytes, snp.Next)
+	if snp.Next < dmn.follower.KnownTo() {
+		dmn.noteFormer(now)
+	}
 	dmn.replaceList(now, &snp)
 	dmn.knownAt, dmn.changesFromPeer = began, false
 	dmn.log.Info().Int("servers", len(dmn.entries)).Int64("offset", snp.Next).Msg("backend servers read")
@@ -115,7 +118,7 @@
 
 // replaceList replaces the known list by a full read of this or another instance; entries that it doesn't have are removed.
 func (dmn *Daemon) replaceList(now time.Time, snp *platform.Snapshot) {
-	dmn.gap, dmn.formerTo = false, 0
+	dmn.gap, dmn.behind = false, false
 	dmn.coverage.HandleFullRead(now, snp.Next)
 	known, before := dmn.follower.Known(), dmn.follower.KnownTo()
 	continued := dmn.follower.HandleRereading(snp.Next, snp.End)
--- a/internal/process/daemon/listlimit.go
+++ b/internal/process/daemon/listlimit.go
@@ -15,12 +15,14 @@
 // listLimit limits this instance's reads of the list of servers to what the store can read for all.
 type listLimit struct {
 	limit *serverlist.ReadLimit
-	// limited is set while the limit acts; deferred is set while a read is put off; gap is set while a part of the list is missing.
-	limited, deferred, gap bool
-	// digestsFrom has where the newest digest of each reader began. formerTo is the offset before which the list was known when it was found to have been
-	// rewound, until it is known again; 0 if it was not.
+	// limited is set while the limit acts; deferred is set while a read is put off; gap is set while a part of the list is missing, behind while much of
+	// it is.
+	limited, deferred, gap, behind bool
+	// digestsFrom has where the newest digest of each reader began. formerTo is the offset before which the list was known when it was last found to
+	// have been rewound; until formerUntil, other instances may not have noticed that.
 	digestsFrom map[string]int64
 	formerTo    int64
+	formerUntil time.Time
 	// listEnd is the highest offset of the list that another instance knows.
 	listEnd int64
 	// knowing are the other instances that know the list.
@@ -116,6 +118,7 @@
 	}
 	sta := dmn.listReadState()
 	sta.Asked, sta.Failures = asked, failures
+	dmn.behind = dmn.limit.Behind(now, sta) && now.After(dmn.formerUntil)
 	dmn.noteListLimit(now, &sta)
 	if !dmn.gap && asked.IsZero() && !dmn.follower.ReadDue(now, dmn.readerRank()) {
 		dmn.deferred, dmn.wants = false, false
@@ -216,18 +219,27 @@
 	}
 	dmn.log.Warn().Str("by", dig.Reader).Int64("to", dig.To).Int64("before", last).Int64("known", dmn.follower.KnownTo()).
 		Msg("the list of servers was rewound; reading it anew")
-	dmn.formerTo, dmn.gap = dmn.follower.KnownTo(), false
+	dmn.noteFormer(now)
 	dmn.follower.Forget(now)
 	dmn.limit.HandleRewind(now)
 	clear(dmn.knowing)
-	dmn.listEnd = 0
+	dmn.gap = false
 	return true
 }
 
+// noteFormer takes note that the list was rewound, so that what is known is from before.
+func (dmn *Daemon) noteFormer(now time.Time) {
+	dmn.formerTo, dmn.formerUntil = dmn.follower.KnownTo(), now.Add(formerTime)
+	dmn.listEnd, dmn.behind = 0, false
+}
+
+// formerTime is how long after a rewind others may not have noticed it: longer than the turns of all instances take.
+const formerTime = 30 * time.Second
+
 // mayBeFormer reports whether a list that ends at an offset may be from before the list was rewound: another instance may not have noticed it. It knew
 // about as much as this one, up to one record of each server.
-func (dmn *Daemon) mayBeFormer(to int64) bool {
-	return dmn.formerTo > 0 && to+int64(len(dmn.entries)) >= dmn.formerTo
+func (dmn *Daemon) mayBeFormer(now time.Time, to int64) bool {
+	return now.Before(dmn.formerUntil) && to+int64(len(dmn.entries)) >= dmn.formerTo
 }
 
 // noteListGap has followServerList read what is missing of the list. It doesn't block.
--- a/internal/process/daemon/listlimit_test.go
+++ b/internal/process/daemon/listlimit_test.go
@@ -32,7 +32,7 @@
 				dmn.applyDigest(now, &serverlist.Digest{Reader: "one", From: 100, To: 110})
 				dmn.applyDigest(now, &serverlist.Digest{Reader: "one", From: 100 + cse.from, To: 100 + cse.to})
 				is.New(t).Equal(dmn.follower.Known(), !cse.forgets)
-				is.New(t).Equal(dmn.mayBeFormer(109), cse.forgets)
+				is.New(t).Equal(dmn.mayBeFormer(now, 109), cse.forgets)
 			})
 		})
 	}
--- a/internal/process/daemon/wholelist.go
+++ b/internal/process/daemon/wholelist.go
@@ -13,7 +13,7 @@
 type wholeLists struct {
 	// records are the newest records of the servers in the list.
 	records map[string][]byte
-	// wants is set while this instance's first read, or that of a missing part, is put off: another one may send it the list.
+	// wants is set while this instance's first read, or that of a missing part, is put off: another one may send it the list, as also if it is behind.
 	wants bool
 	// encoded is the list as it was last sent, at encodedAt; encoding is set while it is encoded, for the instances in listReceivers.
 	encoded       []byte
@@ -103,7 +103,7 @@
 		dmn.log.Error().Err(err).Str("from", string(from)).Msg("list of servers is refused")
 		return
 	}
-	if dmn.follower.Known() && !dmn.gap || dmn.mayBeFormer(lst.To) || lst.To <= dmn.follower.KnownTo() {
+	if dmn.follower.Known() && !dmn.gap && !dmn.behind || dmn.mayBeFormer(now, lst.To) || lst.To <= dmn.follower.KnownTo() {
 		dmn.log.Info().Str("from", string(from)).Int64("offset", lst.To).Int64("known", dmn.follower.KnownTo()).Msg("list of servers is not used")
 		return
 	}
--- a/internal/version/serverlist/readlimit.go
+++ b/internal/version/serverlist/readlimit.go
@@ -90,6 +90,10 @@
 	// massStartTime is how long after the start of an instance many others may have started with it, each of which takes shards over: their leaders' reads
 	// are spread, too.
 	massStartTime = 10 * time.Second
+	// behindTime is how much of the list an instance lacks that is behind: more than between two digests while nothing changes. That counts until
+	// behindWithin after its start only, as a list from another instance proves less than the digests.
+	behindTime   = 2 * time.Second
+	behindWithin = 20 * time.Second
 	// listedTimeout is how long the first read waits for the list of instances; listedPoll is the pause between two looks.
 	listedTimeout = 2 * time.Second
 	listedPoll    = 10 * time.Millisecond
@@ -303,6 +307,14 @@
 	return lim.lacking(now, sta, lms) > lim.size(lms.Instances).Full
 }
 
+// Behind reports whether an instance that has started lately lacks so much of the list that the whole of it is better had from another instance: while
+// all servers of a large system register, paced digests take many seconds.
+func (lim *ReadLimit) Behind(now time.Time, sta ReadState) bool {
+	lms := lim.Limits(now, sta.Heard)
+	return lms.Active && sta.Known && now.Sub(lim.startedAt) < behindWithin &&
+		float64(sta.Lacking)*lim.logRecordBytes() > behindTime.Seconds()*float64(lms.ListBytes)
+}
+
 // lacking returns the bytes of the records that an instance lacks.
 func (lim *ReadLimit) lacking(now time.Time, sta ReadState, lms Limits) int64 {
 	return max(int64(float64(lms.ListBytes)*now.Sub(sta.KnownAt).Seconds()), int64(float64(sta.Lacking)*lim.logRecordBytes()))
--- a/internal/version/serverlist/readlimit_test.go
+++ b/internal/version/serverlist/readlimit_test.go
@@ -162,3 +162,25 @@
 	now = now.Add(2 * time.Second)
 	chk.Equal(len(fol.PendingPacedDigests(now, 1, 4)), 1)
 }
+
+// Guards against an instance that waits for paced digests of all servers, and against one that takes the whole list from others for what one digest has.
+func TestInstanceIsBehind(t *testing.T) {
+	cases := map[string]struct {
+		heard   int
+		lacking int64
+		after   time.Duration
+		behind  bool
+	}{
+		"much is missing":    {299, 5000, 5 * time.Second, true},
+		"a digest is":        {299, 2000, 5 * time.Second, false},
+		"nothing is limited": {99, 5000, 5 * time.Second, false},
+		"some time later":    {299, 5000, 21 * time.Second, false},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := limitStart.Add(cse.after)
+			sta := serverlist.ReadState{Rank: 50, Heard: cse.heard, Known: true, KnownAt: now, Lacking: cse.lacking}
+			is.New(t).Equal(newLimit(80_000_000).Behind(now, sta), cse.behind)
+		})
+	}
+}
