Have each free server of a load recalled for by about one owner

Beside parts C and D, one owner in four that recalled tasks for a server made more than a third of the orders come back. There are about as many owners as shards, and each free server of a load is now for one owner in so many.

--- a/internal/request/submission/fit.go
+++ b/internal/request/submission/fit.go
@@ -56,10 +56,6 @@
 	return num
 }
 
-// recallShare is the share of the owners, one in so many, that recall tasks for the same free server: if all did, most tasks would come too late and be
-// returned. Each load of a shard gives a server to others.
-const recallShare = 4
-
 // maxMisses is how many waiting tasks are tried for the free room of one load.
 const maxMisses = 128
 
@@ -78,6 +74,9 @@
 
 // newRecallRoom returns the room of a shard for which this owner recalls tasks where speeds are used, nil elsewhere. What is free on a server is often too
 // little for the task that has waited longest, but enough for another.
+//
+// If all owners recalled tasks for the same server, most of the tasks would come too late and be returned. So each free server of a load is for about one
+// owner, by a hash; there are about as many owners as shards.
 func (crd *Coordinator) newRecallRoom(viw *shardView) *recallRoom {
 	if !crd.cfg.Features.ServerSpeeds || len(viw.load.FreeFactors) == 0 {
 		return nil
@@ -86,7 +85,7 @@
 	for idx := range rom.free {
 		hsh := fnv.New32a()
 		_, _ = fmt.Fprint(hsh, crd.cfg.Self, viw.name, viw.load.Number, idx) // Write of a hash returns no error.
-		if sum := hsh.Sum32(); (sum^sum>>16)%recallShare != 0 {
+		if sum := hsh.Sum32(); (sum^sum>>16)%uint32(len(crd.shards)) != 0 {
 			rom.free[idx] = 0
 		}
 	}
--- a/internal/request/submission/speeds_test.go
+++ b/internal/request/submission/speeds_test.go
@@ -110,6 +110,11 @@
 			}))
 		}
 		hrn.setLeader("a.0", true, "third/3", 1, 0)
+		hrn.setLongQueue("a.0", 2)
+		for _, name := range []shard.Name{"c.0", "d.0"} {
+			hrn.setLeader(name, true, "third/3", 1, 0)
+			hrn.setLongQueue(name, 2)
+		}
 		hrn.acts = nil
 		lod := shard.Load{Number: 9, ServiceRate: 1_000_000, FreeFactors: factors, LinkWindow: 1 << 20}
 		for range 40 {
@@ -131,6 +136,6 @@
 		chk.True(got < 40/2)
 		sum += got
 	}
-	chk.True(sum > 20*40/recallShare/2 && sum < 20*40/recallShare*2)
-	chk.Equal(recalls("owner/1", nil), 0) // Where speeds are not used, as before.
+	chk.True(sum > 20*40/4/2 && sum < 20*40/4*2) // Of four shards.
+	chk.Equal(recalls("owner/1", nil), 0)        // Where speeds are not used, as before.
 }
