--- a/internal/request/shard/features.go
+++ b/internal/request/shard/features.go
@@ -21,7 +21,7 @@
 	ServerSpeeds, Headroom, Preemption, Reservations bool
 }
 
-// AllFeatures returns the features of a process whose settings switch none off.
+// AllFeatures returns all features.
 func AllFeatures() Features {
 	return Features{ServerSpeeds: true, Headroom: true, Preemption: true, Reservations: true}
 }
