Bound the expected run times that headroom and preemption go by

A caller's estimate near the largest duration, with the bias of the shard's estimates, was out of range as a duration and could come out negative: its task would count as one that ends at once. Found by reading; TestAbsurdEstimate.

--- a/internal/request/shard/preempt.go
+++ b/internal/request/shard/preempt.go
@@ -17,9 +17,12 @@
 	if !known {
 		return ldr.meanRun
 	}
-	return time.Duration(math.Exp(mean) * float64(time.Second))
+	return time.Duration(min(math.Exp(mean), maxExpectedTime.Seconds()) * float64(time.Second))
 }
 
+// maxExpectedTime bounds expected run times: a caller's estimate may be so long that its sum with others is out of range.
+const maxExpectedTime = time.Hour
+
 // preempting is a leader's state of preemption.
 type preempting struct {
 	budget headroom.Budget
--- a/internal/request/shard/preempt_test.go
+++ b/internal/request/shard/preempt_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -105,6 +106,17 @@
 	}
 }
 
+// Guards against estimates that are out of range: a task that is expected to run for centuries is neither in time nor about to end.
+func TestAbsurdEstimate(t *testing.T) {
+	chk := is.New(t)
+	har := newHarness(t, serverEntry("s1", 2*size))
+	har.ldr.estimateBias = 1
+	for _, estimate := range []time.Duration{-time.Hour, 0, math.MaxInt64} {
+		took := har.ldr.expectedTime(&order{Order: Order{Step: "j", ExpectedRunTime: estimate}})
+		chk.True(took > 0 && took <= maxExpectedTime)
+	}
+}
+
 // Guards against a task that runs twice, or is lost, as its leader is lost between the stop for an urgent task and the answer: the next leader has it
 // run on if the stop wasn't carried out, and returns it to its owner if it was.
 func TestLeaderIsLostDuringPreemption(t *testing.T) {
