--- a/internal/request/submission/reserve.go
+++ b/internal/request/submission/reserve.go
@@ -23,6 +23,8 @@
 	stats  ClaimStats
 	// former is stats when active last changed.
 	former ClaimStats
+	// begunAt is when the Coordinator was created.
+	begunAt time.Time
 	// candidates is reused by chooseShared.
 	candidates []candidate
 }
@@ -52,7 +54,7 @@
 	if !crd.cfg.Features.Reservations {
 		return
 	}
-	crd.sharing.contention, crd.sharing.active = grant.NewContention(now), true
+	crd.sharing.contention, crd.sharing.active, crd.sharing.begunAt = grant.NewContention(now), true, now
 	crd.emitSharing(crd.sharing.contention.Level(now, math.MaxInt))
 }
 
@@ -132,9 +134,14 @@
 	crd.sharing.owners = len(leds)
 }
 
-// freshTime is how old a load is when other owners have used its room as far as they ever do: in a burst each shard starts and ends a task about every
-// 10 ms. Each load is sent to one owner, which for a moment knows of the room before others do.
-const freshTime = 50 * time.Millisecond
+const (
+	// freshTime is how old a load is when it counts as one that all owners see. Each load is sent to one owner, which for a moment knows of the
+	// room before others do. With 50 ms, room stays unused in a burst; with more, a tenth of the orders come back.
+	freshTime = 150 * time.Millisecond
+	// startTime is the time after the start of an owner in which no load counts as fresh: after the loss of all instances each owner has a
+	// second's jobs to send, and room is taken within milliseconds.
+	startTime = time.Second
+)
 
 // NoteTime tells the Coordinator the time of the event that is about to be passed to it, for events without one.
 func (crd *Coordinator) NoteTime(now time.Time) { crd.now = now }
@@ -142,6 +149,9 @@
 // contentionFor returns how many owners are believed to compete for the free capacity in a shard's load, by the age of the load and the contention
 // for old ones.
 func (crd *Coordinator) contentionFor(viw *shardView, contention float64) float64 {
+	if crd.now.Sub(crd.sharing.begunAt) < startTime {
+		return contention
+	}
 	age := max(0, crd.now.Sub(viw.loadAt))
 	return 1 + (contention-1)*min(1, float64(age)/float64(freshTime))
 }
