Leave the sharing of advertised room off unless the settings switch it on

It acts at each start of an instance, also where nothing calls for it, so that the earlier deployments would be served otherwise than before.

--- a/internal/process/cli/platform.go
+++ b/internal/process/cli/platform.go
@@ -70,7 +70,7 @@
 		{"server-speeds", onOff(set.Features.ServerSpeeds), "lasting speeds of servers are told from faults, and tasks placed by them"},
 		{"headroom", onOff(set.Features.Headroom), "servers are set aside and reserved for urgent tasks while work waits for room"},
 		{"preemption", onOff(set.Features.Preemption), "runs are stopped for urgent tasks that can still be in time; off by default"},
-		{"reservations", onOff(set.Features.Reservations), "free room is promised to one owner at a time"},
+		{"reservations", onOff(set.Features.Reservations), "owners count on a share of the free room that leaders tell; off by default"},
 		{"stop-timeout", set.StopTimeout.Round(time.Millisecond).String(), "from the request to stop to the kill"},
 	}
 }
