Let retries of store calls grow only where reads of the list are limited

An instance that starts while the store is away would register up to 1.2 s after the store's return instead of 0.2 s, also in small systems, where nothing asks for it. The first read of the list waits for the list of instances for at most 0.3 s instead of 2 s: a store that refuses that topic would delay each start in all systems.

--- a/internal/process/daemon/storepace.go
+++ b/internal/process/daemon/storepace.go
@@ -30,15 +30,22 @@
 }
 
 const (
-	// firstRetryPause is the pause after the first failed call to the store; after each further one it doubles, up to maxRetryPause. The store allows all
-	// instances together 600 writes and 2,000 reads a second.
+	// firstRetryPause is the pause after a failed call to the store, which allows all instances together 600 writes and 2,000 reads a second. While reads
+	// of the list are limited, it doubles after each further one, up to maxRetryPause.
 	firstRetryPause = 200 * time.Millisecond
 	maxRetryPause   = 800 * time.Millisecond
 )
 
-// retryPause returns the pause after so many failed calls about a topic, one after the other. From the second one on it differs by half either way
-// between instances, so that they don't all call again at the same moments.
+// retryPause returns the pause after so many failed calls about a topic, one after the other. Where instances are so many that their reads are limited, it
+// differs by half either way between instances from the second call on, so that they don't all call again at the same moments. Fewer instances call again
+// soon, as the store may be back at any moment.
 func (dmn *Daemon) retryPause(tpc platform.Topic, failures int) time.Duration {
+	dmn.mu.Lock()
+	limited := dmn.limited
+	dmn.mu.Unlock()
+	if !limited {
+		return firstRetryPause
+	}
 	return storeRetryPause(dmn.prm.Settings.Instance+" "+string(tpc), failures)
 }
 
--- a/internal/version/serverlist/readlimit.go
+++ b/internal/version/serverlist/readlimit.go
@@ -94,8 +94,8 @@
 	// behindWithin after its start only, as a list from another instance proves less than the digests.
 	behindTime   = 2 * time.Second
 	behindWithin = 20 * time.Second
-	// listedTimeout is how long the first read waits for the list of instances; listedPoll is the pause between two looks.
-	listedTimeout = 2 * time.Second
+	// listedTimeout is how long the first read waits for the list of instances, some ten answers of the store; listedPoll is the pause between two looks.
+	listedTimeout = 300 * time.Millisecond
 	listedPoll    = 10 * time.Millisecond
 	// measureTime is the least time over which the bytes a second of the list are measured; a new measurement counts with measureWeight.
 	// What was measured longer than measureAge ago isn't used any more.
