Test a store that was down at hundreds of instances, and tell what the list costs there

After an outage of 3 s all instances of a large system know of a leaving server and a configuration within the bound, and the store is never to read more than it can.

--- a/internal/process/daemon/hundreds_test.go
+++ b/internal/process/daemon/hundreds_test.go
@@ -156,6 +156,11 @@
 		"the store is slow":                 func(sys *system, _ string) { sys.sto.SetDelay(400 * time.Millisecond) },
 		"the store refuses some":            func(sys *system, _ string) { sys.refuseSome() },
 		"a failure domain is cut off":       func(sys *system, _ string) { sys.cut(domainName(1)) },
+		"the store was down": func(sys *system, _ string) {
+			sys.sto.SetDown(true)
+			time.Sleep(3 * time.Second) // Servers don't reach it, either.
+			sys.sto.SetDown(false)
+		},
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
