--- a/internal/process/cli/platform.go
+++ b/internal/process/cli/platform.go
@@ -68,7 +68,7 @@
 		{"resend-after", set.ResendAfter.String(), "when a client that lost its connection sends its job again"},
 		{"store-reads", fmt.Sprintf("%d bytes a second", set.StoreReadBytes), "that the store reads for all instances; 0 for no bound"},
 		{"server-speeds", onOff(set.Features.ServerSpeeds), "lasting speeds of servers are told from faults, and tasks placed by them"},
-		{"headroom", onOff(set.Features.Headroom), "servers are set aside and reserved for urgent tasks while work waits for room"},
+		{"headroom", onOff(set.Features.Headroom), "servers are set aside and reserved for urgent tasks while work waits for room; off by default"},
 		{"preemption", onOff(set.Features.Preemption), "runs are stopped for urgent tasks that can still be in time; off by default"},
 		{"reservations", onOff(set.Features.Reservations), "owners count on a share of the free room that leaders tell; off by default"},
 		{"stop-timeout", set.StopTimeout.Round(time.Millisecond).String(), "from the request to stop to the kill"},
