--- a/internal/request/submission/reserve_test.go
+++ b/internal/request/submission/reserve_test.go
@@ -277,3 +277,41 @@
 		}
 	}
 }
+
+// Guards against room that stays unused though only this owner knows of it, and against owners that start at once and all count on the same loads.
+func TestFreshLoadsCountForMore(t *testing.T) {
+	const shared = (shareTasks + initialShares - 1) / initialShares
+	for name, cse := range map[string]struct {
+		// running is the time since the owner started, age that since the load came.
+		running, age time.Duration
+		least, most  int64
+	}{
+		"fresh, the owner has just started":  {startTime / 2, 0, 0, shared},
+		"fresh":                              {2 * startTime, 0, shareTasks, shareTasks},
+		"of middle age":                      {2 * startTime, freshTime / 30, 2, shareTasks - 1},
+		"as old as the others' loads":        {2 * startTime, freshTime, 0, shared},
+		"old":                                {2 * startTime, 2 * freshTime, 0, shared},
+		"from later, as the clock went back": {2 * startTime, -freshTime, shareTasks, shareTasks},
+	} {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			hrn := newSharingHarness(self)
+			crd := hrn.crd
+			crd.NoteTime(crd.sharing.begunAt.Add(cse.running))
+			crd.sharing.contention = grant.NewContention(crd.now)
+			hrn.tell("a.0", 2)
+			crd.NoteTime(crd.now.Add(cse.age))
+			hrn.now = crd.now
+			hrn.submit(1, "j", 1)
+			tsk := crd.tasks["j.0.0.0"]
+			viw := crd.shards["a.0"]
+			num := crd.claimableTasks(viw, tsk.job, &tsk.job.sub.Steps[0], crd.contentionFor(viw, crd.Contention()))
+			sent := viw.sentForRoom // The job may have gone here.
+			chk.True(num+sent >= cse.least)
+			chk.True(num <= cse.most)
+		})
+	}
+}
+
+// initialShares is the number of owners that a new owner expects.
+const initialShares = 32
