Spread first reads of the list also where the list of instances doesn't come

If registrations fail, as at a store that is overloaded when hundreds of instances start, all of them stopped waiting after 2 s and read the whole list at the same moment. They now wait for 2 to 4 s, by the hash of the instance.

--- a/internal/process/daemon/listlimit.go
+++ b/internal/process/daemon/listlimit.go
@@ -34,10 +34,10 @@
 }
 
 func newListLimit(set *platform.Settings, pcs *storePaces, now time.Time) listLimit {
+	limit := serverlist.NewReadLimit(serverlist.ReadLimitConfig{StoreBytes: set.StoreReadBytes, DigestTimeout: pcs.list.DigestTimeout}, now)
+	limit.SetPosition(hashPosition(set.Instance)) // Until the instance is registered.
 	return listLimit{
-		limit: serverlist.NewReadLimit(serverlist.ReadLimitConfig{
-			StoreBytes: set.StoreReadBytes, DigestTimeout: pcs.list.DigestTimeout,
-		}, now),
+		limit:   limit,
 		knowing: map[shard.InstanceID]bool{}, digestsFrom: map[string]int64{}, listedInstances: map[string]bool{}, listGapNoted: make(chan struct{}, 1),
 	}
 }
--- a/internal/version/serverlist/readlimit.go
+++ b/internal/version/serverlist/readlimit.go
@@ -94,7 +94,7 @@
 	// behindWithin after its start only, as a list from another instance proves less than the digests.
 	behindTime   = 2 * time.Second
 	behindWithin = 20 * time.Second
-	// listedTimeout is how long the first read waits for the list of instances; listedPoll is the pause between two looks.
+	// listedTimeout is how long the first read waits for the list of instances, and up to as long again by the own position; listedPoll is the pause between two looks.
 	listedTimeout = 2 * time.Second
 	listedPoll    = 10 * time.Millisecond
 	// measureTime is the least time over which the bytes a second of the list are measured; a new measurement counts with measureWeight.
@@ -326,7 +326,7 @@
 // firstWait returns how long the first read is to wait. Instances that start at once read one after the other; one that starts alone, as most others
 // know the list, reads at once.
 func (lim *ReadLimit) firstWait(now time.Time, sta ReadState) time.Duration {
-	if lim.listed == 0 && now.Sub(lim.startedAt) < listedTimeout {
+	if lim.listed == 0 && now.Sub(lim.startedAt) < time.Duration((1+lim.position)*float64(listedTimeout)) {
 		return listedPoll
 	}
 	num := max(lim.listed, sta.Heard+1)
--- a/internal/version/serverlist/readlimit_test.go
+++ b/internal/version/serverlist/readlimit_test.go
@@ -89,7 +89,8 @@
 	}{
 		"the store's rate is unknown":           {},
 		"the list of instances is not read yet": {storeBytes: 80_000_000, want: 10 * time.Millisecond},
-		"it doesn't come":                       {storeBytes: 80_000_000, after: 2 * time.Second},
+		"it doesn't come":                       {storeBytes: 80_000_000, after: 2 * time.Second, want: 10 * time.Millisecond},
+		"it doesn't come for longer":            {storeBytes: 80_000_000, after: 3 * time.Second},
 		"all reads fit":                         {storeBytes: 80_000_000, listed: 100},
 		"hundreds start":                        {storeBytes: 80_000_000, listed: 300, want: 6750 * time.Millisecond},
 		"hundreds started a while ago":          {storeBytes: 80_000_000, listed: 300, after: 7 * time.Second},
