--- a/internal/process/cli/soak.go
+++ b/internal/process/cli/soak.go
@@ -27,6 +27,7 @@
 	Closings       int           `help:"How often a failure domain is closed to new work in each seed."`
 	ServerRestarts int           `help:"How often a backend server crashes and starts again under its ID in each seed."`
 	RoomChanges    int           `help:"How often the room of a backend server shrinks and grows again in each seed."`
+	AllDecisions   bool          `help:"Switch the optional decisions on that are off by default."`
 	For            time.Duration `help:"How long callers send." default:"14s"`
 	Logs           string        `help:"Directory for the processes' logs; those of seeds that broke nothing are removed." default:"target/soak"`
 }
@@ -52,7 +53,7 @@
 	shp := soak.DefaultShape()
 	shp.Domains, shp.Entries, shp.Servers = cmd.Domains, cmd.Entries, cmd.Servers
 	shp.Troubles, shp.Closings, shp.ServerRestarts, shp.For = cmd.Troubles, cmd.Closings, cmd.ServerRestarts, cmd.For
-	shp.RoomChanges = cmd.RoomChanges
+	shp.RoomChanges, shp.AllDecisions = cmd.RoomChanges, cmd.AllDecisions
 	cfg := soak.Config{Program: program, Dir: cmd.Logs, Shape: shp}
 	if err := cfg.Check(); err != nil {
 		return &usageError{cause: err}
--- a/internal/process/soak/plan.go
+++ b/internal/process/soak/plan.go
@@ -75,6 +75,8 @@
 	ServerRestarts int
 	// RoomChanges is how many times the room of a backend server shrinks and grows again while it runs.
 	RoomChanges int
+	// AllDecisions switches the optional decisions on that are off by default.
+	AllDecisions bool
 }
 
 // DefaultShape returns a system of six instances and twelve backend servers: a few dozen processes and ways.
--- a/internal/process/soak/system.go
+++ b/internal/process/soak/system.go
@@ -83,7 +83,7 @@
 				dir: dir, program: program, grp: grp, linkHost: subnet + ".250",
 				mch: standin.Machine{
 					Name: fmt.Sprintf("entry-%d-%d", dom+1, num+1), Domain: domainName(dom), IP: adr,
-					CallerPort: callerPort, ReadyPort: readyPort, PeerPort: peerPort, StopTimeout: stopTimeout,
+					CallerPort: callerPort, ReadyPort: readyPort, PeerPort: peerPort, StopTimeout: stopTimeout, AllDecisions: shp.AllDecisions,
 				},
 			})
 		}
