Share advertised room only once orders have come back

Callers of a wide job waited beside idle servers where Decisions.Reservations is on: an owner that had just started counted on a 32nd of the room that others tell, without any order having come back.

An owner now begins without evidence, and shares once four returns show that others compete. What served the start alone is gone: the assumed level, the first second without fresh loads, a constructor.

Tests that asserted the start assert the opposite (TestSharingWhileLeadersAreLost) or lose that case; their bounds stay.

--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -236,7 +236,7 @@
 			Instance: name, FailureDomain: domain, FailureDomains: sys.domains, CallerAddress: host + ":1", ReadyAddress: host + ":2",
 			PeerAddress: host + ":3", MetricsAddress: host + ":4", Processor: 0.4,
 			StopTimeout: 6 * time.Second, MemoryBytes: 1 << 28, LinkBytes: int64(sys.linkBytes),
-			ConfigurationBound: sys.bound, DrainBound: sys.bound, StoreReadBytes: sys.storeReadBytes, Features: shard.Features{ServerSpeeds: true},
+			ConfigurationBound: sys.bound, DrainBound: sys.bound, StoreReadBytes: sys.storeReadBytes, Features: shard.AllFeatures(),
 		},
 		Store:   platform.NewStore(sys.storeClient(name, client(&cnt.traffic.store)), storeHost+":1"),
 		Servers: platform.NewServers(client(&cnt.traffic.servers)), Counters: cnt,
--- a/internal/request/grant/contention.go
+++ b/internal/request/grant/contention.go
@@ -6,7 +6,8 @@
 )
 
 // Contention estimates how many owners compete for the room that a load advertises. It is learned from the orders that an owner sends for such
-// room: one that comes back raises it, one that starts lowers it. Where nearly all start it is 1.
+// room: one that comes back raises it, one that starts lowers it. Where nearly all start it is 1. The
+// zero value has no evidence, and is 1, too.
 type Contention struct {
 	level float64
 	// at is when level was last updated.
@@ -14,9 +15,6 @@
 }
 
 const (
-	// initialLevel is assumed until there is evidence. An owner that has just started may be one of many that lost their instance at once and
-	// have the jobs of a second to send.
-	initialLevel = 32
 	// returnFactor makes eight returns in a row raise the level to 25.
 	returnFactor = 1.5
 	// targetReturns is the share of returned orders at which the level stays as it is. It is half of the share that is tolerated, as
@@ -30,11 +28,6 @@
 // startFactor lowers the level in 19 starts by as much as one return raises it.
 var startFactor = math.Pow(returnFactor, -targetReturns/(1-targetReturns))
 
-// NewContention returns the estimate of an owner without evidence.
-func NewContention(now time.Time) Contention {
-	return Contention{level: initialLevel, at: now}
-}
-
 // Level returns the contention at a time, at least 1 and at most the number of owners.
 func (con *Contention) Level(now time.Time, owners int) float64 {
 	past := max(0, now.Sub(con.at))
--- a/internal/request/grant/grant_test.go
+++ b/internal/request/grant/grant_test.go
@@ -20,9 +20,8 @@
 		owners          int
 		least, most     float64
 	}{
-		"nothing known":                         {owners: owners, least: initialLevel, most: initialLevel},
-		"nothing known, one owner":              {owners: 1, least: 1, most: 1},
-		"no shard has a leader":                 {owners: 0, least: 1, most: 1},
+		"nothing known":                         {owners: owners, least: 1, most: 1},
+		"no shard has a leader":                 {returns: 100, owners: 0, least: 1, most: 1},
 		"all orders come back":                  {returns: 100, owners: owners, least: owners, most: owners},
 		"all orders start":                      {starts: 500, owners: owners, least: 1, most: 1},
 		"a few come back after a day of starts": {starts: 500, returns: 2, owners: owners, least: 2, most: 3},
@@ -32,7 +31,7 @@
 	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
 			chk := is.New(t)
-			con := NewContention(from)
+			var con Contention
 			for range cse.starts {
 				con.HandleStart(from, cse.owners)
 			}
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -178,12 +178,10 @@
 
 // NewCoordinator returns a Coordinator without submissions.
 func NewCoordinator(cfg Config, now time.Time) *Coordinator {
-	crd := &Coordinator{
+	return &Coordinator{
 		cfg: cfg, servingAt: now, jobs: map[string]*job{}, calls: map[CallID]*job{}, tasks: map[string]*task{},
 		shards: map[shard.Name]*shardView{}, fullTimeoutShare: map[string]float64{}, routes: map[string]*speed.Route{}, now: now,
 	}
-	crd.beginSharing(now)
-	return crd
 }
 
 // OpenCount returns the number of submissions that are not answered yet.
--- a/internal/request/submission/reserve.go
+++ b/internal/request/submission/reserve.go
@@ -1,7 +1,6 @@
 package submission
 
 import (
-	"math"
 	"time"
 
 	"chestnutstack/internal/request/grant"
@@ -23,8 +22,6 @@
 	stats  ClaimStats
 	// former is stats when active last changed.
 	former ClaimStats
-	// begunAt is when the Coordinator was created.
-	begunAt time.Time
 	// candidates is reused by chooseShared.
 	candidates []candidate
 }
@@ -49,15 +46,6 @@
 	queueSpreadShare = 1
 )
 
-// beginSharing has a new Coordinator count on a share of free capacity, as it knows nothing of other owners.
-func (crd *Coordinator) beginSharing(now time.Time) {
-	if !crd.cfg.Features.Reservations {
-		return
-	}
-	crd.sharing.contention, crd.sharing.active, crd.sharing.begunAt = grant.NewContention(now), true, now
-	crd.emitSharing(crd.sharing.contention.Level(now, math.MaxInt))
-}
-
 // ClaimStats returns the counts since the Coordinator was created.
 func (crd *Coordinator) ClaimStats() ClaimStats { return crd.sharing.stats }
 
@@ -123,8 +111,8 @@
 	shr.former = shr.stats
 }
 
-// countOwners counts the instances that lead a shard. A shard without a leader counts as one that has its own: while leaders are lost or not known
-// yet, the owners that are about to send their orders again must not seem few.
+// countOwners counts the instances that lead a shard. A shard without a leader counts as one that has its own: while leaders are lost, the
+// owners that are about to send their orders again must not seem few.
 func (crd *Coordinator) countOwners() {
 	num := 0
 	leds := make(map[shard.InstanceID]bool, len(crd.shardsByName))
@@ -139,14 +127,9 @@
 	crd.sharing.owners = num + len(leds)
 }
 
-const (
-	// freshTime is how old a load is when it counts as one that all owners see. Each load is sent to one owner, which for a moment knows of the
-	// room before others do. With 50 ms, room stays unused in a burst; with more, a tenth of the orders come back.
-	freshTime = 150 * time.Millisecond
-	// startTime is the time after the start of an owner in which no load counts as fresh: after the loss of all instances each owner has a
-	// second's jobs to send, and room is taken within milliseconds.
-	startTime = time.Second
-)
+// freshTime is how old a load is when it counts as one that all owners see. Each load is sent to one owner, which for a moment knows of the room
+// before others do. With 50 ms, room stays unused in a burst; with more, a tenth of the orders come back.
+const freshTime = 150 * time.Millisecond
 
 // NoteTime tells the Coordinator the time of the event that is about to be passed to it, for events without one.
 func (crd *Coordinator) NoteTime(now time.Time) { crd.now = now }
@@ -154,9 +137,6 @@
 // contentionFor returns how many owners are believed to compete for the free capacity in a shard's load, by the age of the load and the contention
 // for old ones.
 func (crd *Coordinator) contentionFor(viw *shardView, contention float64) float64 {
-	if crd.now.Sub(crd.sharing.begunAt) < startTime {
-		return contention
-	}
 	age := max(0, crd.now.Sub(viw.loadAt))
 	return 1 + (contention-1)*min(1, float64(age)/float64(freshTime))
 }
--- a/internal/request/submission/reserve_bench_test.go
+++ b/internal/request/submission/reserve_bench_test.go
@@ -15,7 +15,6 @@
 			b.Run(fmt.Sprintf("%d instances, sharing %t", instances, active), func(b *testing.B) {
 				hrn := newHarness()
 				hrn.crd.cfg.Features.Reservations = true
-				hrn.crd.beginSharing(hrn.now)
 				for num := range instances {
 					name := shard.Name(fmt.Sprintf("a.%d", num))
 					hrn.setLeader(name, num%3 == 0, shard.InstanceID(fmt.Sprintf("leader-%d/1", num)), 1, 9)
--- a/internal/request/submission/reserve_test.go
+++ b/internal/request/submission/reserve_test.go
@@ -15,8 +15,8 @@
 // leader.
 const shareTasks, shareShards = 9, 39
 
-// newSharingHarness returns a harness of an owner with a name that shares capacity with the leaders of shards in its failure domain, knows
-// nothing of what became of orders, and has loads that are no longer fresh.
+// newSharingHarness returns a harness of an owner with a name that shares capacity with as many others as there are shards, all in its failure domain,
+// and has loads that are no longer fresh.
 func newSharingHarness(self shard.InstanceID) *harness {
 	hrn := newHarness()
 	cfg := hrn.crd.cfg
@@ -27,10 +27,21 @@
 		hrn.record(hrn.crd.HandleLeader(Target{Shard: name, Leader: led, Token: 1}, sameDomain))
 		hrn.tell(name, 1)
 	}
-	hrn.acts, hrn.now = nil, hrn.now.Add(freshTime)
+	hrn.now = hrn.now.Add(freshTime)
+	hrn.share()
+	hrn.acts = nil
 	return hrn
 }
 
+// share has the owner learn of the most competition.
+func (hrn *harness) share() {
+	hrn.crd.now = hrn.now
+	for range 12 {
+		hrn.crd.sharing.contention.HandleReturn(hrn.now, hrn.crd.sharing.owners)
+	}
+	hrn.crd.updateSharing()
+}
+
 // tell passes a load of a shard with room for shareTasks tasks.
 func (hrn *harness) tell(name shard.Name, number int64) {
 	hrn.record(hrn.crd.HandleLoad(name, shard.Load{Number: number, ServiceRate: 1_000_000, Free: freeList(shareTasks), LinkWindow: 1 << 20}))
@@ -48,6 +59,17 @@
 	return ords
 }
 
+// returnableOrders returns the orders since the last change of acts that come back if they can't start at once, by task.
+func (hrn *harness) returnableOrders() map[string]SendOrder {
+	ords := map[string]SendOrder{}
+	for _, act := range hrn.acts {
+		if ord, ok := act.(SendOrder); ok && ord.Order.ReturnIfBusy {
+			ords[ord.Order.Task] = ord
+		}
+	}
+	return ords
+}
+
 // answer has the leaders that got some orders report an outcome.
 func (hrn *harness) answer(ords map[string]SendOrder, out shard.Outcome, rsn shard.ReturnReason) {
 	for name, ord := range ords {
@@ -78,7 +100,7 @@
 	}
 	chk.True(total <= shareTasks*shareShards*5/4) // All counts on some 351 tasks' room.
 	chk.True(len(claims) > shareShards*3/4)
-	chk.True(most <= 5*shareTasks/2) // Four standard deviations above the mean of 35 owners that each count on a third of a task.
+	chk.True(most <= 5*shareTasks/2) // Four standard deviations above the mean of 35 owners that each count on a quarter of a task.
 }
 
 // Fails if what becomes of orders in a failure counts as competition of owners, or if an owner counts on room that it has no news of.
@@ -235,6 +257,10 @@
 				hrn.setLeader(shard.Name(fmt.Sprintf("a.%d", 2+num)), true, shard.InstanceID(fmt.Sprintf("led-%d/1", num)), int64(1+round), 4)
 			}
 			hrn.now = hrn.now.Add(time.Second)
+			if round == 0 {
+				hrn.submit(1, "j", 16)
+				hrn.answer(hrn.returnableOrders(), shard.NotRun, shard.NoProcessor)
+			}
 			hrn.record(hrn.crd.HandleTick(hrn.now))
 			for _, act := range hrn.acts {
 				if chg, ok := act.(FeatureChange); ok {
@@ -264,7 +290,7 @@
 			t.Run(fmt.Sprintf("%s, %d shards", name, shards), func(t *testing.T) {
 				ply := newPlay(shards, 2)
 				ply.hrn.crd.cfg.Features.Reservations = true
-				ply.hrn.crd.beginSharing(ply.hrn.now)
+				ply.hrn.share()
 				for num, led := range ply.leaders {
 					led.does = does[num%len(does)]
 				}
@@ -278,62 +304,60 @@
 	}
 }
 
-// Guards against an owner that has just started and counts on all room, as it ticks before it knows leaders or learns of them one by one, and against
-// one that does so as all leaders are lost.
-func TestSharingWhileLeadersAreUnknown(t *testing.T) {
+// Guards against an owner that no longer shares room as all leaders are lost, or that shares it before any order has come back, so that the tasks of a
+// wide job wait beside idle servers.
+func TestSharingWhileLeadersAreLost(t *testing.T) {
 	chk := is.New(t)
 	hrn := newHarness()
 	cfg := hrn.crd.cfg
 	cfg.Features.Reservations = true
 	hrn.crd = NewCoordinator(cfg, hrn.now)
-	tick := func() {
+	tick := func(active bool) {
 		hrn.now = hrn.now.Add(10 * time.Millisecond)
 		hrn.record(hrn.crd.HandleTick(hrn.now))
-		chk.True(hrn.crd.sharing.active)
+		chk.Equal(hrn.crd.sharing.active, active)
 	}
-	tick()
+	tick(false)
 	kinds := map[shard.Name][]shard.ServerKind{}
 	for num := range shareShards {
 		kinds[shard.Name(fmt.Sprintf("a.%d", num))] = []shard.ServerKind{{Service: "render", Processor: 1_000_000, Memory: 1_000_000}}
 	}
 	hrn.crd.HandleServers(kinds)
 	for num := range shareShards {
-		tick()
+		tick(false)
 		hrn.record(hrn.crd.HandleLeader(Target{
 			Shard: shard.Name(fmt.Sprintf("a.%d", num)), Leader: shard.InstanceID(fmt.Sprintf("leader-%d/1", num)), Token: 1,
 		}, sameDomain))
 	}
+	hrn.share()
 	for num := range shareShards {
-		tick()
+		tick(true)
 		hrn.record(hrn.crd.HandleInstanceLost(hrn.now, shard.InstanceID(fmt.Sprintf("leader-%d/1", num))))
 	}
-	tick()
+	tick(true)
 	chk.Equal(hrn.crd.sharing.owners, shareShards)
 	hrn.crd.HandleServers(nil) // The shards are no more.
 	chk.Equal(hrn.crd.sharing.owners, 0)
 }
 
-// Guards against room that stays unused though only this owner knows of it, and against owners that start at once and all count on the same loads.
+// Guards against room that stays unused though only this owner knows of it, and against owners that all count on the same old loads.
 func TestFreshLoadsCountForMore(t *testing.T) {
-	const shared = (shareTasks + initialShares - 1) / initialShares
+	const shared = (shareTasks + shareShards - 1) / shareShards
 	for name, cse := range map[string]struct {
-		// running is the time since the owner started, age that since the load came.
-		running, age time.Duration
-		least, most  int64
+		// age is the time since the load came.
+		age         time.Duration
+		least, most int64
 	}{
-		"fresh, the owner has just started":  {startTime / 2, 0, 0, shared},
-		"fresh":                              {2 * startTime, 0, shareTasks, shareTasks},
-		"of middle age":                      {2 * startTime, freshTime / 30, 2, shareTasks - 1},
-		"as old as the others' loads":        {2 * startTime, freshTime, 0, shared},
-		"old":                                {2 * startTime, 2 * freshTime, 0, shared},
-		"from later, as the clock went back": {2 * startTime, -freshTime, shareTasks, shareTasks},
+		"fresh":                              {0, shareTasks, shareTasks},
+		"of middle age":                      {freshTime / 30, 2, shareTasks - 1},
+		"as old as the others' loads":        {freshTime, 0, shared},
+		"old":                                {2 * freshTime, 0, shared},
+		"from later, as the clock went back": {-freshTime, shareTasks, shareTasks},
 	} {
 		t.Run(name, func(t *testing.T) {
 			chk := is.New(t)
 			hrn := newSharingHarness(self)
 			crd := hrn.crd
-			crd.NoteTime(crd.sharing.begunAt.Add(cse.running))
-			crd.sharing.contention = grant.NewContention(crd.now)
 			hrn.tell("a.0", 2)
 			crd.NoteTime(crd.now.Add(cse.age))
 			hrn.now = crd.now
@@ -347,6 +371,3 @@
 		})
 	}
 }
-
-// initialShares is the number of owners that a new owner expects.
-const initialShares = 32
