Send the list of servers only where reads are limited

Whoever has the list sends it now only where the full reads of all instances take more than the store allows, or reads are limited already.

A failed try: that an instance asks for the list only once it has read the list of instances. In TestFaultsAtHundreds 14 instances instead of 12 then read the list in the first second, over the store's rate; red in one to three of its twelve cases at each run.

Red without: TestListIsSentOnlyWhereReadsAreLimited.

--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -87,7 +87,8 @@
 		dmn.sendConfiguration(now, from, *data)
 	}
 	dmn.sendServerChanges(now, from, bet.ListOffset)
-	if bet.WantsList {
+	// An instance that starts wants the list before it knows whether its own read is limited.
+	if bet.WantsList && (dmn.limited || !dmn.limit.FullReadsFit(len(dmn.elector.Peers()))) {
 		dmn.sendWholeList(now, from, bet.ListOffset)
 	}
 }
--- a/internal/process/daemon/listlimit_test.go
+++ b/internal/process/daemon/listlimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -38,6 +39,28 @@
 	}
 }
 
+// Guards against an instance of a small system that is sent the list by others when it starts: what it proves to a leader rests on a read of its own. Where
+// the reads of all take more than the store allows, others send it the list.
+func TestListIsSentOnlyWhereReadsAreLimited(t *testing.T) {
+	for name, cse := range map[string]struct{ storeBytes, sent int64 }{
+		"the store's rate is unknown": {}, "all reads fit": {storeBytes: 80_000_000}, "the reads of all are too many": {storeBytes: 500, sent: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inTestSystem(t, 1, 1, 2, func(sys *system) {
+				chk := is.NewRelaxed(t)
+				dmn := sys.instances["entry-1-1"].dmn
+				now := dmn.beginEvent()
+				dmn.limit = serverlist.NewReadLimit(serverlist.ReadLimitConfig{StoreBytes: cse.storeBytes}, now)
+				dmn.limit.HandleServers(len(dmn.entries))
+				dmn.handleHeartbeat(now, "one", mesh.Heartbeat{Domain: domainName(0), WantsList: true})
+				dmn.endEvent(now)
+				time.Sleep(100 * time.Millisecond) // The list is encoded in the background.
+				chk.Equal(dmn.cnt.listsSent.Load(), cse.sent)
+			})
+		})
+	}
+}
+
 // Guards against a list of another instance, or its size, that is used though it can't be right or is older than what is known.
 func TestBadListIsNotUsed(t *testing.T) {
 	inTestSystem(t, 1, 1, 2, func(sys *system) {
--- a/internal/version/serverlist/readlimit.go
+++ b/internal/version/serverlist/readlimit.go
@@ -332,7 +332,7 @@
 	}
 	num := max(lim.listed, sta.Heard+1)
 	full := lim.size(num).Full
-	if starting := num - sta.Knowing; int64(starting)*full <= lim.cfg.StoreBytes/readShare {
+	if lim.readsFit(num-sta.Knowing, full) {
 		return 0
 	}
 	if lim.starters == 0 {
@@ -342,6 +342,17 @@
 	return max(0, lim.listedAt.Add(slot).Sub(now))
 }
 
+// FullReadsFit reports whether all instances, of which so many others are heard, may read the whole list at once.
+func (lim *ReadLimit) FullReadsFit(heard int) bool {
+	num := max(lim.listed, heard+1)
+	return lim.cfg.StoreBytes <= 0 || lim.readsFit(num, lim.size(num).Full)
+}
+
+// readsFit reports whether so many reads of a size take no more than the share of reads in a second.
+func (lim *ReadLimit) readsFit(reads int, size int64) bool {
+	return int64(reads)*size <= lim.cfg.StoreBytes/readShare
+}
+
 // DigestPause returns how long the writer of a digest is to wait before the next one, so that all instances have read it with their share of the store's
 // rate.
 func (lim *ReadLimit) DigestPause(now time.Time, heard, bytes int) time.Duration {
