Check factors of run times where they are used, and say each rule of fit once

Factors of free servers in loads had no bounds: a negative one made each task in time on its server.

--- a/internal/request/shard/fit.go
+++ b/internal/request/shard/fit.go
@@ -6,14 +6,14 @@
 )
 
 const (
-	// inTimeMargin is by how much the logarithm of the time left must exceed that of the expected run time for a task to count as in time on a
-	// server: one standard deviation between the tasks of a step.
-	inTimeMargin = 0.15
+	// InTimeMargin is by how much the logarithm of the time left must exceed that of the expected run time for a task to count as in time on a
+	// server, to leaders and owners: one standard deviation between the tasks of a step.
+	InTimeMargin = 0.15
 	// latenessStep is the width of the classes of servers on which a task is expected to be late.
 	latenessStep = 0.1
 	// hopelessMargin is how far from in time a task may be on the fastest free server for speeds to decide.
 	hopelessMargin = -0.3
-	// waitMargin is by how much more than inTimeMargin the time left must exceed the run time on the fastest server for a task to wait for one.
+	// waitMargin is by how much more than InTimeMargin the time left must exceed the run time on the fastest server for a task to wait for one.
 	waitMargin = 0.05
 	// waitGain is ln 1.8, by how much the fastest server must be faster than the free one for that: with less to gain, a wait costs the others in the
 	// queue more than it is worth.
@@ -33,12 +33,12 @@
 	left, expected, timed := ldr.timeLeft(now, ord)
 	fastest := ldr.fastestLevel(now, ord)
 	timed = timed && left-expected-fastest >= hopelessMargin
-	waits := timed && left-expected-fastest >= inTimeMargin+waitMargin
+	waits := timed && left-expected-fastest >= InTimeMargin+waitMargin
 	var bst *freeServer
 	var bstKey [3]int
 	for idx := range rnd.free {
 		fsv := &rnd.free[idx]
-		if fsv.processor < ord.Processor || fsv.memory < ord.Memory || !fsv.srv.suits(ord) || !ldr.mayUse(fsv.srv, ord) {
+		if !ldr.canTake(fsv, ord) {
 			continue
 		}
 		key := [3]int{fsv.mismatch(ord), 0, 0}
@@ -87,10 +87,10 @@
 // lateness returns the class of a server on which a task has some slack, the logarithm of the time left over the expected run time: 0 if the task is in
 // time there.
 func lateness(slack float64) int {
-	if slack >= inTimeMargin {
+	if slack >= InTimeMargin {
 		return 0
 	}
-	return 1 + int((inTimeMargin-slack)/latenessStep)
+	return 1 + int((InTimeMargin-slack)/latenessStep)
 }
 
 func lessKey(one, two [3]int) bool {
@@ -102,13 +102,10 @@
 	return false
 }
 
-// fitsBetter reports whether the server has less free processor than another, or the same and is slower; server IDs break ties.
+// fitsBetter reports whether the server has less free processor than another, or the same and is slower.
 func (fsv *freeServer) fitsBetter(oth *freeServer) bool {
-	if fsv.processor != oth.processor {
-		return fsv.processor < oth.processor
-	}
-	if one, two := fsv.srv.spd.level.Mean(), oth.srv.spd.level.Mean(); one != two {
+	if one, two := fsv.srv.spd.level.Mean(), oth.srv.spd.level.Mean(); fsv.processor == oth.processor && one != two {
 		return one > two
 	}
-	return fsv.srv.ent.ID < oth.srv.ent.ID
+	return fsv.tighter(oth)
 }
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -242,7 +242,7 @@
 	var bstMismatch int
 	for idx := range rnd.free {
 		fsv := &rnd.free[idx]
-		if fsv.processor < ord.Processor || fsv.memory < ord.Memory || !fsv.srv.suits(ord) || !ldr.mayUse(fsv.srv, ord) {
+		if !ldr.canTake(fsv, ord) {
 			continue
 		}
 		mis := fsv.mismatch(ord)
@@ -253,6 +253,11 @@
 	return bst
 }
 
+// canTake reports whether an order may start on a server in this placement round.
+func (ldr *Leader) canTake(fsv *freeServer, ord *order) bool {
+	return fsv.processor >= ord.Processor && fsv.memory >= ord.Memory && fsv.srv.suits(ord) && ldr.mayUse(fsv.srv, ord)
+}
+
 // mismatch returns how badly the server suits an order apart from free capacity; 0 is best.
 func (fsv *freeServer) mismatch(ord *order) int {
 	mis := 0
--- a/internal/request/shard/speeds.go
+++ b/internal/request/shard/speeds.go
@@ -84,14 +84,17 @@
 	return math.Log(ord.ExpectedRunTime.Seconds()) + ldr.speeds.estimateBias, estimateVariance, false, true
 }
 
-// expectedOn returns the logarithm of an order's expected run time in seconds on a server, if known.
+// expectedOn returns the logarithm of an order's expected run time in seconds on a server, on an average one if that is nil, if known.
 func (ldr *Leader) expectedOn(srv *server, ord *order) (mean float64, known bool) {
 	if !ldr.speeds.used {
 		mean, _, known = ldr.expectedRunTime(ord)
 		return mean, known
 	}
 	mean, _, _, known = ldr.expectedAverage(nil, ord)
-	return mean + srv.spd.level.Mean(), known
+	if srv != nil {
+		mean += srv.spd.level.Mean()
+	}
+	return mean, known
 }
 
 // speedSample returns a run as evidence, and whether it is any: a further run of a step says nothing if compared with the same estimate.
@@ -226,13 +229,27 @@
 }
 
 // ServerFactor returns the lasting run time on the server of a report over that of an average server, 1 if it is not known or absurd.
-func (rep *Report) ServerFactor() float64 {
-	if rep.Factor < milli/maxFactor || rep.Factor > milli*maxFactor {
+func (rep *Report) ServerFactor() float64 { return factorFromWire(rep.Factor) }
+
+// FreeFactor returns the lasting run time on the server at an index of Free over that of an average server, 1 if it is not known or absurd.
+func (lod *Load) FreeFactor(idx int) float64 {
+	if idx >= len(lod.FreeFactors) {
 		return 1
 	}
-	return float64(rep.Factor) / milli
+	return factorFromWire(lod.FreeFactors[idx])
 }
 
+// factorFromWire returns a factor in thousandths as a number, 1 if it can't be one.
+func factorFromWire(factor int64) float64 {
+	if !validFactor(factor) {
+		return 1
+	}
+	return float64(factor) / milli
+}
+
+// validFactor reports whether a factor in thousandths can be that of a sound server.
+func validFactor(factor int64) bool { return factor >= milli/maxFactor && factor <= milli*maxFactor }
+
 // maxFactor is beyond any ratio of the speeds of sound servers.
 const maxFactor = 20
 
--- a/internal/request/shard/told.go
+++ b/internal/request/shard/told.go
@@ -68,7 +68,7 @@
 		return false
 	}
 	for _, spd := range told.Speeds {
-		if spd.Factor < milli/maxFactor || spd.Factor > milli*maxFactor {
+		if !validFactor(spd.Factor) {
 			return false
 		}
 	}
