--- a/internal/request/shard/headroom.go
+++ b/internal/request/shard/headroom.go
@@ -137,7 +137,7 @@
 	if svh.settingAside {
 		limit = endPressure
 	}
-	svh.settingAside = svh.pressure > limit && svh.usage.Share(rooms) >= minUse
+	svh.settingAside = svh.pressure > limit && svh.usage.Share(rooms) >= minUse && svh.severalPriorities()
 	open := make([]int, len(srvs))
 	if svh.settingAside {
 		open = headroom.SetAside(rooms, svh.usage.Means())
@@ -216,7 +216,7 @@
 		return false
 	}
 	res, reserved := ldr.reserved[srv.ent.ID]
-	return !reserved || res.spare.Holds(ord.room()) || ldr.expectedTime(ord) <= res.after
+	return !reserved || res.spare.Holds(ord.room()) || ldr.expectedTime(srv, ord) <= res.after
 }
 
 // reserve reserves for an urgent order that found no room the server that is expected to have some first. Later orders of the round can't take it.
--- a/internal/request/shard/headroom_test.go
+++ b/internal/request/shard/headroom_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	learn "chestnutstack/internal/request/speed"
 )
 
 // send sends an order for a task of a priority that is expected to run for a time, and returns the order.
@@ -159,16 +162,18 @@
 
 // Guards against changes where all tasks have one priority.
 func TestNoHeadroomWithOnePriority(t *testing.T) {
-	chk := is.New(t)
-	har := newHarness(t, serverEntry("s1", 2*size))
-	har.ldr.cfg.Features = Features{Headroom: true}
-	for num := range 8 {
-		har.send(0, fmt.Sprintf("j%d.0", num), time.Second)
+	for pri := range Priorities {
+		chk := is.New(t)
+		har := newHarness(t, serverEntry("s1", 2*size), serverEntry("s2", 2*size))
+		har.ldr.cfg.Features = Features{Headroom: true}
+		for num := range 12 {
+			har.send(pri, fmt.Sprintf("j%d.0", num), time.Second)
+		}
+		har.goOn(500 * time.Millisecond)
+		chk.Equal(har.ldr.ProcessorSetAside(), int64(0))
+		chk.Equal(har.ldr.ReservedServers(), 0)
+		chk.Equal(har.featureChanges(Headroom, true), 0)
 	}
-	har.goOn(500 * time.Millisecond)
-	chk.Equal(har.ldr.ProcessorSetAside(), int64(0))
-	chk.Equal(har.ldr.ReservedServers(), 0)
-	chk.Equal(har.featureChanges(Headroom, true), 0)
 }
 
 // Guards against servers of one service that are opened again as those of the next one are looked at.
@@ -228,3 +233,19 @@
 	har.advance(10 * time.Millisecond)
 	chk.Equal(har.ldr.ReservedServers(), 0) // No order waits.
 }
+
+// Guards against a server that is reserved, or a run that is stopped, by run times of an average server where servers differ in speed.
+func TestExpectedTimeOfASlowServer(t *testing.T) {
+	chk := is.New(t)
+	har := newHarness(t, serverEntry("s1", size), serverEntry("s2", size))
+	har.ldr.cfg.Features = AllFeatures()
+	har.ldr.speeds.used = true
+	slow := har.ldr.servers["s2"]
+	slow.spd.level = learn.KnownLevel(math.Log(2))
+	ord := &order{Order: Order{Step: "j", ExpectedRunTime: time.Second}}
+	chk.Equal(har.ldr.expectedTime(nil, ord).Round(time.Millisecond), time.Second)
+	chk.Equal(har.ldr.expectedTime(slow, ord).Round(time.Millisecond), 2*time.Second)
+	rn := &run{ord: ord, sentAt: har.now}
+	ord.srv = slow
+	chk.Equal(har.ldr.remainingTime(har.now, rn).Round(time.Millisecond), 2*time.Second)
+}
--- a/internal/request/shard/preempt.go
+++ b/internal/request/shard/preempt.go
@@ -11,9 +11,9 @@
 // run, and would be late with the room that comes free by itself, the run that costs callers least is stopped. Its room stays taken until the
 // server proves that the run is over; then the order waits in the queue again, with a mark, or goes back to its owner.
 
-// expectedTime returns the expected run time of an order, the mean run time if nothing else is known.
-func (ldr *Leader) expectedTime(ord *order) time.Duration {
-	mean, _, known := ldr.expectedRunTime(ord)
+// expectedTime returns the expected run time of an order on a server, the mean run time if nothing else is known.
+func (ldr *Leader) expectedTime(srv *server, ord *order) time.Duration {
+	mean, known := ldr.expectedOn(srv, ord)
 	if !known {
 		return ldr.meanRun
 	}
@@ -98,7 +98,7 @@
 		if ord.run != nil || ord.Reassigned || !ldr.mayPlace(now, ord) || !ldr.ownerHeardRecently(now, ord) || !ldr.link.Fits(ord.Payload) {
 			continue
 		}
-		if slack := ord.Due.Sub(now) - ldr.expectedTime(ord); slack >= 0 {
+		if slack := ord.Due.Sub(now) - ldr.expectedTime(nil, ord); slack >= 0 {
 			ords = append(ords, ord)
 			wts = append(wts, headroom.Waiting{Priority: priorityOf(ord), Slack: slack})
 		}
@@ -137,7 +137,7 @@
 // describe returns what is known of a run; hasSibling is set if another task of its job is known to be open.
 func (ldr *Leader) describe(now time.Time, rn *run, waits [Priorities]time.Duration, hasSibling bool) headroom.Run {
 	ord := rn.ord
-	took, expected := now.Sub(rn.sentAt), ldr.expectedTime(ord)
+	took, expected := now.Sub(rn.sentAt), ldr.expectedTime(ord.srv, ord)
 	des := headroom.Run{
 		Priority: priorityOf(ord), Left: ldr.remainingTime(now, rn), Ending: rn.state == ending,
 		WorkLost:     time.Duration(float64(took) * float64(ord.Processor) / coreMillis),
@@ -159,7 +159,7 @@
 		return max(0, ldr.preempting.stopTime-now.Sub(rn.stopAt))
 	}
 	took := now.Sub(rn.sentAt)
-	whole := ldr.expectedTime(rn.ord)
+	whole := ldr.expectedTime(rn.ord.srv, rn.ord)
 	if rn.percent >= minPercent && rn.progressAt.After(rn.sentAt) {
 		whole = rn.progressAt.Sub(rn.sentAt) * percentDone / time.Duration(rn.percent)
 	}
--- a/internal/request/shard/preempt_test.go
+++ b/internal/request/shard/preempt_test.go
@@ -112,7 +112,7 @@
 	har := newHarness(t, serverEntry("s1", 2*size))
 	har.ldr.estimateBias = 1
 	for _, estimate := range []time.Duration{-time.Hour, 0, math.MaxInt64} {
-		took := har.ldr.expectedTime(&order{Order: Order{Step: "j", ExpectedRunTime: estimate}})
+		took := har.ldr.expectedTime(nil, &order{Order: Order{Step: "j", ExpectedRunTime: estimate}})
 		chk.True(took > 0 && took <= maxExpectedTime)
 	}
 }
--- a/internal/request/submission/speeds_test.go
+++ b/internal/request/submission/speeds_test.go
@@ -97,7 +97,7 @@
 func TestRecallsFillGaps(t *testing.T) {
 	// Guards against free room that stays unused as the task that has waited longest is too large for it, and against all owners recalling tasks for the same
 	// free server. Two jobs wait in another shard; only the later one, of 10 cores, fits the 12 that are free on each of 40 servers.
-	recalls := func(owner shard.InstanceID, factors []int64) int {
+	recalls := func(owner shard.InstanceID, factors []int64, kept bool) int {
 		hrn := newHarness()
 		hrn.crd.cfg.Features, hrn.crd.cfg.Self = shard.AllFeatures(), owner
 		hrn.setLeader("b.0", true, other, 1, 0)
@@ -118,7 +118,10 @@
 		hrn.acts = nil
 		lod := shard.Load{Number: 9, ServiceRate: 1_000_000, FreeFactors: factors, LinkWindow: 1 << 20}
 		for range 40 {
-			lod.Free = append(lod.Free, 12000)
+			lod.Free, lod.FreeMemory = append(lod.Free, 12000), append(lod.FreeMemory, 1000)
+		}
+		if kept {
+			lod.KeepAll(0)
 		}
 		hrn.record(hrn.crd.HandleLoad("a.0", lod))
 		num := 0
@@ -132,12 +135,15 @@
 	chk := is.NewRelaxed(t)
 	sum := 0
 	for num := range 20 {
-		got := recalls(shard.InstanceID(fmt.Sprintf("owner-%d/1", num)), []int64{1000})
+		got := recalls(shard.InstanceID(fmt.Sprintf("owner-%d/1", num)), []int64{1000}, false)
 		chk.True(got < 40/2)
 		sum += got
 	}
 	chk.True(sum > 20*40/4/2 && sum < 20*40/4*2) // Of four shards.
-	chk.Equal(recalls("owner/1", nil), 0)        // Where speeds are not used, as before.
+	chk.Equal(recalls("owner/1", nil, false), 0) // Where speeds are not used, as before.
+	for num := range 20 {
+		chk.Equal(recalls(shard.InstanceID(fmt.Sprintf("owner-%d/1", num)), []int64{1000}, true), 0) // The room is kept for others.
+	}
 }
 
 func TestRecallPassesOverLateTasks(t *testing.T) {
