Don't put a leader's read of the list off again with each request

After a start of many instances each takeover asks for a read of the list, and each request moved the time from which the read is put off. It counts from the first request now. Where reads are not limited nothing changes. There is no test of the loop that keeps the time; found by reading.

--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"time"
@@ -45,7 +46,7 @@
 		case <-time.After(pause):
 		case <-dmn.listGapNoted:
 		case <-dmn.listReadRequested:
-			asked = dmn.now()
+			asked = cmp.Or(asked, dmn.now()) // Later requests don't put the read off again.
 		}
 	}
 	return nil
