--- a/internal/process/daemon/listlimit_test.go
+++ b/internal/process/daemon/listlimit_test.go
@@ -61,6 +61,32 @@
 	}
 }
 
+// Guards against a read for which a leader waits that each further request puts off again: after a start of many, takeovers ask every few milliseconds.
+func TestAskedReadComesDespiteFurtherRequests(t *testing.T) {
+	inTestSystem(t, 1, 2, 2, func(sys *system) {
+		chk := is.NewRelaxed(t)
+		for _, prc := range sys.instances {
+			dmn := prc.dmn
+			now := dmn.beginEvent()
+			dmn.limit = serverlist.NewReadLimit(serverlist.ReadLimitConfig{StoreBytes: 2000, DigestTimeout: time.Hour}, now)
+			dmn.limit.SetPosition(0.9)
+			dmn.endEvent(now)
+		}
+		began := time.Now()
+		for time.Since(began) < 9*time.Second { // From 10 s after a start on a read that is asked for comes at once.
+			for _, prc := range sys.instances {
+				prc.dmn.requestListRead()
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		for _, prc := range sys.instances {
+			prc.dmn.mu.Lock()
+			chk.True(prc.dmn.listReadAt.After(began.Add(time.Second)))
+			prc.dmn.mu.Unlock()
+		}
+	})
+}
+
 // Guards against a list of another instance, or its size, that is used though it can't be right or is older than what is known.
 func TestBadListIsNotUsed(t *testing.T) {
 	inTestSystem(t, 1, 1, 2, func(sys *system) {
