Log on what evidence a run is counted as over, and what each lease was reckoned from

Now each start tells its lease, the reading of the server's clock, its age and incarnation, and the clock in the answer; `look failed` tells the lease that the call would have extended. `run is over` tells why a run counts as over (lapsed, not listed, lease over, former incarnation, replaced), and `run has outlived its lease` that a server lists a run after the last end that this leader has sent: another token has extended it, or the server counts from another time. Each is counted. The end `lapsed` is told from `stopped`, and handled as before.

--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -106,6 +106,10 @@
 		case shard.NoteIncarnation:
 			dmn.log.Info().Str("server", string(act.Server)).Str("shard", string(name)).Int64("known-incarnation", int64(act.Known)).
 				Int64("incarnation", int64(act.Told)).Int("runs-carried", act.Carried).Msg(act.Reason)
+		case shard.NoteRunOver:
+			dmn.logRunOver(name, &act)
+		case shard.NoteOutlivedLease:
+			dmn.logOutlivedLease(name, &act)
 		case shard.FeatureChange:
 			dmn.logFeatureChange(name, &act)
 		case shard.NotePreemption:
@@ -167,11 +171,12 @@
 	defer dmn.endEvent(now)
 	dmn.cnt.countStart(clr, now.Sub(sent))
 	dmn.uplink.HandleStartResult(act.Payload, now.Sub(sent), clr)
-	dmn.log.Info().Err(err).Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server.ID)).
+	lin := dmn.log.Info().Err(err).Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server.ID)).
 		Int64("token", act.Token).Dur("took", now.Sub(sent)).Stringer("verdict", clr).
 		Int64("processor-used", act.UsedProcessor).Int64("processor-room", act.Server.Processor).
 		Int64("memory-used", act.UsedMemory).Int64("memory-room", act.Server.Memory).
-		Int64("list-offset", lst.offset).Dur("list-age", lst.age).Msg("start")
+		Int64("list-offset", lst.offset).Dur("list-age", lst.age).Dur("clock-answered", clk)
+	leaseFields(lin, act.Lease).Msg("start")
 	if ldr := dmn.leaderWithToken(name, act.Token); ldr != nil {
 		dmn.runLeaderActions(name, ldr.HandleStartResult(now, act.Server.ID, act.Run, clr, clk))
 	}
@@ -209,7 +214,8 @@
 	defer dmn.endEvent(now)
 	dmn.cnt.renewals.Add(1)
 	if clr != shard.Accepted {
-		dmn.log.Warn().Err(err).Str("server", string(act.Server.ID)).Stringer("verdict", clr).Msg("look failed")
+		dmn.log.Warn().Err(err).Str("server", string(act.Server.ID)).Int64("token", act.Token).Stringer("verdict", clr).
+			Dur("lease-until", act.LeaseUntil).Dur("took", now.Sub(sent)).Msg("look failed")
 	}
 	if ldr := dmn.leaderWithToken(name, act.Token); ldr != nil {
 		dmn.runLeaderActions(name, ldr.HandleRenewResult(now, sent, act, res, clr))
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -62,6 +62,7 @@
 	startTimes, answerTimes histogram
 	urgent                  urgentCounters
 	claims                  claimCounters
+	leases                  leaseCounters
 	traffic                 traffic
 }
 
@@ -139,16 +140,7 @@
 		line("late-batches", cnt.lateBatches.Load())
 		line("held-up", cnt.pauses.Load())
 		line("log-lines-dropped", cnt.logsDropped.Load())
-		for clr := range cnt.starts {
-			line("starts-"+shard.CallResult(clr).String(), cnt.starts[clr].Load())
-		}
-		line("orders", cnt.orders.Load())
-		line("recalls", cnt.recalls.Load())
-		line("reassignments", cnt.reassignments.Load())
-		line("returns", cnt.returns[shard.NoReason].Load()) // By leaders that tell no reason.
-		for rsn := shard.NoReason + 1; rsn < shard.ReturnReasons; rsn++ {
-			line("returns-"+rsn.String(), cnt.returns[rsn].Load())
-		}
+		cnt.writeOrders(line)
 		line("servers-put-off", cnt.quarantines.Load())
 		line("waits-for-a-faster-server", cnt.waitsForSpeed.Load())
 		line("server-speeds-refused", cnt.speedsRefused.Load())
@@ -157,6 +149,7 @@
 		line("server-run-time-most-thousandths", cnt.mostFactor.Load())
 		line("routes-with-corrected-estimates", cnt.correctedRoutes.Load())
 		cnt.claims.write(line)
+		cnt.leases.write(line)
 		for res := range cnt.answers {
 			line("answers-"+submission.Result(res).String(), cnt.answers[res].Load())
 		}
@@ -173,6 +166,20 @@
 	})
 }
 
+// writeOrders passes the counters of starts, and of orders and their returns, to line.
+func (cnt *counters) writeOrders(line func(string, int64)) {
+	for clr := range cnt.starts {
+		line("starts-"+shard.CallResult(clr).String(), cnt.starts[clr].Load())
+	}
+	line("orders", cnt.orders.Load())
+	line("recalls", cnt.recalls.Load())
+	line("reassignments", cnt.reassignments.Load())
+	line("returns", cnt.returns[shard.NoReason].Load()) // By leaders that tell no reason.
+	for rsn := shard.NoReason + 1; rsn < shard.ReturnReasons; rsn++ {
+		line("returns-"+rsn.String(), cnt.returns[rsn].Load())
+	}
+}
+
 // write passes the count of each bucket and the total in microseconds to line.
 func (hst *histogram) write(name string, line func(string, int64)) {
 	for idx := range hst.buckets {
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -6,7 +6,7 @@
 type Name string
 
 // Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, ReadList, QuarantineServer, NoteReturn,
-// NoteIncarnation, NotePreemption, FeatureChange or SendReport.
+// NoteIncarnation, NoteRunOver, NoteOutlivedLease, NotePreemption, FeatureChange or SendReport.
 type Action interface{ action() }
 
 // StartRun asks a backend server to start a run; its result goes to Uplink.HandleStartResult, then to Leader.HandleStartResult.
@@ -17,6 +17,8 @@
 	Token   int64
 	// LeaseUntil is the end of the lease on the server's clock.
 	LeaseUntil time.Duration
+	// Lease is what the leader went by.
+	Lease LeaseState
 	// UsedProcessor and UsedMemory are what counts as in use on the server with this run, in thousandths of a core and in MB.
 	UsedProcessor, UsedMemory int64
 	// Priority is that of the task, Waited how long its order has waited here.
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -75,7 +75,7 @@
 		ord.runNumber += runNumberJump
 		ord.Avoid = append(ord.Avoid, srv.ent.ID)
 	}
-	ldr.requeue(now, srv, rn)
+	ldr.dropRun(now, srv, rn)
 }
 
 const (
@@ -198,7 +198,9 @@
 	case EndedFailed:
 		ldr.noteFailure(now, srv, ord.submission())
 	case EndedStopped:
-		// A stop or an expired lease says nothing about the server.
+		// A stop says nothing about the server.
+	case EndedLapsed:
+		ldr.noteOver(now, srv, rn, ListedAsLapsed) // Nor does an expired lease.
 	}
 	switch {
 	case ord.cancelled:
@@ -219,7 +221,13 @@
 }
 
 // requeue queues the order of a run again that is proven to be over without a listed end.
-func (ldr *Leader) requeue(now time.Time, srv *server, rn *run) {
+func (ldr *Leader) requeue(now time.Time, srv *server, rn *run, evd Evidence) {
+	ldr.noteOver(now, srv, rn, evd)
+	ldr.dropRun(now, srv, rn)
+}
+
+// dropRun drops a run that is over, or was refused, and queues its order again.
+func (ldr *Leader) dropRun(now time.Time, srv *server, rn *run) {
 	srv.drop(rn)
 	ldr.noteStopped(now, rn)
 	ord := rn.ord
@@ -246,11 +254,12 @@
 			continue // Its order went back at an earlier call.
 		}
 		if ord != nil && !ord.cancelled && !ord.Reassigned {
+			ldr.noteOver(now, srv, rn, LeaseOver)
 			srv.drop(rn)
 			ord.run, ord.srv = nil, nil
 			ldr.returnOrder(ord, LeaseExpired)
 		} else {
-			ldr.requeue(now, srv, rn)
+			ldr.requeue(now, srv, rn, LeaseOver)
 		}
 		if !mayStart {
 			continue
@@ -266,7 +275,7 @@
 // dropReplaced drops a server whose address another server has: all its runs are over.
 func (ldr *Leader) dropReplaced(now time.Time, srv *server) {
 	for _, rn := range srv.runList {
-		ldr.requeue(now, srv, rn)
+		ldr.requeue(now, srv, rn, ServerReplaced)
 	}
 	ldr.removeServer(srv)
 }
--- a/internal/request/shard/incarnation.go
+++ b/internal/request/shard/incarnation.go
@@ -74,7 +74,7 @@
 		case ans.listsEnd(rn.id):
 			srv.add(rn)
 		case rn.endedWithFormer(sent) && !ans.listsRunning(rn.id):
-			ldr.requeue(now, old, rn)
+			ldr.requeue(now, old, rn, FormerIncarnation)
 		default:
 			rn.state, rn.timeHandled = ending, true
 			rn.stopAt, rn.stopDue, rn.stopAcceptedAt, rn.stopInProgress = now, now, time.Time{}, false
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -188,12 +188,12 @@
 
 // sendStart sends the start of a run, with a new lease.
 func (ldr *Leader) sendStart(now time.Time, srv *server, rn *run) {
-	srv.renewedAt = now
+	until := srv.extendLease(now, ldr.cfg.Lease)
 	rn.incarnation, rn.clock = srv.incarnation, srv.clock
 	ldr.link.noteStart(rn.ord.Payload)
 	ldr.emit(StartRun{
 		Server: srv.ent, Run: rn.id, Payload: rn.ord.Payload, Token: ldr.token,
-		LeaseUntil: srv.leaseUntil(now, ldr.cfg.Lease), UsedProcessor: srv.usedProcessor, UsedMemory: srv.usedMemory,
+		LeaseUntil: until, Lease: srv.leaseState(now), UsedProcessor: srv.usedProcessor, UsedMemory: srv.usedMemory,
 		Priority: priorityOf(rn.ord), Waited: rn.sentAt.Sub(rn.ord.receivedAt),
 	})
 }
--- a/internal/request/shard/renew.go
+++ b/internal/request/shard/renew.go
@@ -47,8 +47,7 @@
 			act.WaitForEnd = ldr.renewWait(now, srv)
 		}
 		if !srv.idle() && !srv.hasOverdueStop(now, ldr.cfg.StopTimeout) {
-			act.LeaseUntil = srv.leaseUntil(now, ldr.cfg.Lease)
-			srv.renewedAt = now
+			act.LeaseUntil = srv.extendLease(now, ldr.cfg.Lease)
 		}
 	}
 	if srv.delayNext && !srv.proofPending {
@@ -164,7 +163,7 @@
 		if listed[rn.id] || !rn.provenGone(sent) {
 			continue
 		}
-		ldr.requeue(now, srv, rn)
+		ldr.requeue(now, srv, rn, NotListed)
 	}
 	if first || ldr.que.anyReassigned() {
 		ldr.adoptWaiting(now)
@@ -194,6 +193,7 @@
 	if rn.state == starting {
 		ldr.noteAccepted(now, srv, rn)
 	}
+	ldr.noteOutlived(now, srv, rn)
 	if prg.Percent > rn.percent {
 		rn.percent, rn.progressAt = prg.Percent, now
 	}
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -43,6 +43,8 @@
 	clockAt time.Time
 	// renewedAt is when the last call was sent that may extend the leases of the server's runs.
 	renewedAt time.Time
+	// leaseEnd is the latest end of a lease that was sent to the incarnation, on its clock; 0 if none was.
+	leaseEnd time.Duration
 	// renewing is set while the latest renewal, whose number is renewals, is in progress; renewAt is when it was sent or the next is due.
 	renewing bool
 	renewals int64
@@ -92,6 +94,8 @@
 	// timeHandled is set once the run time was used as evidence of its server's speed, or if it can't be used. spansPause is set if the
 	// leader was paused during the run: its time, as seen here, also stays out of the mean run time.
 	timeHandled, spansPause bool
+	// outlived is set once the run was seen to outlive the leases that this leader has sent.
+	outlived bool
 }
 
 type runState int
@@ -215,6 +219,13 @@
 	return srv.clock + time.Duration(float64(now.Sub(srv.clockAt))/clockSkew) + lease
 }
 
+// extendLease records that a call which extends the leases is sent now, and returns the end to send.
+func (srv *server) extendLease(now time.Time, lease time.Duration) time.Duration {
+	until := srv.leaseUntil(now, lease)
+	srv.renewedAt, srv.leaseEnd = now, max(srv.leaseEnd, until)
+	return until
+}
+
 // takeAck returns the sequence number to acknowledge with the next renewal. If that is lost, or none is due now, the server lists the ends
 // again. With runs on the server, ends of an answer that is not fresh are left to the next one: those of a new incarnation may have the same
 // numbers, and would be forgotten unread.
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -30,8 +30,10 @@
 	EndedDone EndKind = iota
 	// EndedFailed means that the run failed, through its own fault or the backend server's.
 	EndedFailed
-	// EndedStopped means that the run was stopped or its lease expired; it does not count as an attempt.
+	// EndedStopped means that the run was stopped; it does not count as an attempt.
 	EndedStopped
+	// EndedLapsed means that its lease expired; it does not count as an attempt.
+	EndedLapsed
 )
 
 // Progress is a run that a backend server lists as running, and how much of it is done.
