Extend no lease of a run that no owner has claimed

Callers may have seen a task run twice: a new leader lists a run whose owner does not know it yet, sends a stop that gets no answer, and extends the lease of all that is on the server until the stop is overdue (100 ms). The former leader, which was succeeded without knowing it and has lost the server, returns the order 672 ms after its own last extension; the run lives until 662 ms after the new leader's.

Cause: the expiry of a lease is evidence only as long as nobody else extends it. The new leader knew that no order asks for the run, and extended it nevertheless, as a lease is the server's and not the run's.

A server is not extended any more while it has an unclaimed run whose stop it has not accepted. Claimed runs beside it keep what they have for the time of a stop, some milliseconds; if stops stay without an answer they lapse, as they did before after 100 ms. A run that is claimed may be extended: its owner follows the new leader and takes no word of the former one.

--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -114,7 +114,7 @@
 	AdoptWait time.Duration
 	// StopRetryDelay is the delay before a stop without an answer is repeated.
 	StopRetryDelay time.Duration
-	// StopTimeout is how long a stop may stay without an answer before the server's leases are no longer renewed.
+	// StopTimeout is how long a stop of a run that an order asked for may stay without an answer before the server's leases are no longer renewed.
 	StopTimeout time.Duration
 	// OrphanExpiry is the least time for which an orphaned task that was not found may still run; Order.MayRunFor may extend it.
 	OrphanExpiry time.Duration
--- a/internal/request/shard/renew.go
+++ b/internal/request/shard/renew.go
@@ -32,7 +32,7 @@
 	return srv.confirmedAt.Sub(rn.progressAt) > ldr.cfg.StallTimeout-ldr.cfg.RenewWait
 }
 
-// renew sends a renewal. It extends leases only after the takeover, on a confirmed server without an overdue stop.
+// renew sends a renewal. It extends leases only after the takeover, on a confirmed server whose runs are all to go on or to end soon.
 func (ldr *Leader) renew(now time.Time, srv *server) {
 	act := Renew{Server: srv.ent, Token: ldr.token, AckedSeq: srv.takeAck(now)}
 	if srv.state == confirmed && ldr.takeoverComplete {
@@ -46,7 +46,7 @@
 		case srv.missed == 0:
 			act.WaitForEnd = ldr.renewWait(now, srv)
 		}
-		if !srv.idle() && !srv.hasOverdueStop(now, ldr.cfg.StopTimeout) {
+		if !srv.idle() && srv.mayExtendLeases(now, ldr.cfg.StopTimeout) {
 			act.LeaseUntil = srv.extendLease(now, ldr.cfg.Lease)
 		}
 	}
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -259,15 +259,20 @@
 	return false
 }
 
-// hasOverdueStop reports whether a run has waited longer than timeout for a stop to be accepted. Renewing the server's leases would keep
-// that run alive past the time at which its caller submits the job again.
-func (srv *server) hasOverdueStop(now time.Time, timeout time.Duration) bool {
+// mayExtendLeases reports whether a renewal may extend the server's leases, which it does for all runs alike. It would keep a run whose stop is not
+// accepted within timeout alive past the time at which its caller submits the job again. An unclaimed run, which no order asks for, may belong to a former
+// leader that goes by its own last extension, so its lease is not extended at all.
+func (srv *server) mayExtendLeases(now time.Time, timeout time.Duration) bool {
 	for _, rn := range srv.runList {
-		if rn.state == ending && rn.stopAcceptedAt.IsZero() && !rn.stopAt.IsZero() && now.Sub(rn.stopAt) > timeout {
-			return true
+		switch {
+		case !rn.stopAcceptedAt.IsZero():
+		case rn.ord == nil:
+			return false
+		case rn.state == ending && !rn.stopAt.IsZero() && now.Sub(rn.stopAt) > timeout:
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 const (
