Wait for the longest lease where a run may be in an unknown incarnation

Callers may have seen a task run twice, wherever backend servers keep their ID when they start again. A start reaches an incarnation that the leader doesn't know; its lease was meant for the former clock, is far ahead on the new one, and is cut to the longest that a server grants (1 s). If the server then can't be reached, the leader returned the order 672 ms after its last extension, and the owner had the task started elsewhere beside a run that lives for 1,050 to 1,070 ms.

Cause: the expiry was always reckoned from the lease that was meant. That a lease is the one meant is known only of a run that the known incarnation has carried out: one that it lists, or whose start it has answered by a clock that went on since the last reading. (A clock that went back was noticed, and the run stopped, but its order was returned after 672 ms as well.)

Now a run that is not confirmed so, on a server that tells incarnations, is over when the longest lease has ended by any clock, counted from when the last call that may extend it was given up. Until then its order stays. The same holds for the runs of an incarnation that had begun when such a call may have reached it, as a lease is the server's and not the run's. Servers that have another ID when they start again, and confirmed runs, keep the 672 ms: a cut of a server alone makes nothing wait longer.

Evidence: TestStartInAnUnseenIncarnation, red in five of its seven cases before, with the order returned 672 to 680 ms after the last extension.

Left: a call that is carried out seconds later by a new incarnation, before that has accepted the stop; and a new leader doesn't know of a foreign lease that its predecessor has caused within the last second.

--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -160,5 +160,11 @@
 	return time.Duration(float64(cfg.Lease)*clockSkew) + expiryMargin
 }
 
+// LongestExpiry is like Expiry for a lease that was meant for the clock of another incarnation. It counts from when the call may last have been carried out,
+// as the server cuts such a lease to the longest that it grants.
+func (cfg Config) LongestExpiry() time.Duration {
+	return time.Duration(float64(cfg.LongestLease)*clockSkew) + expiryMargin
+}
+
 // expiryMargin covers a renewal's way to the server and the kill there (50 ms, from the platform's documentation).
 const expiryMargin = 60 * time.Millisecond
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -12,8 +12,15 @@
 			ldr.advance(now, srv)
 			return ldr.takeActions()
 		}
+		rn.confirmed = rn.confirmed || clock >= rn.leastClock
 		srv.setClock(now, clock)
 	}
+	if res == Unknown && srv != nil {
+		srv.extensionLostAt = now
+		if rn != nil && !sameIncarnation {
+			srv.foreignLeaseAt = now
+		}
+	}
 	if sameIncarnation || srv != nil && rn == nil {
 		ldr.noteAnswer(srv, res)
 	}
@@ -248,6 +255,9 @@
 // that was extended it would run the late start beside the order's next run.
 func (ldr *Leader) expireLeases(now time.Time, srv *server) {
 	for _, rn := range srv.runList {
+		if now.Before(ldr.leaseOverAt(srv, rn)) {
+			continue
+		}
 		ord := rn.ord
 		mayStart := rn.acceptedAt.IsZero() && rn.stopAcceptedAt.IsZero()
 		if mayStart && ord == nil {
--- a/internal/request/shard/incarnation.go
+++ b/internal/request/shard/incarnation.go
@@ -47,7 +47,7 @@
 	}
 	srv = ldr.beginIncarnation(now, sent, srv, ans)
 	if act.LeaseUntil > 0 {
-		srv.noStartsUntil = now.Add(ldr.cfg.LongestLease)
+		srv.noteForeignLease(now, ldr.cfg)
 	}
 	ldr.requestConfirmations(now, now)
 	return srv, Accepted
@@ -63,7 +63,10 @@
 	srv.incarnation, srv.unlisted, srv.unreadable = ans.Incarnation, old.unlisted, old.unreadable
 	// Answers to earlier renewals are told from those to the next ones by the number.
 	srv.renewals = old.renewals
-	srv.renewedAt, srv.noStartsUntil = old.renewedAt, old.noStartsUntil
+	srv.renewedAt, srv.extensionLostAt, srv.noStartsUntil = old.renewedAt, old.extensionLostAt, old.noStartsUntil
+	if last := old.lastExtension(); !last.IsZero() && last.After(now.Add(-time.Duration(float64(ans.Clock)*clockSkew))) {
+		srv.foreignLeaseAt = last // The incarnation had begun by then, and may have carried the call out.
+	}
 	srv.addedAt = now
 	if old.addedAt.IsZero() {
 		ldr.added++
@@ -76,7 +79,7 @@
 		case rn.endedWithFormer(sent) && !ans.listsRunning(rn.id):
 			ldr.requeue(now, old, rn, FormerIncarnation)
 		default:
-			rn.state, rn.timeHandled = ending, true
+			rn.state, rn.timeHandled, rn.confirmed = ending, true, false
 			rn.stopAt, rn.stopDue, rn.stopAcceptedAt, rn.stopInProgress = now, now, time.Time{}, false
 			srv.add(rn)
 		}
@@ -107,7 +110,32 @@
 	ldr.emit(NoteIncarnation{
 		Server: srv.ent.ID, Known: srv.incarnation, Reason: "the clock in the answer to a start went back: a new incarnation has answered",
 	})
-	srv.noStartsUntil = now.Add(ldr.cfg.LongestLease)
+	srv.noteForeignLease(now, ldr.cfg)
 	ldr.callAgain(now, srv)
 	ldr.stopRun(now, srv, rn)
 }
+
+// noteForeignLease records that the server has taken a lease by now that was meant for another incarnation.
+func (srv *server) noteForeignLease(now time.Time, cfg Config) {
+	srv.foreignLeaseAt, srv.noStartsUntil = now, now.Add(cfg.LongestLease)
+}
+
+// lastExtension returns when a call that extends the leases may last have been carried out.
+func (srv *server) lastExtension() time.Time { return laterOf(srv.renewedAt, srv.extensionLostAt) }
+
+// leaseOverAt returns when the lease of a run has ended by any clock, and the run is over, if only this leader extends it. Where servers start again under their
+// IDs, one that was not confirmed may be in an incarnation that this leader doesn't know.
+func (ldr *Leader) leaseOverAt(srv *server, rn *run) time.Time {
+	foreign := srv.foreignLeaseAt
+	if srv.incarnation != 0 && !rn.confirmed {
+		foreign = srv.lastExtension()
+	}
+	return laterOf(srv.renewedAt.Add(ldr.cfg.Expiry()), foreign.Add(ldr.cfg.LongestExpiry()))
+}
+
+func laterOf(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -178,8 +178,10 @@
 	if !srv.unlisted || srv.state == confirmed || srv.state == claiming && now.Sub(ldr.takeoverAt) < ldr.cfg.OrphanExpiry {
 		return
 	}
-	if len(srv.runs) > 0 && now.Before(srv.renewedAt.Add(ldr.cfg.Expiry())) {
-		return
+	for _, rn := range srv.runList {
+		if now.Before(ldr.leaseOverAt(srv, rn)) {
+			return
+		}
 	}
 	ldr.expireLeases(now, srv)
 	ldr.unansweredStarts[srv.ent.ID] = append(ldr.unansweredStarts[srv.ent.ID], srv.runList...)
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -189,7 +189,7 @@
 // sendStart sends the start of a run, with a new lease.
 func (ldr *Leader) sendStart(now time.Time, srv *server, rn *run) {
 	until := srv.extendLease(now, ldr.cfg.Lease)
-	rn.incarnation, rn.clock = srv.incarnation, srv.clock
+	rn.incarnation, rn.clock, rn.leastClock = srv.incarnation, srv.clock, srv.leaseUntil(now, 0).Truncate(time.Millisecond)
 	ldr.link.noteStart(rn.ord.Payload)
 	ldr.emit(StartRun{
 		Server: srv.ent, Run: rn.id, Payload: rn.ord.Payload, Token: ldr.token,
--- a/internal/request/shard/renew.go
+++ b/internal/request/shard/renew.go
@@ -12,7 +12,7 @@
 			ldr.restartElsewhere(now, srv, rn)
 		}
 	}
-	if srv.state != confirmed && len(srv.runs) > 0 && !now.Before(srv.renewedAt.Add(ldr.cfg.Expiry())) {
+	if srv.state != confirmed {
 		ldr.expireLeases(now, srv)
 	}
 	// Before the takeover is complete, a confirmed server is not called again: without a lease to extend, the call returns at once and
@@ -84,6 +84,9 @@
 	if res == Accepted {
 		srv, res = ldr.checkIncarnation(now, sent, srv, act, &ans)
 	}
+	if res == Unknown && act.LeaseUntil > 0 {
+		srv.extensionLostAt = now
+	}
 	if act.Number != srv.renewals {
 		// A newer renewal was sent meanwhile. Only that one schedules the next, or the number of renewals would grow.
 		if res == Accepted {
@@ -186,13 +189,16 @@
 func (ldr *Leader) noteProgress(now time.Time, srv *server, prg Progress) {
 	rn := srv.runs[prg.Run]
 	if rn == nil {
-		rn = &run{id: prg.Run, state: running, acceptedAt: now, sentAt: now, progressAt: now, percent: prg.Percent}
+		rn = &run{
+			id: prg.Run, state: running, incarnation: srv.incarnation, confirmed: true, acceptedAt: now, sentAt: now, progressAt: now, percent: prg.Percent,
+		}
 		srv.add(rn)
 		return
 	}
 	if rn.state == starting {
 		ldr.noteAccepted(now, srv, rn)
 	}
+	rn.confirmed = rn.confirmed || rn.incarnation == srv.incarnation
 	ldr.noteOutlived(now, srv, rn)
 	if prg.Percent > rn.percent {
 		rn.percent, rn.progressAt = prg.Percent, now
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -36,13 +36,16 @@
 	// handledSeq is the highest sequence number of an end that was handled. ackDue is the highest one in the last answer: each is
 	// acknowledged once, as a later incarnation would take the number for its own and forget ends that nobody has read.
 	handledSeq, ackDue int64
-	// noStartsUntil is when leases have ended that the incarnation took from calls meant for the one before it, whose clock was ahead.
-	noStartsUntil time.Time
+	// foreignLeaseAt is when the incarnation may last have taken a lease that was meant for the one before it, whose clock was ahead; zero if it has not.
+	// noStartsUntil is when such leases have ended that it is known to have taken.
+	foreignLeaseAt, noStartsUntil time.Time
 	// clock is the server's clock as read at clockAt.
 	clock   time.Duration
 	clockAt time.Time
 	// renewedAt is when the last call was sent that may extend the leases of the server's runs.
 	renewedAt time.Time
+	// extensionLostAt is when the last such call was given up without an answer: until then it may have been carried out.
+	extensionLostAt time.Time
 	// leaseEnd is the latest end of a lease that was sent to the incarnation, on its clock; 0 if none was.
 	leaseEnd time.Duration
 	// renewing is set while the latest renewal, whose number is renewals, is in progress; renewAt is when it was sent or the next is due.
@@ -72,9 +75,12 @@
 type run struct {
 	id    RunID
 	state runState
-	// incarnation is the server's one that the start was sent to, clock the last reading of its clock before.
-	incarnation Incarnation
-	clock       time.Duration
+	// incarnation is the server's one that the start was sent to, clock the last reading of its clock before, and leastClock what its clock showed at
+	// least when the start was sent.
+	incarnation       Incarnation
+	clock, leastClock time.Duration
+	// confirmed is set once it is known that the incarnation which the start was sent to has carried it out, so that its lease ends by that clock.
+	confirmed bool
 	// ord is nil for an unclaimed run, whose size is not known.
 	ord    *order
 	sentAt time.Time
