Keep an instance's clock steady while its process is paused

Callers may have seen a task run twice at once: an instance's clock, which dates each lease, goes back, and forward again up to a second later.

Cause: the clock adds the time of suspensions, the difference of two clocks of the kernel that were read one after the other. A process that is paused between the two readings, as one that gets no processor time, takes the pause for a negative suspension until the next reading, a second later. What was dated in that second is wrong by the pause. A leader waits for a lease too short by it, or has a server's clock ahead by it and sends a lease that lasts longer than it waits; and an answer may seem to be newer than the start that it lacks.

Class: a time that is put together from two readings, used as if both were taken at once.

Now the monotonic clock is read before and after, so that the suspension is known in between two bounds.

Failed try: a test that slept under the daemon's lock, which stops virtual time.

--- a/internal/process/daemon/clock.go
+++ b/internal/process/daemon/clock.go
@@ -15,14 +15,14 @@
 // time of day.
 type clock struct {
 	// read returns the time of day and the monotonic time since the clock was made; suspendedSinceBoot returns for how long the machine
-	// was suspended since it booted.
+	// was suspended since it booted, at least and at most.
 	read               func() (day time.Time, ran time.Duration)
-	suspendedSinceBoot func() time.Duration
+	suspendedSinceBoot func() (least, most time.Duration)
 	start              time.Time
-	// suspendedAtStart is the result of suspendedSinceBoot when the clock was made.
+	// suspendedAtStart is the most that suspendedSinceBoot returned when the clock was made.
 	suspendedAtStart time.Duration
-	// At the last call of suspendedSinceBoot, at kernelReadAt of the monotonic clock, divergence is how much further the time of day had
-	// moved than that clock, and suspendedFor the suspension since the start; all in nanoseconds.
+	// suspendedFor is the suspension since the start, which only grows. At the last call of suspendedSinceBoot whose result was exact, at kernelReadAt
+	// of the monotonic clock, divergence is how much further the time of day had moved than that clock; all in nanoseconds.
 	divergence, suspendedFor, kernelReadAt atomic.Int64
 }
 
@@ -32,13 +32,14 @@
 	return newClockFrom(func() (time.Time, time.Duration) {
 		tim := time.Now()
 		return tim.Round(0), tim.Sub(began)
-	}, suspension)
+	}, func() (time.Duration, time.Duration) { return suspension(gettime) })
 }
 
 // newClockFrom returns a clock that reads the given sources; they are described at the fields of the same names.
-func newClockFrom(read func() (time.Time, time.Duration), suspendedSinceBoot func() time.Duration) *clock {
+func newClockFrom(read func() (time.Time, time.Duration), suspendedSinceBoot func() (least, most time.Duration)) *clock {
 	day, ran := read()
-	clk := &clock{read: read, suspendedSinceBoot: suspendedSinceBoot, start: day.Add(-ran), suspendedAtStart: suspendedSinceBoot()}
+	clk := &clock{read: read, suspendedSinceBoot: suspendedSinceBoot, start: day.Add(-ran)}
+	_, clk.suspendedAtStart = suspendedSinceBoot()
 	clk.kernelReadAt.Store(int64(ran))
 	return clk
 }
@@ -65,15 +66,35 @@
 	divergence := day.Sub(clk.start) - ran
 	change := divergence - time.Duration(clk.divergence.Load())
 	if change.Abs() > maxDivergence || ran-time.Duration(clk.kernelReadAt.Load()) > kernelReadInterval {
-		clk.suspendedFor.Store(int64(clk.suspendedSinceBoot() - clk.suspendedAtStart))
-		clk.divergence.Store(int64(divergence))
-		clk.kernelReadAt.Store(int64(ran))
+		least, most := clk.suspendedSinceBoot()
+		clk.raiseSuspension(least - clk.suspendedAtStart)
+		if most-least <= maxDivergence { // Else the next reading asks again.
+			clk.divergence.Store(int64(divergence))
+			clk.kernelReadAt.Store(int64(ran))
+		}
 	}
 	return time.Duration(clk.suspendedFor.Load())
 }
 
-// suspension returns for how long the machine was suspended since it booted.
-func suspension() time.Duration { return gettime(unix.CLOCK_BOOTTIME) - gettime(unix.CLOCK_MONOTONIC) }
+// raiseSuspension sets the suspension since the start, if it is longer than what is known. The least that it may be is used, as times that were taken
+// before and after a reading that is too long can't be compared.
+func (clk *clock) raiseSuspension(sus time.Duration) {
+	for {
+		known := clk.suspendedFor.Load()
+		if int64(sus) <= known || clk.suspendedFor.CompareAndSwap(known, int64(sus)) {
+			return
+		}
+	}
+}
+
+// suspension returns for how long the machine was suspended since it booted, at least and at most: the process may be paused between two readings of
+// the kernel's clocks.
+func suspension(gettime func(id int32) time.Duration) (least, most time.Duration) {
+	before := gettime(unix.CLOCK_MONOTONIC)
+	boot := gettime(unix.CLOCK_BOOTTIME)
+	after := gettime(unix.CLOCK_MONOTONIC)
+	return boot - after, boot - before
+}
 
 // gettime returns the time of a kernel clock.
 func gettime(id int32) time.Duration {
--- a/internal/process/daemon/clock_test.go
+++ b/internal/process/daemon/clock_test.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
 // Guards against a suspension that the clock misses because it doesn't read the kernel's clock each time, and against a step of the time of day
@@ -32,9 +34,9 @@
 			asked := 0
 			clk := newClockFrom(func() (time.Time, time.Duration) {
 				return began.Add(ran + slept + stepped), ran
-			}, func() time.Duration {
+			}, func() (least, most time.Duration) {
 				asked++
-				return slept
+				return slept, slept
 			})
 			ran, slept, stepped = cse.ran, cse.slept, cse.stepped
 			chk.Equal(clk.suspended(), cse.seen)
@@ -49,3 +51,50 @@
 		})
 	}
 }
+
+// Guards against a clock that goes back as the process is paused between two readings of the kernel's clocks, and forward again at the next reading. What
+// was reckoned from its times in between is wrong by the pause: a lease lasts longer than its leader waits.
+func TestClockIsSteadyWhileTheProcessIsPaused(t *testing.T) {
+	const pause = 80 * time.Millisecond
+	for reading := range 3 {
+		for _, slept := range []time.Duration{0, 5 * time.Second} {
+			t.Run(fmt.Sprintf("paused after reading %d, suspended for %v", reading, slept), func(t *testing.T) {
+				chk := is.New(t)
+				var ran, suspended time.Duration
+				began := time.Unix(1000, 0)
+				pauseAfter := -1
+				kernel := func() (least, most time.Duration) {
+					num := 0
+					return suspension(func(id int32) time.Duration {
+						val := ran
+						if id == unix.CLOCK_BOOTTIME {
+							val += suspended
+						}
+						if num == pauseAfter {
+							ran += pause
+						}
+						num++
+						return val
+					})
+				}
+				clk := newClockFrom(func() (time.Time, time.Duration) { return began.Add(ran + suspended), ran }, kernel)
+				last := clk.now()
+				for step := range 40 {
+					ran += 100 * time.Millisecond
+					pauseAfter = -1
+					if step == 10 {
+						suspended, pauseAfter = slept, reading
+					}
+					was := ran
+					now := clk.now()
+					chk.True(now.After(last))
+					chk.True(!now.After(began.Add(ran + suspended)))
+					last = now
+					pauseAfter = -1
+					chk.True(clk.now().Sub(began.Add(ran+suspended)).Abs() <= maxDivergence) // At the next reading it is right.
+					chk.True(ran-was <= pause)
+				}
+			})
+		}
+	}
+}
--- a/internal/process/daemon/process_test.go
+++ b/internal/process/daemon/process_test.go
@@ -21,10 +21,15 @@
 	suspendedFor time.Duration
 	// pausedSince is when the process stopped getting processor time; zero while it runs.
 	pausedSince time.Time
+	// clk, if it is set, is the clock that the daemon reads.
+	clk *clock
 }
 
 // now is the daemon's clock: it includes suspensions, and stands while the process is paused.
 func (prc *process) now() time.Time {
+	if clk := prc.ownClock(); clk != nil {
+		return clk.now()
+	}
 	prc.mu.Lock()
 	defer prc.mu.Unlock()
 	if !prc.pausedSince.IsZero() {
@@ -35,11 +40,20 @@
 
 // suspended returns the total time for which the machine was suspended, as the daemon asks for it.
 func (prc *process) suspended() time.Duration {
+	if clk := prc.ownClock(); clk != nil {
+		return clk.suspended()
+	}
 	prc.mu.Lock()
 	defer prc.mu.Unlock()
 	return prc.suspendedFor
 }
 
+func (prc *process) ownClock() *clock {
+	prc.mu.Lock()
+	defer prc.mu.Unlock()
+	return prc.clk
+}
+
 // addSuspension moves the clock of a process ahead, as a suspension of its machine does.
 func (prc *process) addSuspension(dur time.Duration) {
 	prc.mu.Lock()
