Start nothing on a server where a stop is overdue

Callers may have seen a task run twice at once. Its owner falls silent, its leader stops the run, and the stop gets no answer. Renewals extend the server's lease no more once the stop is overdue, but each start of another task there did, and each start that was sent again without an answer: the run went on for as long as there was work for the server, beside its next submission 1.3 s later.

Cause: a lease is the server's, and only one of the three calls that extend it asked whether a run there has to end. Class: as with unclaimed runs, a leader keeps a run alive that another one (here the caller) counts as over.

All three ask the same function now. A server with an overdue stop or an unclaimed run takes no task until the stop is accepted, and isn't advertised as free; a start without an answer there is stopped, not repeated.

--- a/internal/process/daemon/instance_faults_test.go
+++ b/internal/process/daemon/instance_faults_test.go
@@ -292,3 +292,42 @@
 		chk.Equal(snt.status, http.StatusOK)
 	})
 }
+
+func TestOwnerLosesPowerAndStopsAreLost(t *testing.T) {
+	// Guards against tasks that run twice at once when a job's owner loses power, the stops of its runs get no answer, and starts of other tasks on the
+	// same servers extend the leases: the caller sends the job again 1.3 s later, to another failure domain.
+	cases := map[string]struct {
+		// every is how often another job comes meanwhile; 0 for never.
+		every time.Duration
+	}{
+		"no other job comes":      {},
+		"other jobs start beside": {every: 100 * time.Millisecond},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			inTestSystem(t, 2, 2, 1, func(sys *system) {
+				chk := is.NewRelaxed(t)
+				led := sys.leader("domain-1")
+				own := map[string]string{"entry-1-1": "entry-1-2", "entry-1-2": "entry-1-1"}[led]
+				job := jobSpec{id: jobID(1), tasks: 1, payload: payload{Millis: 2500}}
+				sys.sendAsync(sys.ctx, own, job)
+				time.Sleep(300 * time.Millisecond)
+				chk.Equal(sys.ldg.Running(), 1)
+				sys.losesStops.Store(true)
+				sys.powerOff(own)
+				began := time.Now()
+				if cse.every > 0 {
+					for num := 2; time.Since(began) < 1250*time.Millisecond; num++ {
+						sys.sendAsync(sys.ctx, led, jobSpec{id: jobID(num), tasks: 1, payload: payload{Millis: 20}})
+						time.Sleep(cse.every)
+					}
+				}
+				time.Sleep(1290*time.Millisecond - time.Since(began))
+				chk.Equal(sys.ldg.Running(), 0)
+				time.Sleep(10 * time.Millisecond)
+				chk.Equal(sys.send(sys.ctx, "entry-2-1", job), http.StatusOK)
+				sys.losesStops.Store(false)
+			})
+		})
+	}
+}
--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +55,8 @@
 	refused map[string]bool
 	// hidesIncarnations is set if the backend servers don't tell their incarnations.
 	hidesIncarnations bool
+	// losesStops is set while the servers neither carry stops out nor answer them.
+	losesStops atomic.Bool
 	// services are the services of backend servers whose tasks are not of the usual one.
 	services map[string]string
 
@@ -201,7 +205,14 @@
 		srv.HideIncarnation()
 	}
 	sys.servers[id] = srv
-	sys.serve(id+":1", srv)
+	sys.serve(id+":1", http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
+		if sys.losesStops.Load() && req.URL.Path == "/api/run-stop" {
+			_, _ = io.Copy(io.Discard, req.Body) // The context ends with the connection only once the body was read.
+			<-req.Context().Done()
+			return
+		}
+		srv.ServeHTTP(wrt, req)
+	}))
 	sys.listServer(id, domain, "ready")
 }
 
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -61,7 +61,8 @@
 //
 // A server that answers no attempt may still carry the start out seconds later. Only an accepted stop proves that it won't.
 func (ldr *Leader) retryStart(now time.Time, srv *server, rn *run) {
-	if rn.state != starting || rn.repeats >= startRepeats || rn.ord == nil || srv.state != confirmed || ldr.closed || srv.overfull() {
+	if rn.state != starting || rn.repeats >= startRepeats || rn.ord == nil || srv.state != confirmed || ldr.closed || srv.overfull() ||
+		!ldr.mayExtendLeases(now, srv) {
 		ldr.stopRun(now, srv, rn)
 		return
 	}
--- a/internal/request/shard/fit.go
+++ b/internal/request/shard/fit.go
@@ -77,7 +77,7 @@
 	least := math.Inf(1)
 	for _, srv := range ldr.serverList {
 		fits := srv.ent.Processor >= ord.Processor && srv.ent.Memory >= ord.Memory && srv.suits(ord) && !srv.isAside(priorityOf(ord))
-		if fits && srv.acceptsTasks(now, ldr.missedTolerated()) {
+		if fits && ldr.takesTasks(now, srv) {
 			least = min(least, srv.spd.level.Mean())
 		}
 	}
--- a/internal/request/shard/headroom.go
+++ b/internal/request/shard/headroom.go
@@ -244,7 +244,7 @@
 // reservable reports whether an order that found no room may reserve a server. One that has room for it now is too slow for it (see bestServer), and
 // would be idle.
 func (ldr *Leader) reservable(now time.Time, srv *server, ord *order) bool {
-	if srv.unclaimed > 0 || !srv.acceptsTasks(now, ldr.missedTolerated()) || !srv.suits(ord) || ldr.closedTo(srv, ord) {
+	if srv.unclaimed > 0 || !ldr.takesTasks(now, srv) || !srv.suits(ord) || ldr.closedTo(srv, ord) {
 		return false
 	}
 	prc, mem := srv.free()
--- a/internal/request/shard/incarnation.go
+++ b/internal/request/shard/incarnation.go
@@ -119,23 +119,3 @@
 func (srv *server) noteForeignLease(now time.Time, cfg Config) {
 	srv.foreignLeaseAt, srv.noStartsUntil = now, now.Add(cfg.LongestLease)
 }
-
-// lastExtension returns when a call that extends the leases may last have been carried out.
-func (srv *server) lastExtension() time.Time { return laterOf(srv.renewedAt, srv.extensionLostAt) }
-
-// leaseOverAt returns when the lease of a run has ended by any clock, and the run is over, if only this leader extends it. Where servers start again under their
-// IDs, one that was not confirmed may be in an incarnation that this leader doesn't know.
-func (ldr *Leader) leaseOverAt(srv *server, rn *run) time.Time {
-	foreign := srv.foreignLeaseAt
-	if srv.incarnation != 0 && !rn.confirmed {
-		foreign = srv.lastExtension()
-	}
-	return laterOf(srv.renewedAt.Add(ldr.cfg.Expiry()), foreign.Add(ldr.cfg.LongestExpiry()))
-}
-
-func laterOf(one, two time.Time) time.Time {
-	if one.After(two) {
-		return one
-	}
-	return two
-}
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -221,7 +221,7 @@
 func (ldr *Leader) freeServers(now time.Time) freeServers {
 	fss := ldr.freeBuf[:0]
 	for _, srv := range ldr.serverList {
-		if !srv.acceptsTasks(now, ldr.missedTolerated()) {
+		if !ldr.takesTasks(now, srv) {
 			continue
 		}
 		if prc, mem := srv.free(); prc > 0 {
@@ -340,7 +340,7 @@
 	lod.ServiceRate = int64(rate * millis(time.Second))
 	var srvs []*server
 	for _, srv := range ldr.serverList {
-		if ldr.closed || !srv.acceptsTasks(now, ldr.missedTolerated()) {
+		if ldr.closed || !ldr.takesTasks(now, srv) {
 			continue
 		}
 		if prc, mem := srv.free(); prc > 0 {
--- a/internal/request/shard/preempt.go
+++ b/internal/request/shard/preempt.go
@@ -120,7 +120,7 @@
 	open := ldr.openTasks()
 	waits := ldr.restartWaits(now)
 	for _, srv := range ldr.serverList {
-		if srv.missed > 0 || srv.unclaimed > 0 || srv.onTrial() || !srv.acceptsTasks(now, 0) {
+		if srv.missed > 0 || srv.unclaimed > 0 || srv.onTrial() || !srv.acceptsTasks(now, 0) || !ldr.mayExtendLeases(now, srv) {
 			continue
 		}
 		for _, rn := range srv.runList {
--- a/internal/request/shard/refusal.go
+++ b/internal/request/shard/refusal.go
@@ -57,7 +57,7 @@
 	}
 	rsn := NoServer
 	for _, srv := range ldr.serverList {
-		if srv.acceptsTasks(now, ldr.missedTolerated()) {
+		if ldr.takesTasks(now, srv) {
 			rsn = max(rsn, srv.binding(ord))
 		}
 	}
--- a/internal/request/shard/renew.go
+++ b/internal/request/shard/renew.go
@@ -46,7 +46,7 @@
 		case srv.missed == 0:
 			act.WaitForEnd = ldr.renewWait(now, srv)
 		}
-		if !srv.idle() && srv.mayExtendLeases(now, ldr.cfg.StopTimeout) {
+		if !srv.idle() && ldr.mayExtendLeases(now, srv) {
 			act.LeaseUntil = srv.extendLease(now, ldr.cfg.Lease)
 		}
 	}
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -219,19 +219,6 @@
 	return num
 }
 
-// leaseUntil returns the end of a lease that begins now, on the server's clock. As that clock may be slow, its present value is
-// underestimated in proportion to the time since it was read; otherwise leases could be too long.
-func (srv *server) leaseUntil(now time.Time, lease time.Duration) time.Duration {
-	return srv.clock + time.Duration(float64(now.Sub(srv.clockAt))/clockSkew) + lease
-}
-
-// extendLease records that a call which extends the leases is sent now, and returns the end to send.
-func (srv *server) extendLease(now time.Time, lease time.Duration) time.Duration {
-	until := srv.leaseUntil(now, lease)
-	srv.renewedAt, srv.leaseEnd = now, max(srv.leaseEnd, until)
-	return until
-}
-
 // takeAck returns the sequence number to acknowledge with the next renewal. If that is lost, or none is due now, the server lists the ends
 // again. With runs on the server, ends of an answer that is not fresh are left to the next one: those of a new incarnation may have the same
 // numbers, and would be forgotten unread.
@@ -265,22 +252,6 @@
 	return false
 }
 
-// mayExtendLeases reports whether a renewal may extend the server's leases, which it does for all runs alike. It would keep a run whose stop is not
-// accepted within timeout alive past the time at which its caller submits the job again. An unclaimed run, which no order asks for, may belong to a former
-// leader that goes by its own last extension, so its lease is not extended at all.
-func (srv *server) mayExtendLeases(now time.Time, timeout time.Duration) bool {
-	for _, rn := range srv.runList {
-		switch {
-		case !rn.stopAcceptedAt.IsZero():
-		case rn.ord == nil:
-			return false
-		case rn.state == ending && !rn.stopAt.IsZero() && now.Sub(rn.stopAt) > timeout:
-			return false
-		}
-	}
-	return true
-}
-
 const (
 	// failuresToQuarantine is how many submissions in a row must fail before a server is quarantined: one in 500 tasks fails on sound
 	// servers, so two in a row are rare.
--- a/internal/request/shard/speed.go
+++ b/internal/request/shard/speed.go
@@ -223,7 +223,7 @@
 func (ldr *Leader) fitsElsewhere(now time.Time, except *server, ord *order) bool {
 	for _, srv := range ldr.serverList {
 		prc, mem := srv.free()
-		if srv != except && srv.acceptsTasks(now, ldr.missedTolerated()) && prc >= ord.Processor && mem >= ord.Memory && srv.suits(ord) {
+		if srv != except && ldr.takesTasks(now, srv) && prc >= ord.Processor && mem >= ord.Memory && srv.suits(ord) {
 			return true
 		}
 	}
--- a/internal/request/shard/unclaimed_test.go
+++ b/internal/request/shard/unclaimed_test.go
@@ -48,3 +48,68 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: a start without an answer is sent again to a server that has listed an unclaimed run meanwhile, and extends the lease
+// of that run, too.
+func TestRepeatedStartExtendsNoUnclaimedRun(t *testing.T) {
+	cases := map[string]struct {
+		listed  []Progress
+		repeats bool
+	}{
+		"no other run":     {repeats: true},
+		"an unclaimed run": {listed: []Progress{{Run: RunID{Task: "j2.0", Number: 7}}}},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := newHarness(t, serverEntry("s", 32000))
+			har.place(0, "j1.0")
+			har.answerRenewal("s", RenewResult{Clock: time.Minute, Running: cse.listed})
+			har.acts, har.now = nil, har.now.Add(40*time.Millisecond)
+			for rid := range har.ldr.servers["s"].runs {
+				if rid.Task == "j1.0" {
+					har.record(har.ldr.HandleStartResult(har.now, "s", rid, Unknown, 0))
+				}
+			}
+			chk.Equal(len(har.starts()) > 0, cse.repeats)
+		})
+	}
+}
+
+// Guards against a run that goes on beside its caller's next submission: its stop gets no answer, and starts of other tasks extend the lease of all that runs on
+// the server, which renewals no longer do.
+func TestStartExtendsNoLeaseBesideAnOverdueStop(t *testing.T) {
+	cfg := DefaultConfig()
+	cases := map[string]struct {
+		accepted bool
+		after    time.Duration
+		starts   bool
+	}{
+		"the stop was accepted":       {accepted: true, after: 3 * cfg.StopTimeout, starts: true},
+		"the stop was just sent":      {after: cfg.StopTimeout / 2, starts: true},
+		"the stop is overdue":         {after: cfg.StopTimeout + 20*time.Millisecond},
+		"the stop is overdue by long": {after: 8 * cfg.StopTimeout},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := newHarness(t, serverEntry("s", 32000))
+			har.place(0, "j1.0")
+			run := har.answerStart("j1.0", Accepted)
+			har.record(har.ldr.HandleOwnerLost(har.now, owner))
+			if cse.accepted {
+				har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Accepted))
+			}
+			for end := har.now.Add(cse.after); har.now.Before(end); {
+				har.advance(10 * time.Millisecond)
+				clock := time.Minute + har.now.Sub(time.Unix(1000, 0))
+				har.answerRenewal("s", RenewResult{Clock: clock, Running: []Progress{{Run: run}}})
+			}
+			har.acts = nil
+			ord := har.order(0, "j2.0")
+			ord.Owner = "owner/2"
+			har.record(har.ldr.HandleOrder(har.now, ord))
+			chk.Equal(len(har.starts()) > 0, cse.starts)
+		})
+	}
+}
