Extend no lease for an owner that was not heard

Callers may have seen a task run twice at once. An owner goes dark; the leader of its task is paused before it would miss it, or reads the owner's last batch up to 400 ms late and counts it as heard now. The first answer that the leader reads as it goes on makes it extend the lease, before it takes note of the loss. If the stop that follows gets no answer, the run is not over when the caller submits the job again after 1.3 s.

Cause: a start asked when its owner was last heard, an extension didn't; and "heard" was the time of reading.

A lease is extended only while the owner of each run on the server was heard within OwnerTimeout (450 ms), and not at all beside a lost owner's run until its stop is accepted. The mesh tells when the peer was alive by the times that it has sent back, not when its batch was read; that time is used for nothing else.

--- a/internal/connection/mesh/age.go
+++ b/internal/connection/mesh/age.go
@@ -55,6 +55,9 @@
 // noteHeard notes a batch or receipt of the peer that was sent at the time sent or later. A fresh one counts as heard now; a delayed
 // one proves only that the peer was alive when it was sent.
 func (msh *Mesh) noteHeard(per *peer, now, sent time.Time) {
+	if sent.After(per.aliveAt) {
+		per.aliveAt = sent
+	}
 	if msh.isFresh(now, sent) {
 		sent = now
 	}
--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -231,7 +231,7 @@
 		signal(per.wake)
 	}
 	msh.subtractDropped(per)
-	id, heardAt := per.id(), per.heardAt
+	id, aliveAt := per.id(), per.aliveAt
 	hbt := decodeHeartbeat(rcp.GetBeat())
 	if current && rcp.GetBeat() != nil {
 		hbt = per.mergeHeartbeat(hbt, processAgesOf(rcp).own)
@@ -245,6 +245,6 @@
 		msh.hdl.HandleInstanceLost(former, Reset)
 	}
 	if current && rcp.GetBeat() != nil {
-		msh.hdl.HandleBatch(id, heardAt, hbt, nil)
+		msh.hdl.HandleBatch(id, aliveAt, hbt, nil)
 	}
 }
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -121,7 +121,7 @@
 		signal(per.wake)
 	}
 	msh.subtractDropped(per)
-	id, heardAt := per.id(), per.heardAt
+	id, aliveAt := per.id(), per.aliveAt
 	hbt := decodeHeartbeat(dlv.GetBeat())
 	if current {
 		hbt = per.mergeHeartbeat(hbt, processAgesOf(dlv).own)
@@ -144,7 +144,7 @@
 	if num := len(dlv.GetMessages()); num > 0 && !fresh {
 		msh.hdl.HandleStaleBatch(id, now.Sub(sent), num)
 	}
-	msh.hdl.HandleBatch(id, heardAt, hbt, msgs)
+	msh.hdl.HandleBatch(id, aliveAt, hbt, msgs)
 	// The age is taken before the heartbeat, which is therefore at least as new.
 	rcp.AgeMicros = msh.processAge(msh.cfg.Now()).Microseconds()
 	own := msh.hdl.Heartbeat()
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -63,6 +63,8 @@
 	divisions, ackedDivisions map[string]shard.Division
 	// heardAt is the latest time, by this instance's clock, at which the peer is known to have been alive.
 	heardAt time.Time
+	// aliveAt is the latest such time that doesn't count what was read late as new.
+	aliveAt time.Time
 	// peerAge is the highest process age that the peer has sent, received at peerAgeAt.
 	peerAge   time.Duration
 	peerAgeAt time.Time
@@ -235,7 +237,7 @@
 		return false, former, ended
 	}
 	if !per.established {
-		per.established, per.heardAt = true, now
+		per.established, per.heardAt, per.aliveAt = true, now, now
 	}
 	return true, former, ended
 }
--- a/internal/process/succession/explore_action_test.go
+++ b/internal/process/succession/explore_action_test.go
@@ -106,7 +106,9 @@
 		case shard.StopRun:
 			nod.sim.note("%s stops %s %d at %s", nod.id, act.Run.Task, act.Run.Number, act.Server.ID)
 			nod.call(act.Server.ID, timeout, func(srv *fakeServer, reply func(shard.RenewResult, shard.CallResult)) {
-				reply(shard.RenewResult{}, srv.stop(act))
+				if !srv.losesStops {
+					reply(shard.RenewResult{}, srv.stop(act))
+				}
 			}, func(_ shard.RenewResult, clr shard.CallResult) {
 				nod.handle(func(now time.Time) {
 					if ldr := nod.leaderWithToken(name, act.Token); ldr != nil {
--- a/internal/process/succession/explore_caller_test.go
+++ b/internal/process/succession/explore_caller_test.go
@@ -16,8 +16,8 @@
 	tasks    int
 	runTime  time.Duration
 	attempts int
-	// urgent jobs go before all others, and their answers are due soon.
-	urgent bool
+	// urgent jobs go before all others, and their answers are due soon. The callers of patient ones give no call up early.
+	urgent, patient bool
 	// mayHaveRun is set once an attempt ended with anything but "not run".
 	mayHaveRun, refused, succeeded bool
 }
@@ -98,7 +98,7 @@
 		nod.handle(func(now time.Time) { nod.runCoordinatorActions(nod.coordinator.HandleSubmit(now, att.call, sub)) })
 	})
 	leaves := callerTimeout
-	if sim.rnd.IntN(6) == 0 {
+	if sim.rnd.IntN(6) == 0 && !job.patient {
 		leaves = sim.within(600 * time.Millisecond)
 	}
 	sim.after(leaves, func() {
--- a/internal/process/succession/explore_server_test.go
+++ b/internal/process/succession/explore_server_test.go
@@ -30,6 +30,8 @@
 	waiting    []func()
 	// lostAnswers is how many of the next calls are carried out after a delay and not answered.
 	lostAnswers int
+	// losesStops is set while stops neither get an answer nor are carried out.
+	losesStops bool
 }
 
 type fakeRun struct {
--- a/internal/process/succession/explore_session_test.go
+++ b/internal/process/succession/explore_session_test.go
@@ -32,6 +32,8 @@
 	// heardAt is until when the peer was surely heard. peerStamp and heartbeatStamp are the peer's time stamps of its newest batch and
 	// heartbeat; peerStampAt is when peerStamp came.
 	heardAt, peerStamp, heartbeatStamp time.Time
+	// aliveAt is until when it was surely alive, without counting what was read late as new.
+	aliveAt time.Time
 	// unackedSince and failingSince are since when a batch lacks its receipt and calls get no answer; answeredAt is when
 	// this side last answered a batch of the peer, calledAt when it last sent one; shortenedAt is when the interval was last shortened.
 	peerStampAt, unackedSince, failingSince, answeredAt, shortenedAt, calledAt time.Time
@@ -195,7 +197,7 @@
 		ses.nod.handleLost(was, false)
 	}
 	if current && rcp.hasHeartbeat {
-		ses.nod.handleHeartbeat(ses.id(), ses.heardAt, ses.newest(rcp.heartbeat, rcp.stamp), nil)
+		ses.nod.handleHeartbeat(ses.id(), ses.aliveAt, ses.newest(rcp.heartbeat, rcp.stamp), nil)
 	}
 	ses.finishCall()
 }
@@ -230,7 +232,7 @@
 	if next {
 		msgs = bat.msgs
 	}
-	ses.nod.handleHeartbeat(ses.id(), ses.heardAt, ses.newest(bat.heartbeat, bat.stamp), msgs)
+	ses.nod.handleHeartbeat(ses.id(), ses.aliveAt, ses.newest(bat.heartbeat, bat.stamp), msgs)
 	rcp.heartbeat, rcp.hasHeartbeat = ses.nod.heartbeat(), true
 	return rcp
 }
@@ -253,6 +255,9 @@
 
 // noteEcho takes in an own time stamp that the peer has sent back: the peer is heard until then, or until now if the stamp is fresh.
 func (ses *session) noteEcho(now, echo time.Time) {
+	if echo.After(ses.aliveAt) {
+		ses.aliveAt = echo
+	}
 	if now.Sub(echo) <= freshFor {
 		echo = now
 	}
@@ -279,7 +284,7 @@
 		return false, was, ended
 	}
 	if !ses.established {
-		ses.established, ses.heardAt = true, now
+		ses.established, ses.heardAt, ses.aliveAt = true, now, now
 	}
 	return true, was, ended
 }
--- a/internal/request/shard/extension_test.go
+++ b/internal/request/shard/extension_test.go
@@ -100,3 +100,59 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: its owner goes dark, the leader is paused when it would miss the owner, and extends the lease as it
+// goes on, so that the run is not over when the caller submits the job again.
+func TestPausedLeaderExtendsNoLeaseForALostOwner(t *testing.T) {
+	const (
+		lost        = InstanceID("lost/1")
+		resendAfter = 1300 * time.Millisecond
+		// An owner is lost when it was not heard for missedAfter, or as soon as a process goes on that was paused meanwhile.
+		missedAfter, missedAfterPause = 450 * time.Millisecond, 20 * time.Millisecond
+	)
+	cases := map[string]struct {
+		// pause is how long the leader gets no event, from pausedAfter on, counted from when the owner was last heard.
+		pausedAfter, pause time.Duration
+	}{
+		"it is not paused":                            {},
+		"it is paused for 100 ms":                     {pausedAfter: 400 * time.Millisecond, pause: 100 * time.Millisecond},
+		"it is paused for 300 ms":                     {pausedAfter: 400 * time.Millisecond, pause: 300 * time.Millisecond},
+		"it is paused for 500 ms":                     {pausedAfter: 400 * time.Millisecond, pause: 500 * time.Millisecond},
+		"it is paused for about the time of a lease":  {pausedAfter: 400 * time.Millisecond, pause: 600 * time.Millisecond},
+		"it is paused for 600 ms from an earlier one": {pausedAfter: 200 * time.Millisecond, pause: 600 * time.Millisecond},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := newHarness(t, serverEntry("s", 64000))
+			stn := &serverStandin{har: har, id: "s"}
+			heardAt := har.now
+			har.ldr.HandleOwnerHeard(lost, heardAt)
+			ord := har.order(0, "j1.0")
+			ord.Owner = lost
+			har.record(har.ldr.HandleOrder(har.now, ord))
+			stn.answer()
+			missedAt, paused := heardAt.Add(missedAfter), false
+			for har.now.Sub(heardAt) < resendAfter {
+				if cse.pause > 0 && !paused && har.now.Sub(heardAt) >= cse.pausedAfter {
+					paused = true
+					har.now = har.now.Add(cse.pause)
+					har.ldr.HandlePause(har.now.Add(50 * time.Millisecond))
+					if back := har.now.Add(missedAfterPause); back.After(missedAt) {
+						missedAt = back
+					}
+				}
+				if har.now.Equal(missedAt) {
+					har.record(har.ldr.HandleOwnerLost(har.now, lost))
+				}
+				stn.answer()
+				stn.list()
+				stn.answer()
+				har.advance(10 * time.Millisecond)
+			}
+			extended := stn.extendedAt.Sub(heardAt)
+			t.Log("the last extension is sent", extended, "after the owner was last heard")
+			chk.True(extended+har.ldr.cfg.Expiry() <= resendAfter)
+		})
+	}
+}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -280,9 +280,13 @@
 // HandleOwnerLost cancels all orders of a lost instance, as its callers submit their jobs again to other instances.
 func (ldr *Leader) HandleOwnerLost(now time.Time, owner InstanceID) []Action {
 	for _, ord := range ldr.ordersByTask() {
-		if ord.Owner == owner {
-			ldr.cancelOrder(now, ord)
+		if ord.Owner != owner {
+			continue
+		}
+		if ord.run != nil {
+			ord.run.ownerLost = true
 		}
+		ldr.cancelOrder(now, ord)
 	}
 	delete(ldr.ownersHeard, owner)
 	ldr.advance(now, nil)
--- a/internal/request/shard/lease.go
+++ b/internal/request/shard/lease.go
@@ -6,13 +6,13 @@
 // as over by the last extension that it has sent itself. So it must not extend the lease of a run that another one may count as over: the owner that has
 // missed this leader, the caller that submits its job again, or a former leader.
 
-// mayExtendLeases reports whether a start or a renewal may extend the lease of a server: an order asks for each run there, and no stop is
-// overdue. All runs are extended alike.
+// mayExtendLeases reports whether a start or a renewal may extend the lease of a server: each run there goes on for an owner that was heard recently, or has
+// accepted its stop. Other stops may be waited for until they are overdue, but not those of a lost owner's runs, as it may have been missed late.
 func (ldr *Leader) mayExtendLeases(now time.Time, srv *server) bool {
 	for _, rn := range srv.runList {
 		switch {
 		case !rn.stopAcceptedAt.IsZero():
-		case rn.ord == nil:
+		case rn.ord == nil || rn.ownerLost || !ldr.ownerHeardRecently(now, rn.ord):
 			return false
 		case rn.state == ending && !rn.stopAt.IsZero() && now.Sub(rn.stopAt) > ldr.cfg.StopTimeout:
 			return false
--- a/internal/request/shard/pause_test.go
+++ b/internal/request/shard/pause_test.go
@@ -65,3 +65,37 @@
 	chk.Equal(har.ldr.meanRun, before)
 	chk.Equal(har.count(func(act Action) bool { _, is := act.(QuarantineServer); return is }), 0)
 }
+
+// Guards against a run that outlives the time after which its caller submits the job again: a leader that was paused extends the lease of a run whose owner it
+// has not heard for longer than it waits for one, before it takes note of the loss.
+func TestPausedLeaderExtendsNoLeaseForAnUnheardOwner(t *testing.T) {
+	const heardBefore = 260 * time.Millisecond
+	cases := map[string]struct {
+		pause   time.Duration
+		extends bool
+	}{
+		"no pause":                        {pause: 10 * time.Millisecond, extends: true},
+		"a pause that the owner survives": {pause: 100 * time.Millisecond, extends: true},
+		"a pause of 440 ms":               {pause: 440 * time.Millisecond},
+		"a pause of 550 ms":               {pause: 550 * time.Millisecond},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := newHarness(t, serverEntry("s", 32000))
+			har.ldr.HandleOwnerHeard(owner, har.now)
+			har.now = har.now.Add(heardBefore)
+			har.place(0, "j.0")
+			run := har.answerStart("j.0", Accepted)
+			har.acts = nil
+			har.now = har.now.Add(cse.pause)
+			// The answer to the renewal that was in progress is read first.
+			har.answerRenewalSentAt("s", har.now.Add(-cse.pause), RenewResult{Clock: time.Minute, Running: []Progress{{Run: run}}}, Accepted)
+			har.record(har.ldr.Tick(har.now))
+			chk.Equal(har.count(func(act Action) bool {
+				rnw, ok := act.(Renew)
+				return ok && rnw.LeaseUntil > 0
+			}) > 0, cse.extends)
+		})
+	}
+}
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -95,6 +95,8 @@
 	progressAt time.Time
 	// stopAt is when the first stop was sent, stopDue when the next is due, stopAcceptedAt when the server accepted one.
 	stopAt, stopDue, stopAcceptedAt time.Time
+	// ownerLost is set once the owner that the run was started for is lost.
+	ownerLost bool
 	// stopInProgress is set from a StopRun until its result.
 	stopInProgress bool
 	// timeHandled is set once the run time was used as evidence of its server's speed, or if it can't be used. spansPause is set if the
--- a/internal/request/shard/unclaimed_test.go
+++ b/internal/request/shard/unclaimed_test.go
@@ -81,14 +81,20 @@
 func TestStartExtendsNoLeaseBesideAnOverdueStop(t *testing.T) {
 	cfg := DefaultConfig()
 	cases := map[string]struct {
-		accepted bool
-		after    time.Duration
-		starts   bool
+		// ownerLost is set if the run's owner is lost; else its caller has left.
+		ownerLost bool
+		accepted  bool
+		after     time.Duration
+		starts    bool
 	}{
-		"the stop was accepted":       {accepted: true, after: 3 * cfg.StopTimeout, starts: true},
-		"the stop was just sent":      {after: cfg.StopTimeout / 2, starts: true},
-		"the stop is overdue":         {after: cfg.StopTimeout + 20*time.Millisecond},
-		"the stop is overdue by long": {after: 8 * cfg.StopTimeout},
+		"the stop was accepted":                      {accepted: true, after: 3 * cfg.StopTimeout, starts: true},
+		"the stop was just sent":                     {after: cfg.StopTimeout / 2, starts: true},
+		"the stop is overdue":                        {after: cfg.StopTimeout + 20*time.Millisecond},
+		"the stop is overdue by long":                {after: 8 * cfg.StopTimeout},
+		"the stop for a lost owner was accepted":     {ownerLost: true, accepted: true, after: 3 * cfg.StopTimeout, starts: true},
+		"the stop for a lost owner was just sent":    {ownerLost: true, after: cfg.StopTimeout / 2},
+		"the stop for a lost owner is overdue":       {ownerLost: true, after: cfg.StopTimeout + 20*time.Millisecond},
+		"the stop for a lost owner is overdue, long": {ownerLost: true, after: 8 * cfg.StopTimeout},
 	}
 	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -96,7 +102,11 @@
 			har := newHarness(t, serverEntry("s", 32000))
 			har.place(0, "j1.0")
 			run := har.answerStart("j1.0", Accepted)
-			har.record(har.ldr.HandleOwnerLost(har.now, owner))
+			if cse.ownerLost {
+				har.record(har.ldr.HandleOwnerLost(har.now, owner))
+			} else {
+				har.record(har.ldr.Cancel(har.now, owner, "j1.0", false))
+			}
 			if cse.accepted {
 				har.record(har.ldr.HandleStopResult(har.now, har.stopOf("s", run), Accepted))
 			}
