--- a/internal/request/shard/unclaimed_test.go
+++ b/internal/request/shard/unclaimed_test.go
@@ -76,6 +76,33 @@
 	}
 }
 
+// Guards against a task that runs twice: a new leader, which has extended no lease yet, takes a run for over that lives by the former leader's last extension.
+func TestAdoptedRunLivesByTheFormerLease(t *testing.T) {
+	cfg := DefaultConfig()
+	adopted, unclaimed := RunID{Task: "j1.0", Number: 7}, RunID{Task: "j2.0", Number: 7}
+	cases := map[string]struct {
+		listed []Progress
+	}{
+		"alone":                   {listed: []Progress{{Run: adopted}}},
+		"beside an unclaimed run": {listed: []Progress{{Run: adopted}, {Run: unclaimed}}},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := &harness{t: t, now: time.Unix(1000, 0)}
+			har.ldr = NewLeader(cfg, NewUplink(0), "a.0", 9, har.now)
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000)}}))
+			har.answerRenewal("s", RenewResult{Clock: time.Minute, Running: cse.listed})
+			listed := har.now // The former leader may have extended the leases until now.
+			har.acts = nil
+			har.record(har.ldr.HandleOrder(har.now, har.order(0, adopted.Task)))
+			_, _, returned := har.playWithoutAnswers("s", 40*time.Millisecond)
+			t.Logf("returned %v after the listing", returned.Sub(listed))
+			chk.True(!returned.Before(listed.Add(time.Duration(float64(cfg.Lease)*clockSkew) + killTime)))
+		})
+	}
+}
+
 // Guards against a run that goes on beside its caller's next submission: its stop gets no answer, and starts of other tasks extend the lease of all that runs on
 // the server, which renewals no longer do.
 func TestStartExtendsNoLeaseBesideAnOverdueStop(t *testing.T) {
