Count renewals for a former incarnation as leases that may be too long

Where servers keep their ID, a renewal that was sent to the former incarnation may be carried out by the next one until it is given up. The lease of all that runs there is then as long as a server grants one, and the leader took a run that had started meanwhile for over after the lease that it meant. Only a start was counted so.

A renewal tells the incarnation that it is meant for, and one that is given up counts like a start.

--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -39,7 +39,9 @@
 // Leader.HandleRenewResult.
 type Renew struct {
 	Server ServerEntry
-	Token  int64
+	// Incarnation is the server's one that the call is meant for.
+	Incarnation Incarnation
+	Token       int64
 	// AckedSeq is the highest sequence number of an end in the server's last answer; 0 acknowledges nothing.
 	AckedSeq int64
 	// LeaseUntil is the end of the extended leases on the server's clock; 0 extends none.
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -15,11 +15,8 @@
 		rn.confirmed = rn.confirmed || clock >= rn.leastClock
 		srv.setClock(now, clock)
 	}
-	if res == Unknown && srv != nil {
-		srv.extensionLostAt = now
-		if rn != nil && !sameIncarnation {
-			srv.foreignLeaseAt = now
-		}
+	if res == Unknown && rn != nil {
+		srv.noteLostExtension(now, rn.incarnation)
 	}
 	if sameIncarnation || srv != nil && rn == nil {
 		ldr.noteAnswer(srv, res)
--- a/internal/request/shard/lease.go
+++ b/internal/request/shard/lease.go
@@ -39,6 +39,14 @@
 	return until
 }
 
+// noteLostExtension records that a call which extends the leases, meant for an incarnation of the server, was given up without an answer.
+func (srv *server) noteLostExtension(now time.Time, inc Incarnation) {
+	srv.extensionLostAt = now
+	if inc != srv.incarnation {
+		srv.foreignLeaseAt = now
+	}
+}
+
 // lastExtension returns when a call that extends the leases may last have been carried out.
 func (srv *server) lastExtension() time.Time { return laterOf(srv.renewedAt, srv.extensionLostAt) }
 
--- a/internal/request/shard/renew.go
+++ b/internal/request/shard/renew.go
@@ -34,7 +34,7 @@
 
 // renew sends a renewal. It extends leases only after the takeover, on a confirmed server whose runs are all to go on or to end soon.
 func (ldr *Leader) renew(now time.Time, srv *server) {
-	act := Renew{Server: srv.ent, Token: ldr.token, AckedSeq: srv.takeAck(now)}
+	act := Renew{Server: srv.ent, Incarnation: srv.incarnation, Token: ldr.token, AckedSeq: srv.takeAck(now)}
 	if srv.state == confirmed && ldr.takeoverComplete {
 		switch {
 		case srv.proofPending:
@@ -85,7 +85,7 @@
 		srv, res = ldr.checkIncarnation(now, sent, srv, act, &ans)
 	}
 	if res == Unknown && act.LeaseUntil > 0 {
-		srv.extensionLostAt = now
+		srv.noteLostExtension(now, act.Incarnation)
 	}
 	if act.Number != srv.renewals {
 		// A newer renewal was sent meanwhile. Only that one schedules the next, or the number of renewals would grow.
--- a/internal/request/shard/unseen_incarnation_test.go
+++ b/internal/request/shard/unseen_incarnation_test.go
@@ -123,3 +123,75 @@
 	}
 	return sent, carriedOut, returned
 }
+
+// Guards against a task that runs twice: a renewal that was meant for the former incarnation is carried out late by the next one, whose runs then have leases
+// as long as the server grants one, and the leader takes them for over after the lease that it meant.
+func TestRenewalForTheFormerIncarnation(t *testing.T) {
+	const gaveUp = 480 * time.Millisecond
+	cfg := DefaultConfig()
+	cases := map[string]struct {
+		// extends is set if the renewal extends the leases.
+		extends bool
+		foreign bool
+	}{
+		"it extends the leases": {extends: true, foreign: true},
+		"it extends none":       {},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := newIncarnationHarness(t, "s")
+			former := har.newestRenewal("s")
+			sent := har.now
+			if cse.extends {
+				har.place(0, "j1.0")
+				har.answerStart("j1.0", Accepted)
+				har.advance(10 * time.Millisecond)
+				har.answer("s", firstIncarnation, RenewResult{Clock: time.Minute, Running: []Progress{{Run: har.startOf("j1.0").Run}}})
+				sent = har.now
+				former = lastRenewal(har)
+			}
+			chk.Equal(former.LeaseUntil > 0, cse.extends)
+			// The server starts again, and an answer to a call that extends no lease tells so.
+			har.advance(50 * time.Millisecond)
+			har.list(secondIncarnation, "s")
+			chk.Equal(lastRenewal(har).LeaseUntil, time.Duration(0))
+			har.advance(10 * time.Millisecond)
+			har.answer("s", secondIncarnation, RenewResult{Clock: 20 * time.Millisecond})
+			har.advance(10 * time.Millisecond)
+			chk.Equal(har.ldr.servers["s"].foreignLeaseAt.IsZero(), true) // It began after the renewal was sent.
+			har.place(0, "j2.0")
+			str := har.startOf("j2.0")
+			chk.Equal(str.Run.Task, "j2.0")
+			began := har.now
+			clock := func() time.Duration { return 30*time.Millisecond + har.now.Sub(began) }
+			har.record(har.ldr.HandleStartResult(har.now, "s", str.Run, Accepted, clock()))
+			for har.now.Sub(sent) < gaveUp {
+				har.advance(10 * time.Millisecond)
+				har.answer("s", secondIncarnation, RenewResult{Clock: clock(), Running: []Progress{{Run: str.Run}}})
+			}
+			// The server has just carried the renewal out. The call is given up, and all later ones get no answer.
+			carriedOut := har.now
+			har.record(har.ldr.HandleRenewResult(har.now, sent, former, RenewResult{}, Unknown))
+			har.acts = []Action{lastRenewal(har)}
+			extended, _, returned := har.playWithoutAnswers("s", 40*time.Millisecond)
+			over := extended.Add(time.Duration(float64(cfg.Lease)*clockSkew) + killTime)
+			if cse.foreign {
+				over = carriedOut.Add(time.Duration(float64(cfg.LongestLease)*clockSkew) + killTime)
+			}
+			t.Logf("returned %v after the former renewal was given up; the lease may last %v", returned.Sub(carriedOut), over.Sub(carriedOut))
+			chk.True(!returned.Before(over))
+		})
+	}
+}
+
+// lastRenewal returns the newest renewal that was sent.
+func lastRenewal(har *harness) Renew {
+	var last Renew
+	for _, act := range har.acts {
+		if rnw, ok := act.(Renew); ok {
+			last = rnw
+		}
+	}
+	return last
+}
