Don't connect an order to a start that was never answered

A task whose order went back as its lease had expired is ordered again, often by the same leader. Its new order was connected to the old start without an answer, which is kept only until a stop of it is accepted: the order waited for that stop, or went back at once, again and again, while another server was free. As the start counted as claimed then, its server could take tasks again before the stop.

Only runs that a server has listed, or whose start it has answered, are connected to orders.

--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -23,8 +23,8 @@
 	}
 	for _, srv := range ldr.serverList {
 		for _, rn := range srv.runList {
-			if rn.ord != nil || rn.id.Task != ord.Task {
-				continue
+			if rn.ord != nil || rn.id.Task != ord.Task || rn.acceptedAt.IsZero() {
+				continue // A start that got no answer, and whose order went back, is only kept until a stop of it is accepted.
 			}
 			srv.assign(rn, ord)
 			ord.run, ord.srv = rn, srv
