Play restarts of backend servers that their leaders don't see in the soak

A new trouble has an idle backend server start again under its ID, leave the next starts without an answer, and be cut off soon after it has carried out a long one that was meant for the former incarnation: up to four restarts, until there is such a start.

--- a/internal/process/soak/faults.go
+++ b/internal/process/soak/faults.go
@@ -44,6 +44,8 @@
 		ply.injectLinks(ctx, inj)
 	case storeDown, storeSlow, storeLoses, storeForgets, configuration, closeDomain:
 		ply.injectStore(ctx, inj)
+	case serverRestartUnseen:
+		ply.restartUnseen(ctx, inj)
 	case serverLate, serverCrash, serverRestart, serverLeaves, serverFails, serverStands, serverSlow:
 		ply.injectServer(ctx, inj)
 	case roomShrinks, roomShrinksUnseen:
--- a/internal/process/soak/plan.go
+++ b/internal/process/soak/plan.go
@@ -37,7 +37,9 @@
 	reload        kind = "reload"
 	closeDomain   kind = "close-domain"
 	serverRestart kind = "server-restart"
-	roomShrinks   kind = "room-shrinks"
+	// serverRestartUnseen is serverRestart while answers of the server are held up, and before it is cut off.
+	serverRestartUnseen kind = "server-restart-unseen"
+	roomShrinks         kind = "room-shrinks"
 	// roomShrinksUnseen is roomShrinks while the instances of the server's failure domain, one of which leads it, are out of the store's reach; those of
 	// the last domain stay in it.
 	roomShrinksUnseen kind = "room-shrinks-unseen"
@@ -73,6 +75,8 @@
 	Closings int
 	// ServerRestarts is how many times a backend server crashes and starts again under its ID.
 	ServerRestarts int
+	// UnseenRestarts is how many times a backend server starts again under its ID while its answers are held up, and is cut off then.
+	UnseenRestarts int
 	// RoomChanges is how many times the room of a backend server shrinks and grows again while it runs.
 	RoomChanges int
 	// AllDecisions switches the optional decisions on that are off by default.
@@ -106,6 +110,7 @@
 	trbs = append(trbs, drawClosings(seed, shp.Closings)...)
 	trbs = append(trbs, drawServerRestarts(seed, shp)...)
 	trbs = append(trbs, drawRoomChanges(seed, shp)...)
+	trbs = append(trbs, drawUnseenRestarts(seed, shp)...)
 	slices.SortFunc(trbs, func(one, two trouble) int { return int(one.at - two.at) })
 	return trbs
 }
--- a/internal/process/soak/play.go
+++ b/internal/process/soak/play.go
@@ -234,7 +234,8 @@
 func (cfg *Config) Check() error {
 	shp := cfg.Shape
 	switch {
-	case shp.Domains < 1 || shp.Entries < 1 || shp.Servers < 1 || shp.Troubles < 0 || shp.Closings < 0 || shp.ServerRestarts < 0 || shp.RoomChanges < 0:
+	case shp.Domains < 1 || shp.Entries < 1 || shp.Servers < 1 ||
+		min(shp.Troubles, shp.Closings, shp.ServerRestarts, shp.UnseenRestarts, shp.RoomChanges) < 0:
 		return errors.New("a system has failure domains, entry instances and backend servers")
 	case shp.Domains*shp.Entries < 2 || shp.Domains*shp.Entries > mostEntries || shp.Domains > mostDomains:
 		return errors.Newf("want 2 to %d entry instances in up to %d failure domains", mostEntries, mostDomains)
