--- a/internal/process/cli/soak.go
+++ b/internal/process/cli/soak.go
@@ -26,6 +26,7 @@
 	Troubles       int           `help:"Troubles of each seed." default:"10"`
 	Closings       int           `help:"How often a failure domain is closed to new work in each seed."`
 	ServerRestarts int           `help:"How often a backend server crashes and starts again under its ID in each seed."`
+	UnseenRestarts int           `help:"How often a backend server starts again under its ID while its answers are held up, and is cut off then, in each seed."`
 	RoomChanges    int           `help:"How often the room of a backend server shrinks and grows again in each seed."`
 	AllDecisions   bool          `help:"Switch the optional decisions on that are off by default."`
 	For            time.Duration `help:"How long callers send." default:"14s"`
@@ -53,7 +54,7 @@
 	shp := soak.DefaultShape()
 	shp.Domains, shp.Entries, shp.Servers = cmd.Domains, cmd.Entries, cmd.Servers
 	shp.Troubles, shp.Closings, shp.ServerRestarts, shp.For = cmd.Troubles, cmd.Closings, cmd.ServerRestarts, cmd.For
-	shp.RoomChanges, shp.AllDecisions = cmd.RoomChanges, cmd.AllDecisions
+	shp.UnseenRestarts, shp.RoomChanges, shp.AllDecisions = cmd.UnseenRestarts, cmd.RoomChanges, cmd.AllDecisions
 	cfg := soak.Config{Program: program, Dir: cmd.Logs, Shape: shp}
 	if err := cfg.Check(); err != nil {
 		return &usageError{cause: err}
