Test an order whose start got no answer

A caller waits until its time is over though a server is free. A server goes out of reach, and a start to it gets no answer. After the leases are over the order goes back to its owner, who sends it to the same leader, as no other has room or there is none. The start without an answer is kept, as it may still be carried out, and the order is tied to it again (adopt): it comes back as lease-expired 20 ms later, and so on, for as long as the server is out of reach. Where another leader has room the owner chooses that one, and nobody notices.

--- a/internal/process/daemon/lease_test.go
+++ b/internal/process/daemon/lease_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -118,3 +119,25 @@
 		})
 	}
 }
+
+// Guards against a job that waits for as long as its server is out of reach: its start gets no answer, the leases are over and the order comes back to
+// the same leader, which must not tie it to that start again while another server is free.
+func TestUnansweredStartDoesNotHoldItsOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// A task goes to the small server first, which leaves less free.
+		sys := &system{serverSizes: []int64{serverProcessor, taskProcessor + 1000}}
+		runTestSystemWith(t, sys, 1, 2, 2, func(sys *system) {
+			chk := is.NewRelaxed(t)
+			time.Sleep(maxUnlisted)
+			for _, prc := range sys.instances {
+				sys.net.Separate(prc.host, "server-1-2")
+			}
+			snt := sys.sendAsync(sys.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 1, payload: payload{Millis: 300}})
+			<-snt.done
+			chk.Equal(snt.status, http.StatusOK)
+			t.Logf("answered after %v", snt.took)
+			chk.True(snt.took < 2*time.Second) // The longest lease, twice the run time and a margin.
+		})
+		time.Sleep(20 * time.Second) // As in inTestSystem.
+	})
+}
