Explore restarts of backend servers that their leaders do not see

Callers saw a task run twice at once. By reading, a start that reaches an incarnation of a server which its leader does not know takes a lease that was meant for a clock ahead of the server's: it is cut to the longest lease (1 s), while the leader counts the run as over after Config.Expiry (672 ms).

TestExploreRestartedServers has not shown this, for three reasons: - In the fake server the end of a lease of the former incarnation, whose clock was ahead, ended the runs of the next one. The new plays are strict: a lease ends with its incarnation, and no later lease averts a kill.

A crash of the fake server also answered the renewals that waited there, with ends that no real server lists as it is gone.

--- a/internal/process/succession/explore_action_test.go
+++ b/internal/process/succession/explore_action_test.go
@@ -101,6 +101,9 @@
 			nod.sim.note("%s stops the run of %s for %s", nod.id, act.Task, act.For)
 		case shard.NoteIncarnation:
 			nod.sim.note("%s: %s of %s: known %d, told %d, %d runs carried", nod.id, act.Reason, act.Server, act.Known, act.Told, act.Carried)
+		case shard.NoteRunOver:
+			nod.sim.note("%s counts %s %d at %s as over: %s, extended %v ago, accepted %v ago", nod.id, act.Run.Task, act.Run.Number, act.Server, act.Evidence,
+				act.Extended, act.Accepted)
 		case shard.StartRun:
 			nod.startRun(name, act, timeout)
 		case shard.StopRun:
@@ -172,7 +175,7 @@
 	}
 	sim.after(timeout, func() { finish(shard.RenewResult{}, shard.Unknown) })
 	srv := sim.server(to)
-	if !sim.up(nod.name, string(to)) {
+	if !sim.up(nod.name, string(to)) || sim.loses(nod.name, string(to)) {
 		return
 	}
 	if srv.lostAnswers > 0 {
@@ -198,7 +201,7 @@
 			return // The connection ended with the incarnation.
 		}
 		carryOut(srv, func(res shard.RenewResult, clr shard.CallResult) {
-			if sim.up(string(to), nod.name) {
+			if sim.up(string(to), nod.name) && !sim.loses(string(to), nod.name) {
 				sim.after(sim.delay(), func() { finish(res, clr) })
 			}
 		})
--- a/internal/process/succession/explore_repeat_test.go
+++ b/internal/process/succession/explore_repeat_test.go
@@ -14,6 +14,7 @@
 		"restarted servers": func(seed uint64) *simRun { return simulate(seed, true) },
 		"second leaders":    simulateSecondLeaders,
 		"preemption":        simulatePreemption,
+		"unseen restarts":   simulateUnseenRestarts,
 	}
 	for name, search := range searches {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/succession/explore_server_test.go
+++ b/internal/process/succession/explore_server_test.go
@@ -142,8 +142,11 @@
 		reply(srv.renewResult(), shard.Accepted)
 		return
 	}
-	done := false
+	done, inc := false, srv.incarnation
 	answer := func() {
+		if srv.sim.strict && (srv.down() || srv.incarnation != inc) {
+			return // The call ended with the incarnation.
+		}
 		if !done {
 			done = true
 			reply(srv.renewResult(), shard.Accepted)
@@ -171,15 +174,15 @@
 		return
 	}
 	srv.lease = until
-	left := time.Duration(float64(until-srv.clock()) / srv.clockRate)
+	left, inc := time.Duration(float64(until-srv.clock())/srv.clockRate), srv.incarnation
 	srv.sim.after(left, func() {
-		if srv.lease > until {
+		if srv.lease > until || srv.sim.strict && srv.incarnation != inc {
 			return
 		}
 		for _, task := range sortedKeys(srv.running) {
 			rn := srv.running[task]
 			srv.sim.after(srv.sim.within(stopTime), func() {
-				if srv.lease <= until {
+				if srv.lease <= until || srv.sim.strict {
 					srv.endRun(rn, shard.EndedStopped)
 				}
 			})
--- a/internal/process/succession/explore_test.go
+++ b/internal/process/succession/explore_test.go
@@ -85,7 +85,12 @@
 	// list has all records of the list, by their offsets.
 	list []listRecord
 	// cuts has until when the link from one process to another is cut, in that direction.
-	cuts   map[[2]string]time.Time
+	cuts map[[2]string]time.Time
+	// losses has what share of the messages from one process to another is lost, in that direction; the losses are drawn from lossRnd.
+	losses  map[[2]string]loss
+	lossRnd *rand.Rand
+	// strict makes the leases of a server, and the calls that wait there, end with its incarnation, and the kills after a lease certain.
+	strict bool
 	jobs   []*callerJob
 	starts map[string]int
 	// orders has the orders of each task by each owner; wrongLoads change what nodes tell of their loads.
