Explore runs that a new leader lists and no owner claims

A new leader that takes a shard over lists the runs of the former one. Those that no order has come for are stopped; while a stop got no answer, the leader extended the server's lease for up to Config.StopTimeout (100 ms) anyway. A former leader that was succeeded without knowing it gives the order back 672 ms after its own last extension, and the task starts elsewhere while the run lives.

TestExploreSecondLeaders has not shown this. By reading, its cuts are shorter than 950 ms and each drawn for itself, so that the former leader was refused by some server, or the owner heard the new one, before 672 ms had passed; it gave its links losses of whole spans only, so that a lost stop meant lost renewals; and owners had no room elsewhere for an order that came back.

--- a/internal/process/succession/explore_repeat_test.go
+++ b/internal/process/succession/explore_repeat_test.go
@@ -15,6 +15,7 @@
 		"second leaders":    simulateSecondLeaders,
 		"preemption":        simulatePreemption,
 		"unseen restarts":   simulateUnseenRestarts,
+		"unclaimed runs":    simulateUnclaimedRuns,
 	}
 	for name, search := range searches {
 		t.Run(name, func(t *testing.T) {
