Explore restarts of servers while their leaders change

TestExploreRestartsBetweenLeaders draws the troubles of the two explorations before it together.

The first answer of a server whose incarnation has just begun may hide such a lease.

A server starts again and has forgotten the token; a former leader, succeeded without knowing it, starts tasks there, and so does its successor, which has not learned of the restart.

--- a/internal/process/succession/explore_unclaimed_test.go
+++ b/internal/process/succession/explore_unclaimed_test.go
@@ -31,6 +31,32 @@
 	return sim
 }
 
+// TestExploreRestartsBetweenLeaders guards against a task that runs twice because a former leader has extended the lease of an incarnation that it did not
+// know: the lease, meant for a clock that is ahead, is one of all runs of the server, and outlasts what the next leader waits for those that it starts.
+func TestExploreRestartsBetweenLeaders(t *testing.T) {
+	explore(t, []uint64{692, 8465}, simulateRestartsBetweenLeaders)
+}
+
+// simulateRestartsBetweenLeaders returns the simulation of a seed after it has run.
+func simulateRestartsBetweenLeaders(seed uint64) *simRun {
+	sim, rnd := newLeaseSimulation(seed, 18, [][]string{{"a", "b"}, {"a", "a", "b"}, {"a", "a", "b", "b"}}[seed%3])
+	for range 2 + rnd.IntN(5) {
+		sim.after(within(rnd, activeTime), func() { sim.submitLong(rnd, sim.names[rnd.IntN(len(sim.names))]) })
+	}
+	for range rnd.IntN(3) {
+		sim.after(within(rnd, activeTime), sim.injectFault)
+	}
+	for range 2 + rnd.IntN(4) {
+		sim.after(within(rnd, activeTime), func() { sim.succeedUnseen(rnd) })
+	}
+	for range 2 + rnd.IntN(4) {
+		sim.after(within(rnd, activeTime), func() { sim.unseenRestart(rnd) })
+	}
+	sim.runUntil(sim.began.Add(warmUp + activeTime + settleTime))
+	sim.checkRefused()
+	return sim
+}
+
 // succeedUnseen has the shard a.0 taken over by a node that neither its leader nor, most times, the owner of its tasks hears. The two leaders reach the
 // servers in turn: the former one loses them around the takeover, the new one later, and a share of its calls or of their answers are lost before.
 func (sim *simRun) succeedUnseen(rnd *rand.Rand) {
