Use no clock of a server that may be another incarnation's

A task ran twice where servers start again twice in a row under their IDs. The leader read the clock of an incarnation that had just begun; a start then reached the next one, whose clock was ahead of that reading, but behind what the known incarnation's would show. The answer confirmed nothing, but its clock was kept, and the next start, reckoned from it, counted as confirmed: it was waited for 672 ms and lived for up to 1,070.

A reading is kept only if it may be the known incarnation's.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -12,8 +12,10 @@
 			ldr.advance(now, srv)
 			return ldr.takeActions()
 		}
-		rn.confirmed = rn.confirmed || clock >= rn.leastClock
-		srv.setClock(now, clock)
+		if clock >= rn.leastClock {
+			rn.confirmed = true
+			srv.setClock(now, clock)
+		}
 	}
 	if res == Unknown && rn != nil {
 		srv.noteLostExtension(now, rn.incarnation)
