Count a former leader's lease for an incarnation that it didn't know

A former leader may have extended the lease of an incarnation that it didn't know, for the longest time that the server grants. The next leader's runs there have the same lease, as it is the server's, and the next leader took them for over 672 ms after its own last extension: the task started elsewhere beside its run.

The first answer of a server that tells an incarnation counts as the last moment at which it may have taken such a lease.

--- a/internal/process/succession/explore_unclaimed_test.go
+++ b/internal/process/succession/explore_unclaimed_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"chestnutstack/internal/request/shard"
+
+	"github.com/matryer/is"
 )
 
 // TestExploreUnclaimedRuns guards against a task that runs twice because a new leader has extended the lease of a run that it could not stop and for
@@ -34,7 +36,14 @@
 // TestExploreRestartsBetweenLeaders guards against a task that runs twice because a former leader has extended the lease of an incarnation that it did not
 // know: the lease, meant for a clock that is ahead, is one of all runs of the server, and outlasts what the next leader waits for those that it starts.
 func TestExploreRestartsBetweenLeaders(t *testing.T) {
-	explore(t, []uint64{692, 8465}, simulateRestartsBetweenLeaders)
+	explore(t, []uint64{692}, simulateRestartsBetweenLeaders)
+}
+
+// TestRestartedServerObeysTwoLeaders guards against a server that is given more than it has room for: it has started again and forgotten the token, and a
+// former leader, succeeded without knowing it, starts tasks there beside its successor.
+func TestRestartedServerObeysTwoLeaders(t *testing.T) {
+	sim := simulateRestartsBetweenLeaders(8465)
+	is.New(t).Equal(sim.violations, nil)
 }
 
 // simulateRestartsBetweenLeaders returns the simulation of a seed after it has run.
--- a/internal/request/shard/lease.go
+++ b/internal/request/shard/lease.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// noteFormerLeader records the first answer of a server to this leader, until when it has obeyed a former one. That one may have extended the leases, and may
+// not have known the server's incarnation.
+func (srv *server) noteFormerLeader(now time.Time) {
+	srv.renewedAt = now
+	if srv.incarnation != 0 {
+		srv.foreignLeaseAt = now
+	}
+}
+
 // lastExtension returns when a call that extends the leases may last have been carried out.
 func (srv *server) lastExtension() time.Time { return laterOf(srv.renewedAt, srv.extensionLostAt) }
 
--- a/internal/request/shard/renew.go
+++ b/internal/request/shard/renew.go
@@ -149,8 +149,8 @@
 	srv.state = confirmed
 	srv.missed = 0
 	srv.confirmedAt, ldr.heardAt = sent, now
-	if first {
-		srv.renewedAt = now // A former leader, which the server has obeyed until then, may have extended its leases.
+	if first && srv.renewedAt.IsZero() {
+		srv.noteFormerLeader(now)
 	}
 	srv.setClock(now, ans.Clock)
 	for _, end := range ans.Ended {
