--- a/review/play/main.go
+++ b/review/play/main.go
@@ -20,12 +20,12 @@
 
 // play carries out a case and returns the exit code.
 func play() int {
-	name := flag.String("case", "", "the case: delete")
+	name := flag.String("case", "", "the case: delete or recover")
 	program := flag.String("daemon", "", "the daemon's program, by its full path")
 	path := flag.String("record", "record.txt", "the file that notes what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "whether the disruption comes")
 	flag.Parse()
-	cases := map[string]func(sys *system, trouble bool) (verdict string, ok bool){"delete": playDelete}
+	cases := map[string]func(sys *system, trouble bool) (verdict string, ok bool){"delete": playDelete, "recover": playRecover}
 	carryOut := cases[*name]
 	rec, err := newRecord(*path)
 	if err != nil || carryOut == nil {
