Order nothing for callers who have left

Cause: an instance that resumes reads requests of callers who have closed their connections and sent their jobs elsewhere. Daemon.Submit submitted each job, and its orders went out, before net/http had read the end of the connection and ended the context. Where the order met that of the second submission at one leader it replaced it, the run was stopped, and the second caller got no answer.

Change: a request whose connection has ended is not submitted. The kernel is asked at that moment (MSG_PEEK, which takes no bytes and doesn't wait for the goroutine that reads). After a pause of over 500 ms jobs wait until the sockets were read for 50 ms, as starts of the own leaders do. "submitted" tells the age of the connection, and a line and a counter tell of jobs that are not submitted.

--- a/internal/connection/rpc/conn.go
+++ b/internal/connection/rpc/conn.go
@@ -46,6 +46,9 @@
 	return &Conn{Conn: con, cnt: cnt, writeTimeout: writeTimeout, start: time.Now()}
 }
 
+// NetConn returns the connection inside.
+func (wcn *Conn) NetConn() net.Conn { return wcn.Conn }
+
 // Read implements net.Conn.
 func (wcn *Conn) Read(buf []byte) (int, error) {
 	num, err := wcn.Conn.Read(buf)
--- /dev/null
+++ b/internal/connection/tcp/doc.go
@@ -0,0 +1,2 @@
+// Package tcp asks the kernel about the other end of a TCP connection.
+package tcp
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -38,6 +38,8 @@
 type counters struct {
 	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses,
 	configsSent, changesSent, roomChanges, listReadsDeferred, listsSent atomic.Int64
+	// callersGone counts the jobs that were not submitted as their callers had left.
+	callersGone atomic.Int64
 	// closedDomains and closedRuns are gauges: the failure domains that are closed to new work, and the runs that this instance leads there.
 	closedDomains, closedRuns atomic.Int64
 	// overfullServers and listAge are gauges: the servers led here whose runs need more than their room, and how old the known list of
@@ -116,6 +118,7 @@
 		}
 		line("submissions", cnt.submissions.Load())
 		line("refusals", cnt.refusals.Load())
+		line("callers-gone", cnt.callersGone.Load())
 		line("admitted-with-room", cnt.admittedWithCapacity.Load())
 		line("admitted-to-wait", cnt.admittedToWait.Load())
 		line("not-admitted", cnt.notAdmitted.Load())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chestnutstack/internal/connection/mesh"
+	"chestnutstack/internal/connection/tcp"
 	"chestnutstack/internal/process/succession"
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
@@ -128,6 +129,9 @@
 	leadersChanged bool
 	// lastTickAt is the time of the last tick, zero before the first; pausedSince is the last tick before the last long pause.
 	lastTickAt, pausedSince time.Time
+	// longPause is the length of the last long pause. Until socketsReadAt the sockets are read after it, and no job is submitted.
+	longPause     time.Duration
+	socketsReadAt time.Time
 	// openOrdersWith are the instances with which unfinished orders exist, in either direction, as of openOrdersUpdatedAt.
 	openOrdersWith      map[shard.InstanceID]bool
 	openOrdersUpdatedAt time.Time
@@ -247,7 +251,7 @@
 
 // serveHTTP serves in the background until ctx ends; requests that were read by then are still answered.
 func (dmn *Daemon) serveHTTP(ctx context.Context, lis net.Listener, hdl http.Handler) {
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: tcp.NewContext}
 	dmn.group.Go(func() error {
 		if err := srv.Serve(lis); err != nil && ctx.Err() == nil {
 			return err
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -12,7 +12,7 @@
 
 // beginEvent takes the lock for an event and returns the time. After a suspension of the machine it first resigns all shards: other
 // instances have taken over meanwhile, and renewed leases would keep alive runs whose jobs the callers have sent elsewhere. After a long
-// pause it has the leaders delay their starts until the sockets are read.
+// pause it has the leaders delay their starts, and Submit its jobs, until the sockets are read.
 func (dmn *Daemon) beginEvent() time.Time {
 	dmn.mu.Lock()
 	now := dmn.now()
@@ -24,7 +24,7 @@
 			ldr.HandlePause(now.Add(socketReadTime))
 		}
 		if dmn.coordinator != nil && dmn.pausedSince != dmn.lastTickAt {
-			dmn.pausedSince = dmn.lastTickAt
+			dmn.pausedSince, dmn.longPause, dmn.socketsReadAt = dmn.lastTickAt, pause, now.Add(socketReadTime)
 			dmn.coordinator.HandlePause(pause)
 		}
 	}
--- a/internal/process/pipe/pipe.go
+++ b/internal/process/pipe/pipe.go
@@ -109,6 +109,7 @@
 		near, far := net.Pipe()
 		one := &conn{Conn: near, from: host, to: hostOf(addr)}
 		two := &conn{Conn: far, from: hostOf(addr), to: host}
+		one.other, two.other = two, one
 		ntw.mu.Lock()
 		one.out, two.out = ntw.links[one.from], ntw.links[two.from]
 		one.held, two.held = ntw.holds(one), ntw.holds(two)
@@ -239,6 +240,8 @@
 type conn struct {
 	net.Conn
 	from, to string
+	// other is the other end.
+	other *conn
 	// out is the narrow link of the sending host, if it has one.
 	out    *link
 	mu     sync.Mutex
@@ -261,6 +264,15 @@
 	return con.Conn.Close()
 }
 
+// PeerHasLeft reports whether the other end was closed and nothing is held up that was sent before.
+func (con *conn) PeerHasLeft() bool { return !con.isSilent() && con.other.hasEnded() }
+
+func (con *conn) hasEnded() bool {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	return con.closed && !con.held
+}
+
 func (con *conn) isClosed() bool {
 	con.mu.Lock()
 	defer con.mu.Unlock()
