Cancel a job, or tell its state, at any instance

Cause: the front answered GET and DELETE of any job with 410, as nothing is kept of such jobs. While they are open their owners know them.

Change: an instance that is asked looks at its own open jobs and asks all others that it hears. Another queue's job of the same ID isn't found.

Open: a job that is accepted in a failure domain which has been cut off for over 30 s gets 410 outside.

--- a/internal/connection/mesh/types.go
+++ b/internal/connection/mesh/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
 	"chestnutstack/internal/version/domainlist"
 )
 
@@ -42,8 +43,8 @@
 	WantsList bool
 }
 
-// Message is sent from one instance to another: Order, Cancellation, Report, Configuration, ServerChanges, ServerList, ServerSpeeds or
-// LossNotice.
+// Message is sent from one instance to another: Order, Cancellation, Report, Configuration, ServerChanges, ServerList, ServerSpeeds,
+// LossNotice, JobQuery or JobAnswer.
 type Message interface{ message() }
 
 // Order asks the leader of a shard to run a task.
@@ -80,6 +81,22 @@
 // LossNotice says that the sender has lost an instance.
 type LossNotice struct{ Instance shard.InstanceID }
 
+// JobQuery asks an instance for a job that it may have accepted, or to cancel that job.
+type JobQuery struct {
+	// Number is the sender's number of the query.
+	Number     int64
+	Route, Job string
+	Cancel     bool
+}
+
+// JobAnswer answers the query with a number.
+type JobAnswer struct {
+	Number int64
+	State  submission.JobState
+}
+
+func (JobQuery) message()      {}
+func (JobAnswer) message()     {}
 func (LossNotice) message()    {}
 func (Order) message()         {}
 func (Cancellation) message()  {}
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -6,6 +6,7 @@
 
 	"chestnutstack/internal/connection/meshpb"
 	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
 	"chestnutstack/internal/version/domainlist"
 )
 
@@ -121,6 +122,14 @@
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_Missed{Missed: &meshpb.Missed{
 			Name: name, Life: incarnation,
 		}}})
+	case JobQuery:
+		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_JobQuery{JobQuery: &meshpb.JobQuery{
+			Number: msg.Number, Route: msg.Route, Job: msg.Job, Cancel: msg.Cancel,
+		}}})
+	case JobAnswer:
+		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_JobAnswer{JobAnswer: &meshpb.JobAnswer{
+			Number: msg.Number, State: int64(msg.State),
+		}}})
 	case ServerSpeeds:
 		dlv.Messages = append(dlv.Messages, &meshpb.Message{Body: &meshpb.Message_ServerSpeeds{ServerSpeeds: encodeSpeeds(msg)}})
 	case ServerChanges:
@@ -184,6 +193,11 @@
 			}})
 		case *meshpb.Message_Missed:
 			msgs = append(msgs, LossNotice{Instance: ID(bdy.Missed.GetName(), bdy.Missed.GetLife())})
+		case *meshpb.Message_JobQuery:
+			qry := bdy.JobQuery
+			msgs = append(msgs, JobQuery{Number: qry.GetNumber(), Route: qry.GetRoute(), Job: qry.GetJob(), Cancel: qry.GetCancel()})
+		case *meshpb.Message_JobAnswer:
+			msgs = append(msgs, JobAnswer{Number: bdy.JobAnswer.GetNumber(), State: submission.JobState(bdy.JobAnswer.GetState())})
 		case *meshpb.Message_ServerSpeeds:
 			msgs = append(msgs, decodeSpeeds(bdy.ServerSpeeds))
 		case *meshpb.Message_ServerChanges:
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -40,6 +40,8 @@
 	configsSent, changesSent, roomChanges, listReadsDeferred, listsSent atomic.Int64
 	// callersGone counts the jobs that were not submitted as their callers had left.
 	callersGone atomic.Int64
+	// cancels counts the jobs that were cancelled here.
+	cancels atomic.Int64
 	// closedDomains and closedRuns are gauges: the failure domains that are closed to new work, and the runs that this instance leads there.
 	closedDomains, closedRuns atomic.Int64
 	// overfullServers and listAge are gauges: the servers led here whose runs need more than their room, and how old the known list of
@@ -119,6 +121,7 @@
 		line("submissions", cnt.submissions.Load())
 		line("refusals", cnt.refusals.Load())
 		line("callers-gone", cnt.callersGone.Load())
+		line("jobs-cancelled", cnt.cancels.Load())
 		line("admitted-with-room", cnt.admittedWithCapacity.Load())
 		line("admitted-to-wait", cnt.admittedToWait.Load())
 		line("not-admitted", cnt.notAdmitted.Load())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -115,6 +115,8 @@
 	// callers are the channels on which calls of Submit wait for their answers.
 	callers  map[submission.CallID]chan submission.Answer
 	lastCall submission.CallID
+	// jobQueries are those that wait for other instances.
+	jobQueries jobQueries
 	// suspended is the last value of Params.Suspended.
 	suspended time.Duration
 	// loadsSharedAt is when the loads of the own shards were last passed to the coordinator.
@@ -163,6 +165,7 @@
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{},
 		services: map[string]bool{}, closedDomains: domainlist.New(prm.Settings.FailureDomains),
 		callers:      map[submission.CallID]chan submission.Answer{},
+		jobQueries:   jobQueries{open: map[int64]*jobQuery{}, silent: map[shard.InstanceID]time.Time{}},
 		configSentAt: map[shard.InstanceID]time.Time{}, firstHeardAt: map[shard.InstanceID]time.Time{},
 		listNews:     newListNews(),
 		listLimit:    newListLimit(&prm.Settings, &pcs, prm.Now()),
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -69,6 +69,7 @@
 	fresh, changed := dmn.elector.HandleHeartbeat(ins)
 	if fresh {
 		dmn.firstHeardAt[from] = now
+		delete(dmn.jobQueries.silent, from)
 		dmn.log.Info().Str("peer", string(from)).Msg("instance heard")
 	}
 	if changed {
@@ -141,6 +142,10 @@
 		dmn.runCoordinatorActions(dmn.coordinator.HandleReport(now, from, msg.Report))
 	case mesh.LossNotice:
 		dmn.suspectPeer(from, msg.Instance)
+	case mesh.JobQuery:
+		dmn.handleJobQuery(from, msg)
+	case mesh.JobAnswer:
+		dmn.jobQueries.handleAnswer(from, msg)
 	case mesh.ServerSpeeds:
 		dmn.handleServerSpeeds(now, from, msg.Told)
 	case mesh.ServerChanges:
@@ -194,6 +199,7 @@
 	defer dmn.endEvent(now)
 	dmn.log.Warn().Str("peer", string(id)).Str("cause", string(cau)).Msg("instance lost")
 	dmn.announceLoss(id, cau)
+	dmn.jobQueries.handleLoss(now, id, cau.IsSilence() || cau == mesh.Unacknowledged)
 	delete(dmn.firstHeardAt, id)
 	delete(dmn.configSentAt, id)
 	delete(dmn.changesSentAt, id)
--- /dev/null
+++ b/internal/process/daemon/jobs.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"chestnutstack/internal/connection/mesh"
+	"chestnutstack/internal/request/shard"
+	"chestnutstack/internal/request/submission"
+	"chestnutstack/internal/version/config"
+)
+
+// jobQueries are the queries for jobs that wait for the answers of other instances.
+type jobQueries struct {
+	open map[int64]*jobQuery
+	last int64
+	// silent has the instances that were lost by their silence, and when: they may live and have jobs open.
+	silent map[shard.InstanceID]time.Time
+}
+
+// jobQuery is one query. Its finding goes to done once it is known.
+type jobQuery struct {
+	// asked has the instances whose answers are missing.
+	asked   map[shard.InstanceID]bool
+	finding submission.Finding
+	done    chan submission.Finding
+}
+
+const (
+	// jobQueryTimeout is the silence after which an instance is taken for lost.
+	jobQueryTimeout = missedHeartbeats * heartbeatInterval
+	// maxJobQueries bounds the queries that wait at once: each costs a message to every instance.
+	maxJobQueries = 64
+	// silentMemory is how long an instance that was lost by its silence counts as one that may have a job open.
+	silentMemory = 30 * time.Second
+)
+
+// FindJob implements platform.Entry: it looks for a route's job at all instances that are heard, and cancels it if cancel is set.
+func (dmn *Daemon) FindJob(ctx context.Context, rte config.Route, id string, cancel bool) submission.Finding {
+	num, qry := dmn.beginJobQuery(rte.Name(), id, cancel)
+	timeout := time.NewTimer(jobQueryTimeout)
+	defer timeout.Stop()
+	select {
+	case fin := <-qry.done:
+		return fin
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	now := dmn.beginEvent()
+	defer dmn.endEvent(now)
+	delete(dmn.jobQueries.open, num)
+	fin := qry.finding
+	fin.Complete = fin.Complete && len(qry.asked) == 0
+	return fin
+}
+
+// beginJobQuery looks for a job here and asks the other instances for it. A job that is found here is one of theirs, too, only if its caller has submitted it
+// again; so they are still told to cancel it, and their answers aren't waited for.
+func (dmn *Daemon) beginJobQuery(route, id string, cancel bool) (int64, *jobQuery) {
+	qry := &jobQuery{asked: map[shard.InstanceID]bool{}, done: make(chan submission.Finding, 1)}
+	now := dmn.beginEvent()
+	defer dmn.endEvent(now)
+	if dmn.coordinator == nil || len(dmn.jobQueries.open) >= maxJobQueries {
+		qry.done <- submission.Finding{}
+		return 0, qry
+	}
+	qry.finding = submission.Finding{State: dmn.jobState(route, id, cancel, dmn.self), Complete: dmn.jobQueries.knowsAll(now)}
+	dmn.jobQueries.last++
+	num := dmn.jobQueries.last
+	if qry.finding.State == submission.NoJob || cancel {
+		for peer := range dmn.elector.Peers() {
+			qry.asked[peer] = true
+			dmn.mesh.Send(peer, mesh.JobQuery{Number: num, Route: route, Job: id, Cancel: cancel})
+		}
+	}
+	dmn.jobQueries.open[num] = qry
+	dmn.jobQueries.settle(num)
+	return num, qry
+}
+
+// jobState returns the state of a job of this instance, and cancels it if cancel is set; from is the instance that asks.
+func (dmn *Daemon) jobState(route, id string, cancel bool, from shard.InstanceID) submission.JobState {
+	if !cancel {
+		return dmn.coordinator.JobState(route, id)
+	}
+	sta, acts := dmn.coordinator.HandleCancel(route, id)
+	dmn.runCoordinatorActions(acts)
+	if sta != submission.NoJob {
+		dmn.cnt.cancels.Add(1)
+		dmn.log.Info().Str("job", id).Str("route", route).Str("from", string(from)).Bool("running", sta == submission.JobRunning).Msg("job cancelled")
+	}
+	return sta
+}
+
+// handleJobQuery answers another instance's query.
+func (dmn *Daemon) handleJobQuery(from shard.InstanceID, qry mesh.JobQuery) {
+	dmn.mesh.Send(from, mesh.JobAnswer{Number: qry.Number, State: dmn.jobState(qry.Route, qry.Job, qry.Cancel, from)})
+}
+
+// handleAnswer takes in another instance's answer.
+func (jqs *jobQueries) handleAnswer(from shard.InstanceID, ans mesh.JobAnswer) {
+	qry := jqs.open[ans.Number]
+	if qry == nil || !qry.asked[from] {
+		return
+	}
+	delete(qry.asked, from)
+	qry.finding.State = max(qry.finding.State, ans.State)
+	jqs.settle(ans.Number)
+}
+
+// handleLoss takes note that an instance was lost, and whether its process may live.
+func (jqs *jobQueries) handleLoss(now time.Time, id shard.InstanceID, mayLive bool) {
+	if mayLive {
+		jqs.silent[id] = now
+	}
+	for num, qry := range jqs.open {
+		if qry.asked[id] {
+			delete(qry.asked, id)
+			qry.finding.Complete = qry.finding.Complete && !mayLive
+			jqs.settle(num)
+		}
+	}
+}
+
+// knowsAll reports whether no instance may have a job open that can't be asked.
+func (jqs *jobQueries) knowsAll(now time.Time) bool {
+	for id, at := range jqs.silent {
+		if now.Sub(at) > silentMemory {
+			delete(jqs.silent, id)
+		}
+	}
+	return len(jqs.silent) == 0
+}
+
+// settle ends a query once the job is found or all instances have answered.
+func (jqs *jobQueries) settle(num int64) {
+	qry := jqs.open[num]
+	if qry.finding.State == submission.NoJob && len(qry.asked) > 0 {
+		return
+	}
+	delete(jqs.open, num)
+	qry.done <- qry.finding
+}
--- a/internal/request/submission/submission.go
+++ b/internal/request/submission/submission.go
@@ -61,7 +61,7 @@
 const (
 	// Succeeded means that all tasks are done.
 	Succeeded Result = iota
-	// Failed means that one task failed MaxAttempts times.
+	// Failed means that one task failed MaxAttempts times, or that the job was cancelled.
 	Failed
 	// NotRun means that no task has run or ever will.
 	NotRun
