Prove that a task runs nowhere by all servers of its former leaders' shards

What callers saw: a task that runs twice (TWICE): a failure domain was divided into more shards, the leader of a shard is lost just after it has started a task, and the shard's next leader returns the order as not run.

Cause: the proof asks the servers that the shard has now. The task may run on one that the shard had by the former division, which no leader of the new ones has reached yet.

Change: an order that was with former leaders tells the least number of shards by which one of them has led, as far as their heartbeats had told it when the order was sent (Order.FormerShards; each heartbeat has the divisions already). Rendezvous hashing gives a shard of a division into fewer shards all servers of the same shard of one into more (TestMoreShardsHaveNoOtherServers), so a leader proves by its own servers if it has one shard or no more shards than that. Else, and if a number is not known, the order waits for MayRunFor and OrphanExpiry. It costs nothing else: the number is that of the time of the order, so that orders which are sent after a leader has told the new division are proven as before.

Tests of package shard give the leader the number of shards with each listing (one), as none is a proof without it.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -158,7 +158,7 @@
 		ExpectedMicros: ord.ExpectedRunTime.Microseconds(),
 		Label:          ord.Label, Rack: ord.Rack, PerServer: int64(ord.MaxPerServer), Step: ord.Step,
 		Bounce: ord.ReturnIfBusy, Recall: ord.Recall, Followed: ord.Reassigned, At: string(ord.LastServer), RunsMicros: ord.MayRunFor.Microseconds(),
-		JobBegun: ord.JobStarted, Preempted: ord.Preempted,
+		JobBegun: ord.JobStarted, Preempted: ord.Preempted, FormerShards: int64(ord.FormerShards),
 	}
 	for _, id := range ord.Avoid {
 		wir.Avoid = append(wir.Avoid, string(id))
@@ -220,7 +220,7 @@
 		ExpectedRunTime: micros(wir.GetExpectedMicros()), Label: wir.GetLabel(), Rack: wir.GetRack(),
 		MaxPerServer: int(wir.GetPerServer()), Step: wir.GetStep(),
 		ReturnIfBusy: wir.GetBounce(), Recall: wir.GetRecall(), Reassigned: wir.GetFollowed(), JobStarted: wir.GetJobBegun(), LastServer: shard.ServerID(wir.GetAt()),
-		MayRunFor: micros(wir.GetRunsMicros()), Preempted: wir.GetPreempted(),
+		MayRunFor: micros(wir.GetRunsMicros()), Preempted: wir.GetPreempted(), FormerShards: int(wir.GetFormerShards()),
 	}
 	for _, id := range wir.GetAvoid() {
 		ord.Avoid = append(ord.Avoid, shard.ServerID(id))
--- a/internal/connection/mesh/wire_test.go
+++ b/internal/connection/mesh/wire_test.go
@@ -88,3 +88,12 @@
 	t.Logf("a message has %d bytes, a heartbeat %d more", msg, beat)
 	is.New(t).True(msg < 400 && beat < 40)
 }
+
+// Guards against a new leader that takes its own servers for all on which a former one may have started a task, as it isn't told of their division.
+func TestFormerDivisionOnTheWire(t *testing.T) {
+	dlv := &meshpb.Delivery{}
+	now := time.Unix(1000, 0)
+	appendMessage(dlv, now, Order{Shard: "a.0", Order: shard.Order{Task: "j.0.0.0", Reassigned: true, FormerShards: 3}})
+	told := func(msg Message) bool { ord, ok := msg.(Order); return ok && ord.Order.FormerShards == 3 }
+	is.New(t).True(slices.ContainsFunc(decodeMessages(dlv, now, "one/1"), told))
+}
--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -46,9 +46,13 @@
 	if act.Order.ReturnIfBusy {
 		lvl = zerolog.DebugLevel
 	}
-	dmn.log.WithLevel(lvl).Str("task", act.Order.Task).Str("shard", string(act.Target.Shard)).
+	lin := dmn.log.WithLevel(lvl).Str("task", act.Order.Task).Str("shard", string(act.Target.Shard)).
 		Str("leader", string(act.Target.Leader)).Int64("token", act.Target.Token).Bool("recalled", act.Order.Recall).
-		Bool("followed", act.Order.Reassigned).Msg("order")
+		Bool("followed", act.Order.Reassigned)
+	if act.Order.Reassigned {
+		lin = lin.Int("former-shards", act.Order.FormerShards)
+	}
+	lin.Msg("order")
 }
 
 // cancelOrder has the leader of a shard cancel an order.
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -252,10 +252,22 @@
 	for shd := range dmn.serversByShard {
 		led, tok := dmn.elector.Leader(shd)
 		tgt := submission.Target{Shard: shd.Name, Leader: led, Token: tok}
+		dmn.coordinator.HandleDivision(shd.Name, dmn.shardsOfDomain(led, shd.Domain))
 		dmn.runCoordinatorActions(dmn.coordinator.HandleLeader(tgt, shd.Domain))
 	}
 }
 
+// shardsOfDomain returns into how many shards an instance that leads some divides a failure domain, as last heard; 0 if that is not known.
+func (dmn *Daemon) shardsOfDomain(leader shard.InstanceID, domain string) int {
+	if leader == dmn.self {
+		return dmn.divisions.ConfirmedCount(domain)
+	}
+	if ins := dmn.elector.Peers()[leader]; ins != nil {
+		return ins.Divisions.ConfirmedCount(domain)
+	}
+	return 0
+}
+
 // updateShards divides the listed backend servers into shards, updates the leaders' servers and resigns shards that no longer exist.
 func (dmn *Daemon) updateShards(now time.Time) {
 	if dmn.elector == nil {
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -61,7 +61,7 @@
 	}
 	ins := succession.Instance{
 		ID: from, Domain: bet.Domain, Cores: bet.Processor,
-		Ready: bet.Ready, Stopping: bet.Stopping, Leaving: bet.Leaving, Leads: map[shard.Name]int64{},
+		Ready: bet.Ready, Stopping: bet.Stopping, Leaving: bet.Leaving, Leads: map[shard.Name]int64{}, Divisions: bet.Divisions,
 	}
 	for _, led := range bet.Leaderships {
 		ins.Leads[led.Shard] = led.Token
--- a/internal/process/succession/explore_list_test.go
+++ b/internal/process/succession/explore_list_test.go
@@ -88,7 +88,7 @@
 		if ldr == nil {
 			continue
 		}
-		lst := shard.Listing{Listed: div[shd], All: nod.entries}
+		lst := shard.Listing{Listed: div[shd], All: nod.entries, Shards: 1}
 		if nod.coverage.Complete(now) {
 			lst.ReadAt = nod.listReadAt
 		}
--- a/internal/process/succession/shards.go
+++ b/internal/process/succession/shards.go
@@ -79,6 +79,14 @@
 	return shardOf(ent.FailureDomain, rendezvousIndex(ent.ID, max(1, dvs[ent.FailureDomain].Count)))
 }
 
+// ConfirmedCount returns into how many shards a failure domain is divided; 0 if that is not known or provisional.
+func (dvs Divisions) ConfirmedCount(domain string) int {
+	if dvs[domain].Stamp == 0 {
+		return 0
+	}
+	return dvs[domain].Count
+}
+
 // updateCount sets a provisional number of shards (stamp 0) for a failure domain, or doubles or more a confirmed one under a new stamp.
 func (dvs Divisions) updateCount(domain string, servers int) {
 	old := dvs[domain]
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -20,6 +20,8 @@
 	Ready, Stopping, Leaving bool
 	// Leads has the fencing token of each shard led by the instance.
 	Leads map[shard.Name]int64
+	// Divisions has the divisions of the failure domains as the instance knows them.
+	Divisions Divisions
 }
 
 // Shard names a part of the backend servers and the failure domain that they are in.
@@ -151,7 +153,7 @@
 func (elc *Elector) Ready() bool { return elc.self.Ready }
 
 // HandleHeartbeat takes in what another instance reports of itself. It returns whether that instance was unknown before (fresh), and
-// whether it is new or its tokens, readiness or leaving have changed.
+// whether it is new or its tokens, readiness or leaving have changed, or the divisions by which it leads.
 func (elc *Elector) HandleHeartbeat(ins Instance) (fresh, changed bool) {
 	old := elc.peers[ins.ID]
 	elc.peers[ins.ID] = &ins
@@ -164,7 +166,8 @@
 		elc.claims.set(ins.ID, old.Leads, ins.Leads)
 		changed = true
 	default:
-		changed = old.Ready != ins.Ready || old.Stopping != ins.Stopping || old.Leaving != ins.Leaving
+		changed = old.Ready != ins.Ready || old.Stopping != ins.Stopping || old.Leaving != ins.Leaving ||
+			len(ins.Leads) > 0 && !maps.Equal(old.Divisions, ins.Divisions)
 	}
 	elc.changed = elc.changed || changed
 	return fresh, changed
--- a/internal/request/shard/adopted_end_test.go
+++ b/internal/request/shard/adopted_end_test.go
@@ -56,7 +56,7 @@
 				har.answerRenewal("s1", stopped)
 				har.answerRenewal("s2", RenewResult{})
 				har.record(har.ldr.SetServers(har.now, Listing{
-					Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000)}, ReadAt: har.now.Add(time.Millisecond),
+					Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000)}, ReadAt: har.now.Add(time.Millisecond), Shards: 1,
 				}))
 				har.advance(10 * time.Millisecond)
 				har.answerRenewal("s1", RenewResult{})
@@ -70,7 +70,7 @@
 			har := &harness{t: t, now: time.Unix(1000, 0)}
 			har.ldr = NewLeader(DefaultConfig(), NewUplink(0), "a.0", 9, har.now)
 			har.record(har.ldr.SetServers(har.now, Listing{
-				Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000)}, ReadAt: har.now.Add(time.Millisecond),
+				Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000)}, ReadAt: har.now.Add(time.Millisecond), Shards: 1,
 			}))
 			har.now = har.now.Add(2 * time.Millisecond)
 			cse.story(har)
--- a/internal/request/shard/handover_test.go
+++ b/internal/request/shard/handover_test.go
@@ -90,7 +90,7 @@
 	for range startRepeats {
 		har.answerStart("j.0", Unknown)
 	}
-	har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{left}}))
+	har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{left}, Shards: 1}))
 	for range 20 {
 		if har.ldr.servers[first] != nil {
 			har.answerRenewalSentAt(first, har.now, RenewResult{}, Unknown)
@@ -101,7 +101,7 @@
 	chk.Equal(har.reports(NotRun), 1) // The order goes back to its owner, who has the task started elsewhere.
 
 	har.acts = nil
-	har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{s1, s2}}))
+	har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{s1, s2}, Shards: 1}))
 	har.answerRenewal(first, RenewResult{Clock: time.Hour})
 	har.advance(2 * time.Second)
 	chk.Equal(har.leasesExtended(first), 0) // No lease before a stop of the lost start is accepted.
@@ -127,7 +127,7 @@
 			chk := is.New(t)
 			har := newHarness(t, serverEntry("s1", size), serverEntry("s2", size))
 			har.record(har.ldr.SetServers(har.now, Listing{
-				Listed: []ServerEntry{serverEntry("s1", size), serverEntry("s2", size)}, ReadAt: har.now,
+				Listed: []ServerEntry{serverEntry("s1", size), serverEntry("s2", size)}, ReadAt: har.now, Shards: 1,
 			}))
 			var run RunID
 			if cse.begun {
--- a/internal/request/shard/harness_test.go
+++ b/internal/request/shard/harness_test.go
@@ -28,7 +28,7 @@
 func newHarness(t *testing.T, ents ...ServerEntry) *harness {
 	har := &harness{t: t, now: time.Unix(1000, 0)}
 	har.ldr = NewLeader(DefaultConfig(), NewUplink(0), "a.0", 9, har.now)
-	har.record(har.ldr.SetServers(har.now, Listing{Listed: ents}))
+	har.record(har.ldr.SetServers(har.now, Listing{Listed: ents, Shards: 1}))
 	for _, ent := range ents {
 		har.answerRenewal(ent.ID, RenewResult{Clock: time.Minute})
 	}
--- a/internal/request/shard/headroom_test.go
+++ b/internal/request/shard/headroom_test.go
@@ -125,7 +125,7 @@
 			for _, srv := range har.ldr.serverList {
 				ents = append(ents, srv.ent)
 			}
-			har.record(har.ldr.SetServers(har.now, Listing{Listed: append(ents, ent)}))
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: append(ents, ent), Shards: 1}))
 			har.goOn(100 * time.Millisecond)
 			chk.True(aside > 0)
 			chk.Equal(har.ldr.ProcessorSetAside(), aside)
@@ -186,7 +186,7 @@
 	for _, srv := range har.ldr.serverList {
 		ents = append(ents, srv.ent)
 	}
-	har.record(har.ldr.SetServers(har.now, Listing{Listed: ents}))
+	har.record(har.ldr.SetServers(har.now, Listing{Listed: ents, Shards: 1}))
 	har.goOn(100 * time.Millisecond)
 	chk.True(aside > 0)
 	chk.Equal(har.ldr.ProcessorSetAside(), aside)
--- a/internal/request/shard/incarnation_test.go
+++ b/internal/request/shard/incarnation_test.go
@@ -33,7 +33,7 @@
 
 // list gives the leader a list of servers that all have an incarnation.
 func (har *harness) list(inc Incarnation, ids ...string) {
-	lst := Listing{ReadAt: har.now}
+	lst := Listing{ReadAt: har.now, Shards: 1}
 	for _, id := range ids {
 		lst.Listed = append(lst.Listed, incarnationEntry(id, inc))
 	}
@@ -228,7 +228,7 @@
 			har := newIncarnationHarness(t, "s1", "s2")
 			har.advance(1100 * time.Millisecond)
 			har.answer("s1", secondIncarnation, RenewResult{})
-			lst := Listing{Listed: []ServerEntry{incarnationEntry("s1", secondIncarnation), incarnationEntry("s2", firstIncarnation)}, ReadAt: har.now}
+			lst := Listing{Listed: []ServerEntry{incarnationEntry("s1", secondIncarnation), incarnationEntry("s2", firstIncarnation)}, ReadAt: har.now, Shards: 1}
 			lst.Listed[1].Leaving = true
 			har.record(har.ldr.SetServers(har.now, lst))
 			har.place(0, "j.0")
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -50,6 +50,8 @@
 	allConfirmedAt, listReadAt time.Time
 	// added counts the servers with addedAt set.
 	added int
+	// shards is into how many shards the failure domain is divided; 0 if that is not known.
+	shards int
 	// droppedUnproven is set once a server was dropped on which another leader may still run tasks.
 	droppedUnproven bool
 	// lossRate is the running share of calls to backend servers that got no answer.
@@ -132,6 +134,7 @@
 	if lst.ReadAt.After(ldr.listReadAt) {
 		ldr.listReadAt = lst.ReadAt
 	}
+	ldr.shards = lst.Shards
 	listed := make(map[ServerID]bool, len(lst.Listed))
 	for _, ent := range lst.Listed {
 		listed[ent.ID] = true
--- a/internal/request/shard/leader_test.go
+++ b/internal/request/shard/leader_test.go
@@ -260,7 +260,7 @@
 			for idx := range num {
 				ents = append(ents, serverEntry(fmt.Sprint("s", idx), 32000))
 			}
-			ldr.SetServers(now, Listing{Listed: ents})
+			ldr.SetServers(now, Listing{Listed: ents, Shards: 1})
 			for _, ent := range ents {
 				ldr.HandleRenewResult(now, now, Renew{Server: ent, Number: 1}, RenewResult{}, Accepted)
 			}
--- a/internal/request/shard/preempt_test.go
+++ b/internal/request/shard/preempt_test.go
@@ -126,7 +126,7 @@
 			old, victim := preemptHarness(t)
 			har := &harness{t: t, now: old.now}
 			har.ldr = NewLeader(DefaultConfig(), NewUplink(0), "a.0", 10, har.now)
-			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s1", 2*size)}, ReadAt: har.now}))
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s1", 2*size)}, ReadAt: har.now, Shards: 1}))
 			ord := old.ldr.orders[victim.id.Task].Order
 			ord.Reassigned, ord.Payload, ord.MayRunFor = true, "", time.Second
 			har.record(har.ldr.HandleOrder(har.now, ord))
@@ -136,7 +136,7 @@
 			}
 			har.answerRenewal("s1", ans)
 			har.advance(10 * time.Millisecond)
-			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s1", 2*size)}, ReadAt: har.now}))
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s1", 2*size)}, ReadAt: har.now, Shards: 1}))
 			har.advance(10 * time.Millisecond)
 			har.answerRenewal("s1", ans)
 			har.advance(10 * time.Millisecond)
--- a/internal/request/shard/renew_test.go
+++ b/internal/request/shard/renew_test.go
@@ -57,7 +57,7 @@
 func TestServerWithZeroClock(t *testing.T) {
 	chk := is.New(t)
 	har := newHarness(t)
-	har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000)}}))
+	har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000)}, Shards: 1}))
 	har.advance(10 * time.Millisecond)
 	har.answerRenewal("s", RenewResult{})
 	const later = 800 * time.Millisecond
--- a/internal/request/shard/returned_test.go
+++ b/internal/request/shard/returned_test.go
@@ -25,7 +25,7 @@
 			har.place(0, "j.0")
 			_, _, returned := har.playWithoutAnswers("s", 40*time.Millisecond)
 			chk.True(!returned.IsZero())
-			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000), serverEntry("s2", 32000)}}))
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000), serverEntry("s2", 32000)}, Shards: 1}))
 			har.answerRenewal("s2", RenewResult{Clock: time.Minute})
 			if cse.answers {
 				har.answerRenewal("s", RenewResult{Clock: time.Minute + har.now.Sub(time.Unix(1000, 0))})
--- a/internal/request/shard/room_test.go
+++ b/internal/request/shard/room_test.go
@@ -25,7 +25,7 @@
 			har.answerStart("j.0", Accepted)
 			ent := serverEntry("s", cse.processor)
 			ent.Memory = cse.memory
-			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{ent}}))
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{ent}, Shards: 1}))
 			har.acts = nil
 			run := RunID{Task: "j.1", Number: har.ldr.orders["j.1"].runNumber}
 			har.record(har.ldr.HandleStartResult(har.now, "s", run, Unknown, 0))
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -76,12 +76,19 @@
 // knowsAllServers reports whether the leader knows every server on which an order's task may run. A leader without servers does not: those
 // of another leader may have expired from the list. Nor does one that dropped a server unheard or to another shard, as it can't ask it.
 func (ldr *Leader) knowsAllServers(ord *order) bool {
-	if !ldr.ListingComplete() || ldr.droppedUnproven || len(ldr.servers) == 0 {
+	if !ldr.ListingComplete() || ldr.droppedUnproven || len(ldr.servers) == 0 || !ldr.coversFormerShards(ord) {
 		return false
 	}
 	return ord.LastServer == "" || ldr.servers[ord.LastServer] != nil
 }
 
+// coversFormerShards reports whether each server that belonged to the shard of a former leader of an order belongs to this one. Servers are
+// assigned by rendezvous hashing: a division into fewer shards gives each shard all servers that it has in a division into more, and others. Those
+// are called by the leaders of other shards now, or by none that reaches them.
+func (ldr *Leader) coversFormerShards(ord *order) bool {
+	return ldr.shards == 1 || ldr.shards > 0 && ord.FormerShards >= ldr.shards
+}
+
 // requestProof calls the servers on which a task may run for another leader. A renewal that waits for an end was sent before the order came
 // and proves nothing.
 func (ldr *Leader) requestProof(now time.Time, ord *order) {
--- a/internal/request/shard/takeover_test.go
+++ b/internal/request/shard/takeover_test.go
@@ -18,6 +18,7 @@
 			lst.Listed = []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000)}
 			lst.ReadAt = har.now.Add(time.Millisecond)
 		}
+		lst.Shards = 1
 		har.record(har.ldr.SetServers(har.now, lst))
 		return har
 	}
@@ -93,7 +94,7 @@
 				har.answerRenewal("s1", RenewResult{Running: []Progress{{Run: RunID{Task: "k.0", Number: 5}}}})
 				har.answerRenewal("s2", RenewResult{})
 				har.record(har.ldr.SetServers(har.now, Listing{
-					Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000), serverEntry("s3", 32000)},
+					Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000), serverEntry("s3", 32000)}, Shards: 1,
 				}))
 				har.advance(DefaultConfig().AdoptWait)
 			},
@@ -109,7 +110,7 @@
 				har.answerRenewal("s1", other)
 				har.answerRenewal("s2", RenewResult{})
 				har.record(har.ldr.SetServers(har.now, Listing{
-					Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000), serverEntry("s3", 32000)},
+					Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000), serverEntry("s3", 32000)}, Shards: 1,
 				}))
 				har.advance(DefaultConfig().AdoptWait)
 			},
@@ -125,16 +126,16 @@
 		},
 		"the list was read before the takeover": {
 			// The former leader may have taken over a server that was added since, or whose entry is gone.
-			list:  Listing{Listed: []ServerEntry{serverEntry("s1", 32000)}, ReadAt: time.Unix(1000, 0)},
+			list:  Listing{Listed: []ServerEntry{serverEntry("s1", 32000)}, ReadAt: time.Unix(1000, 0), Shards: 1},
 			story: func(har *harness) { har.answerRenewal("s1", RenewResult{}); reassigned(har) },
 		},
 		"the list was read again after the takeover": {
-			list: Listing{Listed: []ServerEntry{serverEntry("s1", 32000)}, ReadAt: time.Unix(1000, 0)},
+			list: Listing{Listed: []ServerEntry{serverEntry("s1", 32000)}, ReadAt: time.Unix(1000, 0), Shards: 1},
 			story: func(har *harness) {
 				har.answerRenewal("s1", RenewResult{})
 				reassigned(har)
 				har.record(har.ldr.SetServers(har.now, Listing{
-					Listed: []ServerEntry{serverEntry("s1", 32000)}, ReadAt: har.now.Add(time.Millisecond),
+					Listed: []ServerEntry{serverEntry("s1", 32000)}, ReadAt: har.now.Add(time.Millisecond), Shards: 1,
 				}))
 			},
 			returned: 1,
@@ -142,7 +143,7 @@
 		"its server has no entry any more": {
 			story: func(har *harness) {
 				har.record(har.ldr.SetServers(har.now, Listing{
-					Listed: []ServerEntry{serverEntry("s1", 32000)}, Missing: []ServerEntry{serverEntry("s3", 32000)},
+					Listed: []ServerEntry{serverEntry("s1", 32000)}, Missing: []ServerEntry{serverEntry("s3", 32000)}, Shards: 1,
 				}))
 				har.answerRenewal("s1", RenewResult{})
 				reassigned(har)
@@ -202,7 +203,7 @@
 			har := &harness{t: t, now: time.Unix(1000, 0)}
 			har.ldr = NewLeader(DefaultConfig(), NewUplink(0), "a.0", 9, har.now)
 			listing := func(ents, all []ServerEntry) Listing {
-				lst := Listing{Listed: ents, All: map[ServerID]ServerEntry{}, ReadAt: har.now.Add(time.Millisecond)}
+				lst := Listing{Listed: ents, All: map[ServerID]ServerEntry{}, ReadAt: har.now.Add(time.Millisecond), Shards: 1}
 				for _, ent := range all {
 					lst.All[ent.ID] = ent
 				}
@@ -257,7 +258,7 @@
 			chk := is.New(t)
 			har := newHarness(t, serverEntry("s1", 32000))
 			har.record(har.ldr.SetServers(har.now, Listing{
-				Listed: []ServerEntry{serverEntry("s1", 32000)}, ReadAt: har.now.Add(time.Millisecond),
+				Listed: []ServerEntry{serverEntry("s1", 32000)}, ReadAt: har.now.Add(time.Millisecond), Shards: 1,
 			}))
 			har.advance(100 * time.Millisecond)
 			ord := har.order(0, "j.0")
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -121,6 +121,8 @@
 	All map[ServerID]ServerEntry
 	// ReadAt is when the read of the list began. It is zero while there may be live servers that this instance has never seen listed.
 	ReadAt time.Time
+	// Shards is into how many shards the servers of the failure domain are divided; 0 if that is not known.
+	Shards int
 }
 
 // Order asks the leader of a shard to run a task and to report its end.
@@ -156,6 +158,9 @@
 	Reassigned bool
 	LastServer ServerID
 	MayRunFor  time.Duration
+	// FormerShards is the least number of shards into which the failure domain was divided by a former leader that may have started the task;
+	// 0 if that is not known.
+	FormerShards int
 	// JobStarted is set if another task of the job may have started. Such an order is kept however long it waits, and goes before others,
 	// as the work already done for the job would be lost.
 	JobStarted bool
--- a/internal/request/shard/unclaimed_test.go
+++ b/internal/request/shard/unclaimed_test.go
@@ -27,7 +27,7 @@
 			chk := is.New(t)
 			har := &harness{t: t, now: time.Unix(1000, 0)}
 			har.ldr = NewLeader(DefaultConfig(), NewUplink(0), "a.0", 9, har.now)
-			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000)}}))
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000)}, Shards: 1}))
 			ans := RenewResult{Clock: time.Minute}
 			for _, run := range cse.listed {
 				ans.Running = append(ans.Running, Progress{Run: run})
@@ -91,7 +91,7 @@
 			chk := is.New(t)
 			har := &harness{t: t, now: time.Unix(1000, 0)}
 			har.ldr = NewLeader(cfg, NewUplink(0), "a.0", 9, har.now)
-			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000)}}))
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000)}, Shards: 1}))
 			har.answerRenewal("s", RenewResult{Clock: time.Minute, Running: cse.listed})
 			listed := har.now // The former leader may have extended the leases until now.
 			har.acts = nil
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -33,6 +33,8 @@
 	loadAt      time.Time
 	// lastPayloadJob is the id of the job whose payload was last sent to the leader.
 	lastPayloadJob string
+	// shards is into how many shards the leader divides the failure domain's servers, as last heard; 0 if that is not known.
+	shards int
 }
 
 // acceptsWork reports whether a shard has a leader and is not closed to new work, by what this instance and the leader know.
@@ -127,7 +129,7 @@
 		crd.heldBytes += shard.StartBytes(tsk.job.sub.Payload)
 		return
 	}
-	tsk.shard, tsk.leader, tsk.token = viw.name, viw.leader, viw.token
+	tsk.shard, tsk.leader, tsk.token, tsk.leastShards = viw.name, viw.leader, viw.token, viw.shards
 	returnIfBusy := hasCapacity && tsk.returns < maxReturns
 	tsk.started, tsk.recalled, tsk.reassigned, tsk.queued, tsk.server = false, false, false, !returnIfBusy, ""
 	crd.noteClaim(tsk, viw, returnIfBusy)
@@ -238,6 +240,16 @@
 	return crd.takeActions()
 }
 
+// HandleDivision records into how many shards the servers of a shard's failure domain are divided by its leader, as far as that was heard; 0 if
+// it is not known. For a new leader it is called before HandleLeader.
+func (crd *Coordinator) HandleDivision(name shard.Name, shards int) {
+	viw := crd.shards[name]
+	if viw == nil {
+		viw = crd.addShard(name)
+	}
+	viw.shards = shards
+}
+
 // orderAllReady orders the ready tasks of all jobs, oldest job first.
 func (crd *Coordinator) orderAllReady() {
 	for _, jb := range crd.jobsByArrival() {
@@ -258,10 +270,10 @@
 		// the task runs elsewhere. On servers that follow the new leader, the cancellation ends nothing.
 		crd.emit(CancelOrder{Target: tsk.target(), Task: tsk.name, Followed: true})
 	}
-	rns := crd.mayRunFor(tsk)
+	rns, former := crd.mayRunFor(tsk), tsk.leastShards
 	tsk.leader, tsk.token, tsk.orphanedUntil, tsk.started, tsk.queued, tsk.claims = viw.leader, viw.token, time.Time{}, false, false, false
-	tsk.reassigned = true
-	crd.send(tsk, shard.Order{Reassigned: true, LastServer: tsk.server, MayRunFor: rns})
+	tsk.reassigned, tsk.leastShards = true, min(former, viw.shards)
+	crd.send(tsk, shard.Order{Reassigned: true, LastServer: tsk.server, MayRunFor: rns, FormerShards: former})
 }
 
 // mayRunFor returns for how long the former leader may still run a task that is about to be reassigned. A former leader that is alive may
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -172,6 +172,9 @@
 	claims bool
 	// reassigned is set while the order is one that was with an earlier leader.
 	reassigned bool
+	// leastShards is the least number of shards into which the failure domain was divided by a leader that has got the order since the task was
+	// last known to run nowhere; 0 if that is not known.
+	leastShards int
 	// preempted is set once a run of the task was stopped for a more urgent one.
 	preempted bool
 }
@@ -279,7 +282,7 @@
 }
 
 // send sends an order for a task, or its recall, to the leader that has the task. Only the fields ReturnIfBusy, Recall, Reassigned,
-// LastServer and MayRunFor of how are used.
+// LastServer, MayRunFor and FormerShards of how are used.
 func (crd *Coordinator) send(tsk *task, how shard.Order) {
 	jb := tsk.job
 	stp := &jb.sub.Steps[tsk.step]
@@ -298,7 +301,7 @@
 		ExpectedRunTime: stp.ExpectedRunTime, Label: stp.Label, Rack: stp.Rack,
 		MaxPerServer: stp.PerServer, Step: fmt.Sprintf("%s.%d", jb.sub.ID, tsk.step),
 		Avoid: slices.Clone(tsk.avoid), JobStarted: jb.started, ReturnIfBusy: how.ReturnIfBusy, Reassigned: how.Reassigned, LastServer: how.LastServer, MayRunFor: how.MayRunFor,
-		Preempted: tsk.preempted,
+		FormerShards: how.FormerShards, Preempted: tsk.preempted,
 	}})
 }
 
--- a/internal/request/submission/playinstance_test.go
+++ b/internal/request/submission/playinstance_test.go
@@ -50,7 +50,7 @@
 			ldr := shard.NewLeader(cfg, link, shd.name, shd.token, sim.now)
 			ins.leaders = append(ins.leaders, ldr)
 			ins.later(0, func() {
-				ins.runLeader(ldr, ldr.SetServers(sim.now, shard.Listing{Listed: shd.servers, ReadAt: sim.now}))
+				ins.runLeader(ldr, ldr.SetServers(sim.now, shard.Listing{Listed: shd.servers, ReadAt: sim.now, Shards: 1}))
 			})
 		}
 	}
