Drop unlisted servers that a new division gives to another shard

What callers would see: a task that runs twice.

Cause: a leader that learns of a new division drops the servers that are listed in another shard. One whose entry had expired before is in no list; the leader went on with it, also with new tasks, while owners know that it leads by the new division. The shard's next leader doesn't ask that server, as it doesn't belong to the shard.

Change: the listing tells which servers belong to the shard (Listing.Belongs), and the leader drops the others, as it does with listed ones.

--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -181,7 +181,10 @@
 // shardListing returns the known servers of a shard for its leader. ReadAt is set only if the list is complete: after the first read it
 // may lack entries that expired, for instance as the store has just come back. Entries that go away later are kept as missing.
 func (dmn *Daemon) shardListing(now time.Time, shd succession.Shard) shard.Listing {
-	lst := shard.Listing{Listed: dmn.serversByShard[shd], All: dmn.entries, Shards: dmn.divisions.ConfirmedCount(shd.Domain)}
+	lst := shard.Listing{
+		Listed: dmn.serversByShard[shd], All: dmn.entries, Shards: dmn.divisions.ConfirmedCount(shd.Domain),
+		Belongs: func(ent shard.ServerEntry) bool { return dmn.divisions.ShardOf(ent) == shd },
+	}
 	if dmn.coverage.Complete(now) && !dmn.listsUnknownService(shd.Domain) {
 		lst.ReadAt = dmn.listReadAt
 	}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -95,13 +95,6 @@
 // TakeoverComplete reports whether the leader may start tasks and extend leases.
 func (ldr *Leader) TakeoverComplete() bool { return ldr.takeoverComplete }
 
-// AddOwners adds the owner of each order that this leader has to set.
-func (ldr *Leader) AddOwners(set map[InstanceID]bool) {
-	for _, ord := range ldr.orders {
-		set[ord.Owner] = true
-	}
-}
-
 // LostServers returns how many servers were dropped because they accepted another leader's token.
 func (ldr *Leader) LostServers() int { return ldr.lostServers }
 
@@ -156,7 +149,7 @@
 		if listed[id] {
 			continue
 		}
-		if _, elsewhere := lst.All[id]; elsewhere {
+		if _, elsewhere := lst.All[id]; elsewhere || lst.Belongs != nil && !lst.Belongs(srv.ent) {
 			// The server belongs to another shard now, whose leader raises its fencing token.
 			ldr.dropServer(srv)
 			continue
--- a/internal/request/shard/owner.go
+++ b/internal/request/shard/owner.go
@@ -29,3 +29,10 @@
 	at, other := ldr.ownersHeard[ord.Owner]
 	return !other || now.Sub(at) <= ldr.cfg.OwnerTimeout
 }
+
+// AddOwners adds the owner of each order that this leader has to set.
+func (ldr *Leader) AddOwners(set map[InstanceID]bool) {
+	for _, ord := range ldr.orders {
+		set[ord.Owner] = true
+	}
+}
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -123,6 +123,8 @@
 	ReadAt time.Time
 	// Shards is into how many shards the servers of the failure domain are divided; 0 if that is not known.
 	Shards int
+	// Belongs reports whether a server belongs to the shard by the present division; nil if all of the shard's do.
+	Belongs func(ent ServerEntry) bool
 }
 
 // Order asks the leader of a shard to run a task and to report its end.
