Never merge a division into fewer shards

What callers would see: a task that runs twice. Found by reading.

Cause: owners tell a new leader by how many shards the former one has led at least, as heard when the order was sent. Two sides of a partition may divide a domain more than once each; then the higher stamp may have the lower count. A leader that merges it leads servers which belong to other shards by the number that the owner was told, and which the next leader, that has not merged it, does not ask.

Change: merged divisions have the higher stamp and the higher count.

Evidence: TestDivisionsAgree, case "later stamp, fewer shards", was red before (2 != 5).

--- a/internal/process/succession/shards.go
+++ b/internal/process/succession/shards.go
@@ -15,18 +15,23 @@
 const serversPerShard = 9
 
 // Divisions has the division into shards of each failure domain, by its name. A division with Stamp 0 is provisional: no instance has acted
-// on it yet. Of two confirmed ones the higher stamp wins, then the higher count.
+// on it yet. Of two confirmed ones the higher stamp and the higher count hold: the count by which an instance leads never falls.
 type Divisions map[string]shard.Division
 
-// Merge adopts the newer divisions of another instance, by stamp and then by count, and reports whether any division has changed.
+// Merge adopts the confirmed divisions of another instance, and reports whether any division has changed. Owners count on it that a leader which
+// has told them a division never leads by fewer shards.
 func (dvs Divisions) Merge(oth Divisions) bool {
 	changed := false
 	for dom, dvn := range oth {
 		own := dvs[dom]
-		if dvn.Stamp > own.Stamp || dvn.Stamp == own.Stamp && dvn.Stamp > 0 && dvn.Count > own.Count {
-			dvs[dom] = dvn
-			changed = true
+		if dvn.Stamp == 0 {
+			continue
+		}
+		if own.Stamp > 0 {
+			dvn = shard.Division{Count: max(own.Count, dvn.Count), Stamp: max(own.Stamp, dvn.Stamp)}
 		}
+		changed = changed || dvn != own
+		dvs[dom] = dvn
 	}
 	return changed
 }
--- a/internal/process/succession/succession_test.go
+++ b/internal/process/succession/succession_test.go
@@ -44,6 +44,8 @@
 		"later stamp":        {{Count: 2, Stamp: 3}, {Count: 5, Stamp: 4}},
 		"same stamp":         {{Count: 2, Stamp: 3}, {Count: 5, Stamp: 3}},
 		"one is provisional": {{Count: 7}, {Count: 5, Stamp: 1}},
+		// A leader that told an owner its division would lead more servers by a later one into fewer shards.
+		"later stamp, fewer shards": {{Count: 5, Stamp: 3}, {Count: 2, Stamp: 4}},
 	}
 	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -227,7 +227,7 @@
 }
 
 // Division is the number of shards that the backend servers of a failure domain are divided into. Instances with different divisions would
-// take each other's servers over, so all use the one with the highest stamp.
+// take each other's servers over, so all use the highest stamp and the highest count.
 type Division struct {
 	Count int
 	// Stamp rises with each change; 0 is a guess that no instance has acted on.
