Say why an owner sends a task's order

Cause: SendOrder had the target and the order only; a second order for free room was logged at debug level.

Change: the coordinator keeps a short history of each task and tells with each order why it is sent (first, returned, moved, run-failed, former-run-over, new-leader, recall), its number, where and when the former one went, the server last reported, what made the task orphaned and what held it back. The daemon logs that with "order", always at info level from the second one on, and counts orders by reason. HandleInstanceLost gets the cause of the loss for that.

Evidence: TestCausesOfOrders and TestCauseOfAnOrderThatTheLinkHeldBack, which don't compile without the change.

--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"chestnutstack/internal/connection/mesh"
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
@@ -17,7 +15,7 @@
 	for _, act := range acts {
 		switch act := act.(type) {
 		case submission.SendOrder:
-			dmn.cnt.countOrder(&act.Order)
+			dmn.cnt.countOrder(&act)
 			dmn.logOrder(&act)
 			if act.Target.Leader != dmn.self {
 				dmn.noteOpenOrder(act.Target.Leader)
@@ -40,21 +38,6 @@
 	}
 }
 
-// logOrder logs where an order goes; at debug level if it is expected to start at once, as the log line of the start has the same data.
-func (dmn *Daemon) logOrder(act *submission.SendOrder) {
-	lvl := zerolog.InfoLevel
-	if act.Order.ReturnIfBusy {
-		lvl = zerolog.DebugLevel
-	}
-	lin := dmn.log.WithLevel(lvl).Str("task", act.Order.Task).Str("shard", string(act.Target.Shard)).
-		Str("leader", string(act.Target.Leader)).Int64("token", act.Target.Token).Bool("recalled", act.Order.Recall).
-		Bool("followed", act.Order.Reassigned)
-	if act.Order.Reassigned {
-		lin = lin.Int("former-shards", act.Order.FormerShards)
-	}
-	lin.Msg("order")
-}
-
 // cancelOrder has the leader of a shard cancel an order.
 func (dmn *Daemon) cancelOrder(act submission.CancelOrder) {
 	name := act.Target.Shard
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -67,6 +67,7 @@
 	urgent                  urgentCounters
 	claims                  claimCounters
 	leases                  leaseCounters
+	causes                  causeCounters
 	traffic                 traffic
 }
 
@@ -77,11 +78,12 @@
 }
 
 // countOrder counts an order or recall that is sent to a leader.
-func (cnt *counters) countOrder(ord *shard.Order) {
+func (cnt *counters) countOrder(act *submission.SendOrder) {
+	cnt.causes.count(&act.Cause)
 	switch {
-	case ord.Recall:
+	case act.Order.Recall:
 		cnt.recalls.Add(1)
-	case ord.Reassigned:
+	case act.Order.Reassigned:
 		cnt.reassignments.Add(1)
 	default:
 		cnt.orders.Add(1)
@@ -156,6 +158,7 @@
 		line("routes-with-corrected-estimates", cnt.correctedRoutes.Load())
 		cnt.claims.write(line)
 		cnt.leases.write(line)
+		cnt.causes.write(line)
 		for res := range cnt.answers {
 			line("answers-"+submission.Result(res).String(), cnt.answers[res].Load())
 		}
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -209,7 +209,7 @@
 	for name, ldr := range dmn.leaders {
 		dmn.runLeaderActions(name, ldr.HandleOwnerLost(now, id))
 	}
-	dmn.runCoordinatorActions(dmn.coordinator.HandleInstanceLost(now, id))
+	dmn.runCoordinatorActions(dmn.coordinator.HandleInstanceLost(now, id, string(cau)))
 	dmn.updateLeaders()
 	dmn.updateSchedule()
 }
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -189,7 +189,7 @@
 		for _, name := range sortedKeys(nod.leaders) {
 			nod.runLeaderActions(name, nod.leaders[name].HandleOwnerLost(now, id))
 		}
-		nod.runCoordinatorActions(nod.coordinator.HandleInstanceLost(now, id))
+		nod.runCoordinatorActions(nod.coordinator.HandleInstanceLost(now, id, "not heard"))
 		nod.updateLeaders()
 		nod.updateIntervals()
 	})
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -117,16 +117,19 @@
 // other instances is full.
 func (crd *Coordinator) orderTask(tsk *task) {
 	if !tsk.heldUntil.IsZero() {
+		tsk.history.noteDelay(crd.now, ReturnedOften)
 		return
 	}
 	stp := &tsk.job.sub.Steps[tsk.step]
 	viw, hasCapacity := crd.chooseShard(tsk, stp)
 	if viw == nil {
+		tsk.history.noteDelay(crd.now, NoOpenShard)
 		return // No shard accepts work; the next one that does gets the task.
 	}
 	if viw.leader != crd.cfg.Self && !crd.cfg.Link.Fits(tsk.job.sub.Payload) {
 		// A task that is not sent has surely not run, and doesn't delay heartbeats on the link.
 		crd.heldBytes += shard.StartBytes(tsk.job.sub.Payload)
+		tsk.history.noteDelay(crd.now, LinkFull)
 		return
 	}
 	tsk.shard, tsk.leader, tsk.token, tsk.leastShards = viw.name, viw.leader, viw.token, viw.shards
@@ -297,8 +300,9 @@
 	return jbs
 }
 
-// HandleInstanceLost records that an instance is taken for lost: the orders with it are orphaned, as it may run them for OrphanExpiry.
-func (crd *Coordinator) HandleInstanceLost(now time.Time, id shard.InstanceID) []Action {
+// HandleInstanceLost records that an instance is taken for lost: the orders with it are orphaned, as it may run them for OrphanExpiry. The cause
+// is passed on with the orders that follow.
+func (crd *Coordinator) HandleInstanceLost(now time.Time, id shard.InstanceID, cause string) []Action {
 	for _, viw := range crd.shards {
 		if viw.leader == id {
 			viw.leader = ""
@@ -307,7 +311,7 @@
 	crd.countOwners()
 	for _, tsk := range crd.tasks {
 		if tsk.leader == id && !tsk.done {
-			crd.markOrphaned(now, tsk)
+			crd.markOrphaned(now, tsk, LeaderLost, cause)
 		}
 	}
 	return crd.takeActions()
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -20,6 +20,7 @@
 type SendOrder struct {
 	Target Target
 	Order  shard.Order
+	Cause  OrderCause
 }
 
 // CancelOrder asks the leader of a shard to end the order of a task. One that has Followed is sent to a newer leader.
@@ -177,6 +178,7 @@
 	leastShards int
 	// preempted is set once a run of the task was stopped for a more urgent one.
 	preempted bool
+	history   history
 }
 
 // NewCoordinator returns a Coordinator without submissions.
@@ -286,15 +288,16 @@
 func (crd *Coordinator) send(tsk *task, how shard.Order) {
 	jb := tsk.job
 	stp := &jb.sub.Steps[tsk.step]
+	cau := tsk.history.cause(crd.now, tsk.target(), &how)
 	if how.Recall {
-		crd.emit(SendOrder{Target: tsk.target(), Order: shard.Order{Task: tsk.name, Owner: crd.cfg.Self, Recall: true}})
+		crd.emit(SendOrder{Target: tsk.target(), Cause: cau, Order: shard.Order{Task: tsk.name, Owner: crd.cfg.Self, Recall: true}})
 		return
 	}
 	payload := jb.sub.Payload
 	if how.Reassigned {
 		payload = ""
 	}
-	crd.emit(SendOrder{Target: tsk.target(), Order: shard.Order{
+	crd.emit(SendOrder{Target: tsk.target(), Cause: cau, Order: shard.Order{
 		Task: tsk.name, Owner: crd.cfg.Self, Service: jb.sub.Service, Payload: payload,
 		Processor: stp.Processor, Memory: stp.Memory, Priority: jb.sub.Priority,
 		Arrived: jb.arrived, Due: jb.due, UsefulUntil: jb.usefulUntil,
@@ -324,6 +327,7 @@
 		return crd.takeActions() // The order was sent to another leader since.
 	}
 	tsk.preempted = tsk.preempted || rep.Preempted
+	tsk.history.noteReport(&rep, tsk.recalled)
 	switch rep.Outcome {
 	case shard.Started:
 		if rep.WorkLost > 0 {
@@ -355,7 +359,7 @@
 		if rep.Server != "" {
 			tsk.server = rep.Server
 		}
-		crd.markOrphaned(now, tsk)
+		crd.markOrphaned(now, tsk, ReportedLost, "")
 	case shard.Done:
 		// Handled above.
 	}
--- a/internal/request/submission/coordinator_test.go
+++ b/internal/request/submission/coordinator_test.go
@@ -197,7 +197,7 @@
 			scenario: func(hrn *harness) {
 				hrn.setLeader("b.0", false, other, 2, 1)
 				hrn.submit(1, "j", 1)
-				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, other))
+				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, other, "not heard"))
 				hrn.setLeader("b.0", false, "third/4", 5, 0)
 			},
 			want: []string{"order j.0.0.0 at other/2 return-if-busy", "order j.0.0.0 at third/4 reassigned"},
@@ -208,7 +208,7 @@
 			scenario: func(hrn *harness) {
 				hrn.setLeader("b.0", false, other, 5, 1)
 				hrn.submit(1, "j", 1)
-				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, other))
+				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, other, "not heard"))
 				hrn.setLeader("b.0", false, "third/4", 2, 0)
 				hrn.record([]Action{Reply{Call: 99}}) // Marks the moment in the list of actions.
 				hrn.setLeader("b.0", false, "fourth/5", 7, 0)
@@ -221,7 +221,7 @@
 				hrn.setLeader("a.0", true, self, 1, 0)
 				hrn.setLeader("b.0", false, other, 2, 1)
 				hrn.submit(1, "j", 1)
-				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, other))
+				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, other, "not heard"))
 				hrn.now = hrn.now.Add(orphanExpiry - time.Millisecond)
 				hrn.record(hrn.crd.HandleTick(hrn.now))
 				hrn.record([]Action{Reply{Call: 99}}) // Marks the moment in the list of actions.
--- a/internal/request/submission/division_test.go
+++ b/internal/request/submission/division_test.go
@@ -60,7 +60,7 @@
 			story: func(hrn *harness) {
 				lead(hrn, "one/1", 10, 1)
 				hrn.submit(1, "j", 1)
-				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, "one/1"))
+				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, "one/1", "not heard"))
 				lead(hrn, "two/1", 11, 3)
 			},
 			want: 1,
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -142,8 +142,9 @@
 }
 
 // markOrphaned records that a task may still run with a leader that was lost or lost its server; it is not ordered anew before
-// OrphanExpiry.
-func (crd *Coordinator) markOrphaned(now time.Time, tsk *task) {
+// OrphanExpiry. The loss and its cause are for the logs.
+func (crd *Coordinator) markOrphaned(now time.Time, tsk *task, los Loss, cause string) {
+	tsk.history.noteLoss(now, los, cause)
 	tsk.job.started = true
 	tsk.leader, tsk.started = "", false
 	tsk.orphanedUntil = now.Add(crd.cfg.OrphanExpiry)
--- a/internal/request/submission/expired_test.go
+++ b/internal/request/submission/expired_test.go
@@ -21,7 +21,7 @@
 		want = append(want, "order "+id+".0.0.0 at self/1")
 		hrn.now = hrn.now.Add(time.Millisecond)
 	}
-	hrn.record(hrn.crd.HandleInstanceLost(hrn.now, other))
+	hrn.record(hrn.crd.HandleInstanceLost(hrn.now, other, "not heard"))
 	hrn.setLeader("a.0", true, self, 20, 20)
 	hrn.takeTexts()
 	hrn.now = hrn.now.Add(orphanExpiry)
--- a/internal/request/submission/late_report_test.go
+++ b/internal/request/submission/late_report_test.go
@@ -38,7 +38,7 @@
 			hrn.report(second, 11, "j.0.0.0", shard.NotRun)
 			hrn.report(second, 11, "j.0.0.0", shard.Started)
 			if cse.lost {
-				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, second))
+				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, second, "not heard"))
 			}
 			lead(first, cse.back)
 			if !cse.lost {
--- a/internal/request/submission/reserve_test.go
+++ b/internal/request/submission/reserve_test.go
@@ -131,7 +131,7 @@
 		}},
 		"the leader is lost": {want: unchanged, scenario: func(hrn *harness, ords map[string]SendOrder) {
 			for _, ord := range ords {
-				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, ord.Target.Leader))
+				hrn.record(hrn.crd.HandleInstanceLost(hrn.now, ord.Target.Leader, "not heard"))
 			}
 			hrn.answer(ords, shard.NotRun, shard.NoProcessor) // It was late, not lost.
 		}},
@@ -332,7 +332,7 @@
 	hrn.share()
 	for num := range shareShards {
 		tick(true)
-		hrn.record(hrn.crd.HandleInstanceLost(hrn.now, shard.InstanceID(fmt.Sprintf("leader-%d/1", num))))
+		hrn.record(hrn.crd.HandleInstanceLost(hrn.now, shard.InstanceID(fmt.Sprintf("leader-%d/1", num)), "not heard"))
 	}
 	tick(true)
 	chk.Equal(hrn.crd.sharing.owners, shareShards)
