Say why a leader starts a task again, and what met there

Callers saw: a task ran twice, and nothing told how two orders of it had met at a leader, that a new leader had adopted its run, why a run had been stopped, or that a stopped run was over: listed ends other than lapsed ones were not logged.

Change: a leader describes an order that meets another one of its task (both owners, age, run, stopped or not) and one that adopts a run or an end found at the takeover. A stop has a reason. "run is over" covers each listed end that is not reported to an owner (stopped, failed, done beside lapsed), with the reason of the stop and how long ago the server accepted it, so that each second start of an order has exactly one such line before it. "start" tells shard, owner, attempt and repeat; "order that followed runs nowhere" tells its evidence and the may-run-for of the order.

--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -104,9 +104,11 @@
 		case shard.ReadList:
 			dmn.requestListRead()
 		case shard.NoteReturn:
-			dmn.log.Info().Str("task", act.Task).Str("shard", string(name)).Str("owner", string(act.Owner)).Bool("proven", act.Proven).
-				Int("servers", act.Servers).Dur("oldest-confirmed", act.OldestConfirmed).Dur("waited", act.Waited).
-				Msg("order that followed runs nowhere")
+			dmn.logReturn(name, &act)
+		case shard.NoteRepeatedOrder:
+			dmn.logRepeatedOrder(name, &act)
+		case shard.NoteAdoption:
+			dmn.logAdoption(name, &act)
 		case shard.StartRun:
 			dmn.cnt.urgent.waits[act.Priority].observe(act.Waited)
 			dmn.group.Go(func() error { return dmn.startRun(name, act, lst, timeout) })
@@ -159,7 +161,8 @@
 	dmn.cnt.countStart(clr, now.Sub(sent))
 	dmn.uplink.HandleStartResult(act.Payload, now.Sub(sent), clr)
 	lin := dmn.log.Info().Err(err).Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server.ID)).
-		Int64("token", act.Token).Dur("took", now.Sub(sent)).Stringer("verdict", clr).
+		Str("shard", string(name)).Int64("token", act.Token).Str("owner", string(act.Owner)).Int("attempt", act.Attempt).Int("repeat", act.Repeat).
+		Dur("waited", act.Waited).Dur("took", now.Sub(sent)).Stringer("verdict", clr).
 		Int64("processor-used", act.UsedProcessor).Int64("processor-room", act.Server.Processor).
 		Int64("memory-used", act.UsedMemory).Int64("memory-room", act.Server.Memory).
 		Int64("list-offset", lst.offset).Dur("list-age", lst.age).Dur("clock-answered", clk)
@@ -180,7 +183,7 @@
 	defer dmn.endEvent(now)
 	dmn.cnt.stops.Add(1)
 	dmn.log.Info().Err(err).Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server.ID)).
-		Stringer("verdict", clr).Msg("stop")
+		Str("shard", string(name)).Int64("token", act.Token).Str("reason", string(act.Reason)).Stringer("verdict", clr).Msg("stop")
 	if ldr := dmn.leaderWithToken(name, act.Token); ldr != nil {
 		dmn.runLeaderActions(name, ldr.HandleStopResult(now, act, clr))
 	}
--- a/internal/process/daemon/leases.go
+++ b/internal/process/daemon/leases.go
@@ -37,11 +37,14 @@
 		dmn.cnt.leases.over.Add(1)
 	case shard.NotListed:
 		dmn.cnt.leases.unlisted.Add(1)
-	case shard.FormerIncarnation, shard.ServerReplaced:
+	case shard.ListedAsDone, shard.ListedAsFailed, shard.ListedAsStopped, shard.FormerIncarnation, shard.ServerReplaced:
 	}
 	lin := dmn.log.Info().Str("task", act.Run.Task).Int64("run", act.Run.Number).Str("server", string(act.Server)).
 		Str("shard", string(name)).Int64("token", dmn.tokenOf(name)).Str("evidence", string(act.Evidence)).
 		Dur("extended-ago", act.Extended).Dur("accepted-ago", act.Accepted).Bool("followed", act.Followed)
+	if act.StopReason != "" {
+		lin = lin.Str("stop-reason", string(act.StopReason)).Dur("stop-ago", act.StopSent).Dur("stop-accepted-ago", act.StopAccepted)
+	}
 	leaseFields(lin, act.Lease).Msg("run is over")
 }
 
--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -6,7 +6,7 @@
 type Name string
 
 // Action is a side effect that the caller carries out for a Leader: StartRun, StopRun, Renew, ReadList, QuarantineServer, NoteReturn,
-// NoteIncarnation, NoteRunOver, NoteOutlivedLease, NotePreemption, FeatureChange or SendReport.
+// NoteIncarnation, NoteRunOver, NoteOutlivedLease, NoteRepeatedOrder, NoteAdoption, NotePreemption, FeatureChange or SendReport.
 type Action interface{ action() }
 
 // StartRun asks a backend server to start a run; its result goes to Uplink.HandleStartResult, then to Leader.HandleStartResult.
@@ -24,6 +24,10 @@
 	// Priority is that of the task, Waited how long its order has waited here.
 	Priority int
 	Waited   time.Duration
+	// Owner is the one that has ordered the task. Attempt counts the runs that this leader has started for the order, with this one; Repeat counts how
+	// often the start of this run was sent before.
+	Owner           InstanceID
+	Attempt, Repeat int
 }
 
 // StopRun asks a backend server to stop a run; its result goes to Leader.HandleStopResult.
@@ -33,6 +37,8 @@
 	Incarnation Incarnation
 	Run         RunID
 	Token       int64
+	// Reason says why the run is stopped.
+	Reason StopReason
 }
 
 // Renew asks a server for its runs and ends and, if LeaseUntil is positive, extends its leases; its result goes to
@@ -92,9 +98,9 @@
 	// Proven is set if every server has confirmed the leader since the order came; else the runs of former leaders have expired.
 	Proven bool
 	// Servers is the number of servers known, OldestConfirmed the age of the oldest of their confirmations. Waited is the time since the
-	// order came.
-	Servers                 int
-	OldestConfirmed, Waited time.Duration
+	// order came, MayRunFor how long a former leader could run the task then by what its owner knew.
+	Servers                            int
+	OldestConfirmed, Waited, MayRunFor time.Duration
 }
 
 func (ReadList) action()         {}
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -1,6 +1,9 @@
 package shard
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // HandleStartResult handles the result of a StartRun; clock is the server's clock, or 0 if it did not answer.
 func (ldr *Leader) HandleStartResult(now time.Time, id ServerID, rid RunID, res CallResult, clock time.Duration) []Action {
@@ -45,7 +48,7 @@
 		ldr.requeueRefused(now, srv, rn)
 	case Refused, OverCapacity:
 		if rn.repeats > 0 {
-			ldr.stopRun(now, srv, rn) // An earlier attempt may still be carried out.
+			ldr.stopRun(now, srv, rn, StartRefused) // An earlier attempt may still be carried out.
 			break
 		}
 		ldr.requeueRefused(now, srv, rn)
@@ -62,7 +65,7 @@
 func (ldr *Leader) retryStart(now time.Time, srv *server, rn *run) {
 	if rn.state != starting || rn.repeats >= startRepeats || rn.ord == nil || srv.state != confirmed || ldr.closed || srv.overfull() ||
 		!ldr.mayExtendLeases(now, srv) {
-		ldr.stopRun(now, srv, rn)
+		ldr.stopRun(now, srv, rn, StartUnanswered)
 		return
 	}
 	rn.repeats++
@@ -142,7 +145,7 @@
 func (ldr *Leader) restartElsewhere(now time.Time, srv *server, rn *run) {
 	rn.ord.Avoid = append(rn.ord.Avoid, srv.ent.ID)
 	ldr.noteFailure(now, srv, rn.ord.submission())
-	ldr.stopRun(now, srv, rn)
+	ldr.stopRun(now, srv, rn, NoProgress)
 }
 
 // noteFailure counts a failed run of a submission against its server and quarantines the server after several. Only failures of different
@@ -186,8 +189,11 @@
 		ldr.noteStopped(now, rn)
 	}
 	if rn == nil || rn.ord == nil {
+		if rn != nil && end.Kind != EndedDone {
+			ldr.noteOver(now, srv, rn, listedAs(end.Kind))
+		}
 		if ldr.adopting(now) {
-			ldr.unclaimedEnds[end.Run.Task] = foundEnd{kind: end.Kind, server: srv.ent.ID}
+			ldr.unclaimedEnds[end.Run.Task] = foundEnd{kind: end.Kind, server: srv.ent.ID, run: end.Run}
 		}
 		return
 	}
@@ -204,19 +210,19 @@
 		ldr.observeRunTime(now, srv, rn, now.Sub(rn.sentAt))
 	case EndedFailed:
 		ldr.noteFailure(now, srv, ord.submission())
-	case EndedStopped:
-		// A stop says nothing about the server.
-	case EndedLapsed:
-		ldr.noteOver(now, srv, rn, ListedAsLapsed) // Nor does an expired lease.
+	case EndedStopped, EndedLapsed:
+		// A stop says nothing about the server, nor does an expired lease.
 	}
 	switch {
 	case ord.cancelled:
+		ldr.noteOver(now, srv, rn, listedAs(end.Kind))
 		delete(ldr.orders, ord.Task)
 	case end.Kind == EndedDone:
 		ldr.finish(ord, Done, now.Sub(rn.sentAt))
 	case end.Kind == EndedFailed && !stopped:
 		ldr.finish(ord, Failed, now.Sub(rn.sentAt))
 	default:
+		ldr.noteOver(now, srv, rn, listedAs(end.Kind))
 		ldr.queueAgain(now, ord)
 	}
 }
@@ -274,7 +280,7 @@
 		if !mayStart {
 			continue
 		}
-		rn.ord, rn.state = nil, ending
+		rn.ord, rn.state, rn.stopReason = nil, ending, cmp.Or(rn.stopReason, LeaseGone)
 		if rn.stopAt.IsZero() {
 			rn.stopAt = now
 		}
--- a/internal/request/shard/evidence.go
+++ b/internal/request/shard/evidence.go
@@ -5,8 +5,12 @@
 // Evidence says why a leader counts a run as over.
 type Evidence string
 
-// The kinds of evidence, besides an end that the server lists.
+// The kinds of evidence.
 const (
+	// ListedAsDone, ListedAsFailed and ListedAsStopped mean that the server lists the run's end, which is not reported to an owner.
+	ListedAsDone    Evidence = "done"
+	ListedAsFailed  Evidence = "failed"
+	ListedAsStopped Evidence = "stopped"
 	// ListedAsLapsed means that the server lists the run's end, as its lease expired there.
 	ListedAsLapsed Evidence = "lapsed"
 	// NotListed means that an answer of the server has the run neither as running nor as ended.
@@ -19,6 +23,20 @@
 	ServerReplaced Evidence = "replaced"
 )
 
+// listedAs returns the evidence of an end that a server lists.
+func listedAs(knd EndKind) Evidence {
+	switch knd {
+	case EndedDone:
+		return ListedAsDone
+	case EndedFailed:
+		return ListedAsFailed
+	case EndedLapsed:
+		return ListedAsLapsed
+	case EndedStopped:
+	}
+	return ListedAsStopped
+}
+
 // LeaseState is what a leader knows of the leases on a server.
 type LeaseState struct {
 	Incarnation Incarnation
@@ -39,6 +57,10 @@
 	Extended, Accepted time.Duration
 	// Followed is set if the order was with a former leader.
 	Followed bool
+	// StopReason says why the run was stopped, empty if it was not. StopSent is the time since its first stop, StopAccepted that since the server
+	// has accepted one; 0 if there was none.
+	StopReason             StopReason
+	StopSent, StopAccepted time.Duration
 }
 
 // NoteOutlivedLease describes a run that a server lists though each lease that this leader has sent is over by the server's clock: another one has extended
@@ -61,14 +83,20 @@
 func (ldr *Leader) noteOver(now time.Time, srv *server, rn *run, evd Evidence) {
 	note := NoteRunOver{
 		Server: srv.ent.ID, Run: rn.id, Evidence: evd, Lease: srv.leaseState(now), Extended: now.Sub(srv.renewedAt),
-		Followed: rn.ord != nil && rn.ord.Reassigned,
-	}
-	if !rn.acceptedAt.IsZero() {
-		note.Accepted = now.Sub(rn.acceptedAt)
+		Followed: rn.ord != nil && rn.ord.Reassigned, StopReason: rn.stopReason,
+		Accepted: sinceSet(now, rn.acceptedAt), StopSent: sinceSet(now, rn.stopAt), StopAccepted: sinceSet(now, rn.stopAcceptedAt),
 	}
 	ldr.emit(note)
 }
 
+// sinceSet returns the time since at, 0 if at is not set.
+func sinceSet(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return now.Sub(at)
+}
+
 // noteOutlived describes a listed run, once, if it has outlived the leases that this leader has sent.
 func (ldr *Leader) noteOutlived(now time.Time, srv *server, rn *run) {
 	if rn.outlived || srv.leaseEnd == 0 || srv.clock <= srv.leaseEnd+killTime {
--- a/internal/request/shard/incarnation.go
+++ b/internal/request/shard/incarnation.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -80,6 +81,7 @@
 			ldr.requeue(now, old, rn, FormerIncarnation)
 		default:
 			rn.state, rn.timeHandled, rn.confirmed = ending, true, false
+			rn.stopReason = cmp.Or(rn.stopReason, OtherIncarnation)
 			rn.stopAt, rn.stopDue, rn.stopAcceptedAt, rn.stopInProgress = now, now, time.Time{}, false
 			srv.add(rn)
 		}
@@ -112,7 +114,7 @@
 	})
 	srv.noteForeignLease(now, ldr.cfg)
 	ldr.callAgain(now, srv)
-	ldr.stopRun(now, srv, rn)
+	ldr.stopRun(now, srv, rn, OtherIncarnation)
 }
 
 // noteForeignLease records that the server has taken a lease by now that was meant for another incarnation.
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -73,6 +73,7 @@
 type foundEnd struct {
 	kind   EndKind
 	server ServerID
+	run    RunID
 }
 
 // NewLeader returns the leader of a shard that was taken over with a fencing token; link is shared by all leaders of the instance.
@@ -201,7 +202,9 @@
 // HandleOrder queues a new order, connects it to a run found at the takeover, or treats it as a repetition or recall of a known one.
 func (ldr *Leader) HandleOrder(now time.Time, req Order) []Action {
 	if old := ldr.orders[req.Task]; old != nil {
+		note := describeRepeated(now, old, &req)
 		ldr.handleRepeatedOrder(now, old, req)
+		ldr.noteRepeated(note, old)
 		ldr.advance(now, nil)
 		return ldr.takeActions()
 	}
@@ -247,7 +250,7 @@
 		ldr.queueAgain(now, old)
 		return
 	}
-	ldr.stopRun(now, old.srv, old.run)
+	ldr.stopRun(now, old.srv, old.run, OtherOrder)
 	// Both orders describe the same task: the run keeps the size that was counted when it started.
 	req.Processor, req.Memory = old.Processor, old.Memory
 	old.Order, old.cancelled = req, false
@@ -261,9 +264,9 @@
 	case ord == nil || ord.Owner != owner:
 	case followed && ord.run != nil && ord.run.state != ending:
 		ord.cancelled = true
-		ord.run.state, ord.run.stopAt, ord.run.stopDue = ending, now, now.Add(followedStopDelay)
+		ord.run.state, ord.run.stopAt, ord.run.stopDue, ord.run.stopReason = ending, now, now.Add(followedStopDelay), OrderFollowed
 	default:
-		ldr.cancelOrder(now, ord)
+		ldr.cancelOrder(now, ord, StoppedByOwner)
 	}
 	ldr.advance(now, nil)
 	return ldr.takeActions()
@@ -282,37 +285,22 @@
 		if ord.run != nil {
 			ord.run.ownerLost = true
 		}
-		ldr.cancelOrder(now, ord)
+		ldr.cancelOrder(now, ord, OwnerWasLost)
 	}
 	delete(ldr.ownersHeard, owner)
 	ldr.advance(now, nil)
 	return ldr.takeActions()
 }
 
-// cancelOrder removes a waiting order, or stops its run and removes the order when the run is over.
-func (ldr *Leader) cancelOrder(now time.Time, ord *order) {
+// cancelOrder removes a waiting order, or stops its run for a reason and removes the order when the run is over.
+func (ldr *Leader) cancelOrder(now time.Time, ord *order, rsn StopReason) {
 	if ord.run == nil {
 		ldr.que.remove(ord)
 		delete(ldr.orders, ord.Task)
 		return
 	}
 	ord.cancelled = true
-	ldr.stopRun(now, ord.srv, ord.run)
-}
-
-// stopRun sends the first stop of a run. The run keeps its capacity until the server shows that it is over.
-func (ldr *Leader) stopRun(now time.Time, srv *server, rn *run) {
-	if rn.state == ending {
-		return
-	}
-	rn.state = ending
-	rn.stopAt = now
-	ldr.sendStop(srv, rn)
-}
-
-func (ldr *Leader) sendStop(srv *server, rn *run) {
-	rn.stopInProgress = true
-	ldr.emit(StopRun{Server: srv.ent, Incarnation: srv.incarnation, Run: rn.id, Token: ldr.token})
+	ldr.stopRun(now, ord.srv, ord.run, rsn)
 }
 
 // report sends the outcome of an order to its owner.
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -146,6 +146,7 @@
 func (ldr *Leader) noteReturn(now time.Time, ord *order) {
 	note := NoteReturn{
 		Task: ord.Task, Owner: ord.Owner, Proven: ldr.runsNowhere(ord), Servers: len(ldr.servers), Waited: now.Sub(ord.receivedAt),
+		MayRunFor: ord.MayRunFor,
 	}
 	for _, srv := range ldr.serverList {
 		if srv.state == confirmed {
@@ -177,6 +178,7 @@
 	// The run numbers of a task must rise across its leaders. The time of day does; a leader that starts a task twice within a millisecond
 	// adds one.
 	ord.runNumber = max(ord.runNumber+1, now.UnixMilli())
+	ord.starts++
 	ldr.siblings(now, ord.Step).started = true
 	rn := &run{id: RunID{Task: ord.Task, Number: ord.runNumber}, ord: ord, sentAt: now, firstStart: !ord.mayHaveRun}
 	ord.mayHaveRun = true
@@ -194,7 +196,7 @@
 	ldr.emit(StartRun{
 		Server: srv.ent, Run: rn.id, Payload: rn.ord.Payload, Token: ldr.token,
 		LeaseUntil: until, Lease: srv.leaseState(now), UsedProcessor: srv.usedProcessor, UsedMemory: srv.usedMemory,
-		Priority: priorityOf(rn.ord), Waited: rn.sentAt.Sub(rn.ord.receivedAt),
+		Priority: priorityOf(rn.ord), Waited: rn.sentAt.Sub(rn.ord.receivedAt), Owner: rn.ord.Owner, Attempt: rn.ord.starts, Repeat: rn.repeats,
 	})
 }
 
--- a/internal/request/shard/preempt.go
+++ b/internal/request/shard/preempt.go
@@ -224,7 +224,7 @@
 	ord.Preempted = true
 	rn.timeHandled = true // A run that is cut short says nothing about its server's speed.
 	ldr.sendReport(ord, Report{Outcome: Started, WorkLost: max(note.WorkLost, time.Microsecond)})
-	ldr.stopRun(now, srv, rn)
+	ldr.stopRun(now, srv, rn, MoreUrgent)
 }
 
 // endPreemption announces that preemption no longer acts, some time after the last one.
--- a/internal/request/shard/queue.go
+++ b/internal/request/shard/queue.go
@@ -24,6 +24,8 @@
 	mayHaveRun bool
 	// cancelled is set if the order is removed without a report when its run is over.
 	cancelled bool
+	// starts counts the runs that were started for it here.
+	starts int
 	// runNumber is the number of the last run started here, raised by runNumberJump at a refusal.
 	runNumber int64
 	// waitedForSpeed is set once the order was left waiting for a faster server.
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -95,6 +95,8 @@
 	progressAt time.Time
 	// stopAt is when the first stop was sent, stopDue when the next is due, stopAcceptedAt when the server accepted one.
 	stopAt, stopDue, stopAcceptedAt time.Time
+	// stopReason says why it is stopped.
+	stopReason StopReason
 	// ownerLost is set once the owner that the run was started for is lost.
 	ownerLost bool
 	// stopInProgress is set from a StopRun until its result.
--- a/internal/request/shard/speed.go
+++ b/internal/request/shard/speed.go
@@ -179,7 +179,7 @@
 	ldr.observeRunTime(now, srv, rn, whole)
 	if now.Before(srv.spd.quarantinedUntil) && whole-elapsed > restartGain*expected && ldr.fitsElsewhere(now, srv, rn.ord) {
 		rn.ord.Avoid = append(rn.ord.Avoid, srv.ent.ID)
-		ldr.stopRun(now, srv, rn)
+		ldr.stopRun(now, srv, rn, TooSlow)
 	}
 }
 
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -16,6 +16,7 @@
 	if end, ok := ldr.unclaimedEnds[ord.Task]; ok && end.kind == EndedDone {
 		delete(ldr.unclaimedEnds, ord.Task)
 		delete(ldr.orders, ord.Task)
+		ldr.emit(NoteAdoption{Task: ord.Task, Owner: ord.Owner, Server: end.server, Run: end.run, Ended: true})
 		ldr.emit(SendReport{Owner: ord.Owner, Report: Report{
 			Task: ord.Task, Token: ldr.token, Outcome: Done, Server: end.server,
 		}})
@@ -28,6 +29,9 @@
 			}
 			srv.assign(rn, ord)
 			ord.run, ord.srv = rn, srv
+			ldr.emit(NoteAdoption{
+				Task: ord.Task, Owner: ord.Owner, Server: srv.ent.ID, Run: rn.id, Found: now.Sub(rn.acceptedAt), Stopped: rn.state == ending,
+			})
 			rn.timeHandled = true // The run's start time is not known here.
 			if rn.state == running {
 				rn.sentAt, rn.progressAt = now, now
@@ -182,7 +186,7 @@
 func (ldr *Leader) stopUnclaimed(now time.Time, srv *server) {
 	for _, rn := range srv.runList {
 		if rn.ord == nil {
-			ldr.stopRun(now, srv, rn)
+			ldr.stopRun(now, srv, rn, NotClaimed)
 		}
 	}
 }
