Tell an owner whose order another owner's replaces

What callers saw: a job that was submitted to two instances, as its caller's connection broke or the caller sent it twice, was answered by the first instance at the caller's deadline only, or not at all, though the first instance could not get a result any more. So it was also if the second caller left soon.

Cause: handleRepeatedOrder gives the order to the second owner, stops the first one's run, and told the first owner nothing. Told as Lost or NotRun it would have ordered the task anew and stopped the other's run in turn.

Change: an outcome of its own, OrderReplaced, with the new owner. The first owner takes the order as gone, withdraws what else it has ordered of the job, and answers all of its callers: unfinished (504), as the job may run at the other owner, with that instance in the reason. Orders tell the number of their submission and the report returns it: a report that crosses a cancel must not end the job that was submitted to the same owner anew since. An owner of an earlier version ignores the outcome, as one of this version does with outcomes that it doesn't know; it waits as before.

What remains: two orders of one job that go to different leaders are not compared anywhere. Where the second owner's order reaches a leader before the first one's, the first replaces the second, whose caller then gets the 504.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -116,6 +116,7 @@
 			Task: msg.Report.Task, Token: msg.Report.Token, Outcome: int64(msg.Report.Outcome),
 			TookMicros: msg.Report.Took.Microseconds(), Server: string(msg.Report.Server), MayHaveRun: msg.Report.MayHaveRun, Hopeless: msg.Report.TooLate,
 			Reason: int64(msg.Report.Reason), Factor: msg.Report.Factor, Preempted: msg.Report.Preempted, LostMicros: msg.Report.WorkLost.Microseconds(),
+			NewOwner: string(msg.Report.NewOwner), SubmissionNumber: msg.Report.SubmissionNumber,
 		}}})
 	case LossNotice:
 		name, incarnation := splitID(msg.Instance)
@@ -158,7 +159,7 @@
 		ExpectedMicros: ord.ExpectedRunTime.Microseconds(),
 		Label:          ord.Label, Rack: ord.Rack, PerServer: int64(ord.MaxPerServer), Step: ord.Step,
 		Bounce: ord.ReturnIfBusy, Recall: ord.Recall, Followed: ord.Reassigned, At: string(ord.LastServer), RunsMicros: ord.MayRunFor.Microseconds(),
-		JobBegun: ord.JobStarted, Preempted: ord.Preempted, FormerShards: int64(ord.FormerShards),
+		JobBegun: ord.JobStarted, Preempted: ord.Preempted, FormerShards: int64(ord.FormerShards), SubmissionNumber: ord.SubmissionNumber,
 	}
 	for _, id := range ord.Avoid {
 		wir.Avoid = append(wir.Avoid, string(id))
@@ -190,6 +191,7 @@
 				Task: rep.GetTask(), Token: rep.GetToken(), Outcome: shard.Outcome(rep.GetOutcome()),
 				Took: micros(rep.GetTookMicros()), Server: shard.ServerID(rep.GetServer()), MayHaveRun: rep.GetMayHaveRun(), TooLate: rep.GetHopeless(),
 				Reason: shard.ReturnReason(rep.GetReason()), Factor: rep.GetFactor(), Preempted: rep.GetPreempted(), WorkLost: micros(rep.GetLostMicros()),
+				NewOwner: shard.InstanceID(rep.GetNewOwner()), SubmissionNumber: rep.GetSubmissionNumber(),
 			}})
 		case *meshpb.Message_Missed:
 			msgs = append(msgs, LossNotice{Instance: ID(bdy.Missed.GetName(), bdy.Missed.GetLife())})
@@ -220,7 +222,7 @@
 		ExpectedRunTime: micros(wir.GetExpectedMicros()), Label: wir.GetLabel(), Rack: wir.GetRack(),
 		MaxPerServer: int(wir.GetPerServer()), Step: wir.GetStep(),
 		ReturnIfBusy: wir.GetBounce(), Recall: wir.GetRecall(), Reassigned: wir.GetFollowed(), JobStarted: wir.GetJobBegun(), LastServer: shard.ServerID(wir.GetAt()),
-		MayRunFor: micros(wir.GetRunsMicros()), Preempted: wir.GetPreempted(), FormerShards: int(wir.GetFormerShards()),
+		MayRunFor: micros(wir.GetRunsMicros()), Preempted: wir.GetPreempted(), FormerShards: int(wir.GetFormerShards()), SubmissionNumber: wir.GetSubmissionNumber(),
 	}
 	for _, id := range wir.GetAvoid() {
 		ord.Avoid = append(ord.Avoid, shard.ServerID(id))
--- a/internal/connection/mesh/wire_test.go
+++ b/internal/connection/mesh/wire_test.go
@@ -19,6 +19,8 @@
 		"done":        {Task: "j.0.0.0", Token: 7, Outcome: shard.Done, Took: 3 * time.Millisecond, Server: "s", Factor: 1670},
 		"returned":    {Task: "j.0.0.0", Token: 7, Outcome: shard.NotRun, Reason: shard.NoMemory, MayHaveRun: true},
 		"preempted":   {Task: "j.0.0.0", Token: 7, Outcome: shard.Started, Preempted: true, WorkLost: 3 * time.Millisecond},
+		"replaced":    {Task: "j.0.0.0", Token: 7, Outcome: shard.OrderReplaced, NewOwner: "two/2", SubmissionNumber: 9},
+		"is unknown":  {Task: "j.0.0.0", Token: 7, Outcome: shard.OrderReplaced + 1},
 		"is too late": {Task: "j.0.0.0", Token: 7, Outcome: shard.NotRun, Reason: shard.WouldEndTooLate, TooLate: true},
 	}
 	for name, rep := range cases {
@@ -30,6 +32,15 @@
 	}
 }
 
+// Guards against reports on a replaced order that its owner takes for ones on an earlier submission, as the order's number is lost on the way.
+func TestSubmissionNumberOnTheWire(t *testing.T) {
+	dlv := &meshpb.Delivery{}
+	now := time.Unix(1000, 0)
+	appendMessage(dlv, now, Order{Shard: "a.0", Order: shard.Order{Task: "j.0.0.0", SubmissionNumber: 9}})
+	numbered := func(msg Message) bool { ord, ok := msg.(Order); return ok && ord.Order.SubmissionNumber == 9 }
+	is.New(t).True(slices.ContainsFunc(decodeMessages(dlv, now, "one/1"), numbered))
+}
+
 func TestSpeedsOnTheWire(t *testing.T) {
 	// Guards against speeds of servers that instances don't tell each other, and against ones that an earlier version, which knows no speeds, seems to
 	// have told.
--- a/internal/process/daemon/callers_test.go
+++ b/internal/process/daemon/callers_test.go
@@ -36,6 +36,12 @@
 
 // callHost is call for the machine of an instance's incarnation.
 func (sys *system) callHost(ctx context.Context, host string, job jobSpec) (int, string) {
+	rep := sys.reply(ctx, host, job)
+	return rep.Status, rep.Body
+}
+
+// reply is callHost that returns the whole answer.
+func (sys *system) reply(ctx context.Context, host string, job jobSpec) standin.Reply {
 	if job.path == "" {
 		job.path = "/thumb/"
 	}
@@ -53,9 +59,9 @@
 		Expected: job.expected, Payload: string(text), Patience: job.callerTimeout,
 	})
 	if err != nil {
-		return 0, err.Error()
+		return standin.Reply{Body: err.Error()}
 	}
-	return rep.Status, rep.Body
+	return rep
 }
 
 // client returns a caller that opens a new connection for each call.
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -141,5 +141,8 @@
 		dmn.cnt.countReturn(rep.Reason)
 		lin = lin.Stringer("reason", rep.Reason)
 	}
+	if rep.Outcome == shard.OrderReplaced {
+		lin = lin.Str("new-owner", string(rep.NewOwner))
+	}
 	lin.Msg("report")
 }
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -233,12 +233,13 @@
 		return // Another owner has the task now, and a recall lacks the other fields of an order.
 	}
 	if old.Owner == req.Owner && !old.cancelled {
-		old.ReturnIfBusy = req.ReturnIfBusy || req.Recall
+		old.ReturnIfBusy, old.SubmissionNumber = req.ReturnIfBusy || req.Recall, req.SubmissionNumber
 		if old.run != nil && old.run.state == running {
 			ldr.report(old, Started, 0)
 		}
 		return
 	}
+	ldr.reportReplaced(old, req.Owner)
 	if req.Reassigned {
 		// What the servers have said before this order came proves nothing.
 		old.receivedAt, old.notBefore = now, now.Add(max(ldr.cfg.OrphanExpiry, req.MayRunFor))
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -173,6 +173,8 @@
 	Recall bool
 	// Preempted is set once a run of the task was stopped for a more urgent one; it is not stopped for another again.
 	Preempted bool
+	// SubmissionNumber tells the submissions of one job to this owner apart.
+	SubmissionNumber int64
 }
 
 // Outcome is what a leader reports about an order.
@@ -190,11 +192,13 @@
 	Started
 	// Lost means that the task may have passed to another leader, which may let it run on.
 	Lost
+	// OrderReplaced means that another owner, to which the job was submitted too, has ordered the task since. The leader has that owner's order.
+	OrderReplaced
 )
 
 // String returns the outcome's name in logs.
 func (out Outcome) String() string {
-	names := [...]string{"done", "failed", "not-run", "begun", "lost"}
+	names := [...]string{"done", "failed", "not-run", "begun", "lost", "replaced"}
 	if out < 0 || int(out) >= len(names) {
 		return "invalid"
 	}
@@ -224,6 +228,9 @@
 	Preempted bool
 	// WorkLost is set with Started if the run is being stopped for a more urgent task: how long it has run. The task waits to be started again.
 	WorkLost time.Duration
+	// NewOwner is set with OrderReplaced: the owner of the order that the leader has now. SubmissionNumber is then that of the replaced order.
+	NewOwner         InstanceID
+	SubmissionNumber int64
 }
 
 // Division is the number of shards that the backend servers of a failure domain are divided into. Instances with different divisions would
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -120,9 +120,11 @@
 
 // job is a submission that is not answered yet.
 type job struct {
-	sub     Submission
-	calls   []CallID
-	arrived time.Time
+	sub   Submission
+	calls []CallID
+	// firstCall is the number of the submission in its orders.
+	firstCall CallID
+	arrived   time.Time
 	// deadline is when the caller of the newest call gives up.
 	deadline time.Time
 	// due is when the answer is due, usefulUntil until when it is useful.
@@ -237,7 +239,7 @@
 
 // newJob returns the state of a new submission, with no task ordered.
 func newJob(now time.Time, cal CallID, sub Submission) *job {
-	jb := &job{sub: sub, calls: []CallID{cal}, arrived: now, deadline: now.Add(sub.CallerTimeout)}
+	jb := &job{sub: sub, calls: []CallID{cal}, firstCall: cal, arrived: now, deadline: now.Add(sub.CallerTimeout)}
 	for num, stp := range sub.Steps {
 		tks := make([]*task, stp.Count)
 		for idx := range tks {
@@ -290,7 +292,7 @@
 	stp := &jb.sub.Steps[tsk.step]
 	cau := tsk.history.cause(crd.now, tsk.target(), &how)
 	if how.Recall {
-		crd.emit(SendOrder{Target: tsk.target(), Cause: cau, Order: shard.Order{Task: tsk.name, Owner: crd.cfg.Self, Recall: true}})
+		crd.emit(SendOrder{Target: tsk.target(), Cause: cau, Order: shard.Order{Task: tsk.name, Owner: crd.cfg.Self, Recall: true, SubmissionNumber: int64(jb.firstCall)}})
 		return
 	}
 	payload := jb.sub.Payload
@@ -304,7 +306,7 @@
 		ExpectedRunTime: stp.ExpectedRunTime, Label: stp.Label, Rack: stp.Rack,
 		MaxPerServer: stp.PerServer, Step: fmt.Sprintf("%s.%d", jb.sub.ID, tsk.step),
 		Avoid: slices.Clone(tsk.avoid), JobStarted: jb.started, ReturnIfBusy: how.ReturnIfBusy, Reassigned: how.Reassigned, LastServer: how.LastServer, MayRunFor: how.MayRunFor,
-		FormerShards: how.FormerShards, Preempted: tsk.preempted,
+		FormerShards: how.FormerShards, Preempted: tsk.preempted, SubmissionNumber: int64(jb.firstCall),
 	}})
 }
 
@@ -315,7 +317,8 @@
 	if tsk == nil || tsk.done {
 		return crd.takeActions()
 	}
-	if tsk.leader == from && tsk.token == rep.Token {
+	current := tsk.isCurrent(from, &rep)
+	if current {
 		crd.noteOutcome(tsk, &rep)
 	}
 	if rep.Outcome == shard.Done {
@@ -323,8 +326,8 @@
 		crd.taskDone(tsk, from)
 		return crd.takeActions()
 	}
-	if tsk.leader != from || tsk.token != rep.Token {
-		return crd.takeActions() // The order was sent to another leader since.
+	if !current {
+		return crd.takeActions() // The order was sent to another leader since, or belongs to an earlier submission.
 	}
 	tsk.preempted = tsk.preempted || rep.Preempted
 	tsk.history.noteReport(&rep, tsk.recalled)
@@ -360,6 +363,8 @@
 			tsk.server = rep.Server
 		}
 		crd.markOrphaned(now, tsk, ReportedLost, "")
+	case shard.OrderReplaced:
+		crd.endReplaced(tsk, rep.NewOwner)
 	case shard.Done:
 		// Handled above.
 	}
