Keep a server as missing whose entry goes just after it was marked as leaving

What callers would see: a task that runs twice.

Cause: an instance doesn't keep a server as missing that was marked as leaving. An entry also goes as its server is cut off from the store. An instance may read the mark and the end of the entry at once, while a leader that has read neither starts a task there; taking over, it returns the task's order as not run without that server's answer.

Change: a server is kept as missing unless the mark was known for maxServersAge (2 s), as long as a change of the list may take to reach all instances. Servers that leave as planned are listed as leaving for 2 s and more, so that they cost takeovers nothing.

Evidence: TestLeavingServerIsKeptAsMissing was red in two of its three cases.

--- a/internal/process/daemon/coverage_test.go
+++ b/internal/process/daemon/coverage_test.go
@@ -60,3 +60,38 @@
 		chk.True(dmn.coverage.Complete(now))
 	})
 }
+
+// Guards against a task that runs twice as a new leader doesn't ask a server that an instance hears at once to leave and to be gone, as it is cut
+// off from the store: a leader that has not read so may have started the task there.
+func TestLeavingServerIsKeptAsMissing(t *testing.T) {
+	cases := map[string]struct {
+		// leavesFor is how long the server is listed as leaving.
+		leavesFor time.Duration
+		kept      bool
+	}{
+		"it leaves and is gone at once": {kept: true},
+		"it is gone within a second":    {leavesFor: time.Second, kept: true},
+		// Each leader that hears of the list has read by then that it leaves.
+		"it is gone once it has left": {leavesFor: 3 * time.Second},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			inTestSystem(t, 1, 2, 3, func(sys *system) {
+				chk := is.NewRelaxed(t)
+				sys.sendHeartbeats(2 * time.Second)
+				sys.listServer("server-1-1", "domain-1", "draining")
+				sys.sendHeartbeatsExcept("server-1-1", cse.leavesFor)
+				sys.sto.Unlist(sys.servers["server-1-1"])
+				sys.sendHeartbeatsExcept("server-1-1", 2*time.Second)
+				for _, prc := range sys.runningProcesses() {
+					prc.dmn.mu.Lock()
+					_, listed := prc.dmn.entries["server-1-1"]
+					_, kept := prc.dmn.missing["server-1-1"]
+					prc.dmn.mu.Unlock()
+					chk.True(!listed)
+					chk.Equal(kept, cse.kept)
+				}
+			})
+		})
+	}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -99,8 +99,10 @@
 	divisions succession.Divisions
 	// entries are the entries in the list of backend servers.
 	entries map[shard.ServerID]shard.ServerEntry
-	// missing are backend servers whose entries went away while they were not marked as leaving.
-	missing map[shard.ServerID]missingServer
+	// missing are backend servers whose entries went away before it was surely known everywhere that they leave, if they do; leavingSince is since
+	// when entries are marked as leaving here.
+	missing      map[shard.ServerID]missingServer
+	leavingSince map[shard.ServerID]time.Time
 	// closedDomains has the failure domains closed to new work; refusedClosings counts the rejected closings that were logged.
 	closedDomains   *domainlist.List
 	refusedClosings int64
@@ -162,7 +164,7 @@
 	return &Daemon{
 		prm: prm, log: prm.Log, now: prm.Now, cnt: prm.Counters, paces: pcs,
 		leaders: map[shard.Name]*shard.Leader{}, uplink: shard.NewUplink(prm.Settings.LinkBytes), divisions: succession.Divisions{},
-		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{},
+		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{}, leavingSince: map[shard.ServerID]time.Time{},
 		services: map[string]bool{}, closedDomains: domainlist.New(prm.Settings.FailureDomains),
 		callers:      map[submission.CallID]chan submission.Answer{},
 		jobQueries:   jobQueries{open: map[int64]*jobQuery{}, silent: map[shard.InstanceID]time.Time{}},
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -10,7 +10,7 @@
 	"chestnutstack/platform"
 )
 
-// missingServer is a backend server whose entry went away at a time, though it wasn't marked as leaving.
+// missingServer is a backend server whose entry went away at a time, though it wasn't marked as leaving, or not for long.
 type missingServer struct {
 	ent   shard.ServerEntry
 	since time.Time
@@ -76,7 +76,8 @@
 	return gone
 }
 
-// removeServer removes an entry. A server that wasn't marked as leaving may still work, so it is kept as missing.
+// removeServer removes an entry. A server may still work and is kept as missing if it wasn't marked as leaving, or so lately that a leader may have
+// started tasks there that it has not reported yet, as it has not read the mark.
 func (dmn *Daemon) removeServer(now time.Time, id shard.ServerID) {
 	old, known := dmn.entries[id]
 	if !known {
@@ -84,7 +85,9 @@
 	}
 	delete(dmn.entries, id)
 	dmn.keepRecord(string(id), nil)
-	if !old.Leaving {
+	since := dmn.leavingSince[id]
+	delete(dmn.leavingSince, id)
+	if !old.Leaving || now.Sub(since) < maxServersAge {
 		old.Leaving = true // It gets no new task.
 		dmn.missing[id] = missingServer{ent: old, since: now}
 		maps.DeleteFunc(dmn.missing, func(_ shard.ServerID, mis missingServer) bool {
@@ -116,6 +119,7 @@
 	}
 	dmn.entries[id] = ent
 	delete(dmn.missing, id)
+	dmn.noteLeaving(now, ent)
 	if known && ent.Equal(&old) {
 		return false
 	}
@@ -127,6 +131,15 @@
 	return true
 }
 
+// noteLeaving takes note of since when an entry is marked as leaving.
+func (dmn *Daemon) noteLeaving(now time.Time, ent shard.ServerEntry) {
+	if _, known := dmn.leavingSince[ent.ID]; !ent.Leaving {
+		delete(dmn.leavingSince, ent.ID)
+	} else if !known {
+		dmn.leavingSince[ent.ID] = now
+	}
+}
+
 // noteUnreadable takes note that a missing server has an entry that can't be read, and reports whether that is news.
 func (dmn *Daemon) noteUnreadable(id shard.ServerID) bool {
 	mis, missing := dmn.missing[id]
