--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -204,54 +204,6 @@
 // emit adds an action to those that the current event returns.
 func (crd *Coordinator) emit(act Action) { crd.acts = append(crd.acts, act) }
 
-// HandleSubmit admits a submission and orders its ready tasks, or refuses it at once. A call with the id of an open submission waits for
-// the answer to that one.
-func (crd *Coordinator) HandleSubmit(now time.Time, cal CallID, sub Submission) []Action {
-	crd.now = now
-	if old := crd.jobs[sub.ID]; old != nil {
-		// The caller lost its connection and submitted the job again; both calls get the same answer.
-		old.calls = append(old.calls, cal)
-		old.deadline = now.Add(sub.CallerTimeout)
-		crd.calls[cal] = old
-		return crd.takeActions()
-	}
-	jb := newJob(now, cal, sub)
-	if ans, refused := crd.refuseUnservable(now, jb); refused {
-		crd.emit(Reply{Call: cal, ID: sub.ID, Answer: ans})
-		return crd.takeActions()
-	}
-	crd.correctEstimates(jb)
-	crd.setDueTimes(now, jb)
-	if ans, refused := crd.admit(now, jb); refused {
-		crd.emit(Reply{Call: cal, ID: sub.ID, Answer: ans})
-		return crd.takeActions()
-	}
-	crd.jobs[sub.ID] = jb
-	crd.calls[cal] = jb
-	for _, tks := range jb.tasks {
-		for _, tsk := range tks {
-			crd.tasks[tsk.name] = tsk
-		}
-	}
-	crd.orderReady(jb)
-	return crd.takeActions()
-}
-
-// newJob returns the state of a new submission, with no task ordered.
-func newJob(now time.Time, cal CallID, sub Submission) *job {
-	jb := &job{sub: sub, calls: []CallID{cal}, firstCall: cal, arrived: now, deadline: now.Add(sub.CallerTimeout)}
-	for num, stp := range sub.Steps {
-		tks := make([]*task, stp.Count)
-		for idx := range tks {
-			// The 0 is the number of the occurrence of a repeated job; these jobs have one occurrence.
-			tks[idx] = &task{name: fmt.Sprintf("%s.0.%d.%d", sub.ID, num, idx), job: jb, step: num}
-		}
-		jb.tasks = append(jb.tasks, tks)
-		jb.remaining = append(jb.remaining, stp.Count)
-	}
-	return jb
-}
-
 // orderReady orders the tasks of a job that are ready and neither done, with a leader nor orphaned. It orders none of a job that is to be
 // refused and has not started.
 func (crd *Coordinator) orderReady(jb *job) {
