--- a/internal/request/submission/reason.go
+++ b/internal/request/submission/reason.go
@@ -132,7 +132,7 @@
 		}
 	case shard.Failed:
 		his.next = &nextOrder{reason: RunFailed}
-	case shard.Done, shard.Started, shard.Lost:
+	case shard.Done, shard.Started, shard.Lost, shard.OrderReplaced:
 		// No order follows, or markOrphaned says why.
 	}
 }
