Explore orders of events around new divisions

The explorer's nodes have divisions, merge those of others, and take a failure domain of five servers apart while leaders are lost or succeeded.

--- a/internal/process/succession/explore_list_test.go
+++ b/internal/process/succession/explore_list_test.go
@@ -8,20 +8,6 @@
 
 // The nodes' copies of the list of backend servers.
 
-// shards returns the shards known to the node, one for each failure domain of its copy of the list, with their listed servers.
-func (nod *node) shards() map[Shard][]shard.ServerEntry {
-	div := map[Shard][]shard.ServerEntry{}
-	for _, id := range sortedKeys(nod.missing) {
-		shd := shardOf(nod.missing[id].FailureDomain, 0)
-		div[shd] = nil
-	}
-	for _, id := range sortedKeys(nod.entries) {
-		shd := shardOf(nod.entries[id].FailureDomain, 0)
-		div[shd] = append(div[shd], nod.entries[id])
-	}
-	return div
-}
-
 // listRecord is a record of the list: the entry of a server, or that it is gone.
 type listRecord struct {
 	ent    shard.ServerEntry
@@ -88,12 +74,15 @@
 		if ldr == nil {
 			continue
 		}
-		lst := shard.Listing{Listed: div[shd], All: nod.entries, Shards: 1}
+		lst := shard.Listing{
+			Listed: div[shd], All: nod.entries, Shards: nod.divisions.ConfirmedCount(shd.Domain),
+			Belongs: func(ent shard.ServerEntry) bool { return nod.divisions.ShardOf(ent) == shd },
+		}
 		if nod.coverage.Complete(now) {
 			lst.ReadAt = nod.listReadAt
 		}
 		for _, id := range sortedKeys(nod.missing) {
-			if shardOf(nod.missing[id].FailureDomain, 0) == shd {
+			if nod.divisions.ShardOf(nod.missing[id]) == shd {
 				lst.Missing = append(lst.Missing, nod.missing[id])
 			}
 		}
--- a/internal/process/succession/explore_node_test.go
+++ b/internal/process/succession/explore_node_test.go
@@ -40,6 +40,7 @@
 	missing                                                          map[shard.ServerID]shard.ServerEntry
 	listReadAt                                                       time.Time
 	coverage                                                         *serverlist.Coverage
+	divisions                                                        Divisions
 	// listEnd is the offset before which the list is known.
 	listEnd        int
 	localActions   []func()
@@ -87,7 +88,7 @@
 		sim: sim, name: name, domain: domain, incarnation: sim.incarnations, id: incarnationID(name, sim.incarnations), began: sim.now, tokenRound: sim.incarnations,
 		inbox: map[string][]func(){}, leaders: map[shard.Name]*shard.Leader{}, uplink: shard.NewUplink(0),
 		sessions: map[string]*session{}, callers: map[submission.CallID]*attempt{}, openOrdersWith: map[shard.InstanceID]bool{},
-		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]shard.ServerEntry{}, reachability: map[shard.Name]*Reachability{},
+		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]shard.ServerEntry{}, reachability: map[shard.Name]*Reachability{}, divisions: sim.firstDivisions(),
 		silenceCheckedAt: sim.now, coverage: serverlist.NewCoverage(serverlist.CoverageConfig{RecoveryTime: recoveryTime, MaxUnlisted: maxUnlisted}),
 	}
 	nod.coordinator = submission.NewCoordinator(submission.Config{
@@ -124,6 +125,7 @@
 func (nod *node) heartbeat() heartbeat {
 	hbt := heartbeat{round: nod.tokenRound, listOffset: nod.completeTo(), loads: map[shard.Name]shard.Load{}, ins: Instance{
 		ID: nod.id, Domain: nod.domain, Cores: 0.4, Ready: nod.elector.Ready(), Stopping: nod.stopping, Leaving: nod.leaving, Leads: map[shard.Name]int64{},
+		Divisions: maps.Clone(nod.divisions),
 	}}
 	for _, name := range sortedKeys(nod.leaders) {
 		hbt.ins.Leads[name] = nod.leaders[name].Token()
@@ -150,6 +152,7 @@
 		nod.elector.HandleHeard(now)
 		nod.tokenRound = max(nod.tokenRound, hbt.round)
 		nod.coverage.HandlePeerComplete(now, hbt.listOffset)
+		nod.mergeDivisions(now, hbt.ins.Divisions)
 		if _, changed := nod.elector.HandleHeartbeat(hbt.ins); changed {
 			nod.resignSuperseded()
 			nod.updateLeaders()
@@ -379,6 +382,7 @@
 func (nod *node) updateLeaders() {
 	for _, shd := range SortedShards(nod.shards()) {
 		led, tok := nod.elector.Leader(shd)
+		nod.coordinator.HandleDivision(shd.Name, nod.shardsOfDomain(led, shd.Domain))
 		nod.runCoordinatorActions(nod.coordinator.HandleLeader(submission.Target{Shard: shd.Name, Leader: led, Token: tok}, shd.Domain))
 	}
 }
