Keep a mark above the rounds of fencing tokens in the log

Cause: a process began its rounds at its incarnation and raised the highest round that it heard of by one a takeover; nothing kept rounds beyond the last process, while the servers obey the highest token that they have seen. Each refusal added one, after a pause of up to 5 s.

Change: succession.Rounds (pure) has the decisions. A record of the topic in which instances register keeps a mark at least 32,768 rounds above the highest, written once in as many takeovers by one instance; each process reads it with the list of instances, before it can lead. A process that hears no round in use begins at the mark, also above what former versions used. One that hears nobody, though others are listed, does so only after 1.5 s. If even the mark was too low, the next rounds leap, three times at most and to the same rounds on all instances. A cut-off instance adds one a refusal, as before. The pause after a refusal begins anew if the last one was long ago. Line 'token refused by a server' has token, round and next round; impossible rounds and marks are refused.

--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -208,6 +208,9 @@
 			Dur("lease-until", act.LeaseUntil).Dur("took", now.Sub(sent)).Msg("look failed")
 	}
 	if ldr := dmn.leaderWithToken(name, act.Token); ldr != nil {
+		if clr == shard.Accepted {
+			dmn.rounds.HandleAccepted(name)
+		}
 		dmn.runLeaderActions(name, ldr.HandleRenewResult(now, sent, act, res, clr))
 	}
 	return nil
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -79,11 +79,12 @@
 
 	// mu guards the state of decisions, which follows. No call to another process is made while it is held.
 	mu sync.Mutex
-	// incarnation is unique to this process among all instances: a restart gets a higher one. tokenRound is the highest round of
-	// fencing tokens that this instance has used or heard of.
+	// incarnation is unique to this process among all instances: a restart gets a higher one.
 	incarnation int64
 	self        shard.InstanceID
-	tokenRound  int64
+	// rounds numbers the fencing tokens; roundMark is the state of writing their mark to the store.
+	rounds      *succession.Rounds
+	roundMark   roundMark
 	coordinator *submission.Coordinator
 	elector     *succession.Elector
 	// leaders has the leaders of the shards that this instance leads.
@@ -289,7 +290,7 @@
 	}
 	now := dmn.now()
 	dmn.mu.Lock()
-	dmn.incarnation, dmn.tokenRound = life, life
+	dmn.incarnation, dmn.rounds = life, succession.NewRounds(life)
 	dmn.self = mesh.ID(set.Instance, life)
 	dmn.coordinator = submission.NewCoordinator(submission.Config{
 		Self: dmn.self, FailureDomain: set.FailureDomain, OrphanExpiry: orphanExpiry, RetryAfter: retryAfter, LeaderlessTimeout: leaderlessTimeout, Link: dmn.uplink,
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -128,6 +128,7 @@
 		dmn.updateLeaders()
 		dmn.updateSchedule()
 	}
+	dmn.keepRoundMark(now)
 	dmn.updateOpenOrders(now)
 	closedRuns, overfull := 0, 0
 	for name, ldr := range dmn.leaders {
@@ -177,7 +178,7 @@
 
 // takeOver makes this instance the leader of a shard, with a new fencing token.
 func (dmn *Daemon) takeOver(now time.Time, name shard.Name) {
-	tok := dmn.nextToken()
+	tok := dmn.nextToken(now)
 	dmn.divisions.Confirm()
 	ldr := shard.NewLeader(dmn.shardConfig(), dmn.uplink, name, tok, now)
 	dmn.leaders[name] = ldr
@@ -203,22 +204,14 @@
 	lin.Msg("taking the shard over")
 }
 
-// nextToken returns a fencing token that no other instance ever uses, higher than all that this one has heard of: the round, then the
-// low bits of the incarnation.
-func (dmn *Daemon) nextToken() int64 {
-	dmn.tokenRound++
-	return dmn.tokenRound<<incarnationBits | dmn.incarnation&(1<<incarnationBits-1)
-}
-
-// incarnationBits is the number of low bits of a token that identify its holder. A million incarnations and a million rounds fit
-// into 40 bits, below the 53 bits that every JSON reader preserves.
-const incarnationBits = 20
-
 // resignShard ends the leadership of a shard; fenced says that a backend server has rejected the token for a newer one.
 func (dmn *Daemon) resignShard(now time.Time, name shard.Name, fenced bool) {
 	ldr := dmn.leaders[name]
 	delete(dmn.leaders, name)
 	dmn.runLeaderActions(name, ldr.Resign())
+	if fenced {
+		dmn.handleTokenRefused(now, name, ldr.Token())
+	}
 	dmn.elector.HandleLeadershipEnd(now, name, fenced)
 	dmn.leadersChanged = true
 	dmn.log.Info().Str("shard", string(name)).Bool("fenced", fenced).Msg("leaving the shard")
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -169,6 +169,10 @@
 func (dmn *Daemon) handleInstances(bat batch) {
 	var prs []mesh.Peer
 	for _, rec := range bat.recs {
+		if rec.Key == platform.RoundsKey {
+			dmn.handleRoundMark(rec)
+			continue
+		}
 		if rec.Value == nil {
 			continue
 		}
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -16,7 +16,7 @@
 	defer dmn.mu.Unlock()
 	bet := mesh.Heartbeat{
 		Domain: dmn.prm.Settings.FailureDomain, Processor: dmn.prm.Settings.Processor, Ready: dmn.elector.Ready(),
-		Stopping: dmn.stopping.Load(), Leaving: dmn.leaving.Load(), TokenRound: dmn.tokenRound, Divisions: maps.Clone(dmn.divisions), ClosedDomains: dmn.closedDomains.View(),
+		Stopping: dmn.stopping.Load(), Leaving: dmn.leaving.Load(), TokenRound: dmn.rounds.Highest(), Divisions: maps.Clone(dmn.divisions), ClosedDomains: dmn.closedDomains.View(),
 	}
 	if cfg := dmn.cfg.Load(); cfg != nil {
 		bet.ConfigVersion = cfg.Version()
@@ -51,7 +51,9 @@
 
 // handleHeartbeat merges the state in another instance's heartbeat and updates leaders and heartbeat intervals if leadership changed.
 func (dmn *Daemon) handleHeartbeat(now time.Time, from shard.InstanceID, bet mesh.Heartbeat) {
-	dmn.tokenRound = max(dmn.tokenRound, bet.TokenRound)
+	if _, known := dmn.firstHeardAt[from]; !dmn.rounds.HandleHeard(bet.TokenRound) && !known {
+		dmn.log.Error().Str("peer", string(from)).Int64("round", bet.TokenRound).Msg("instance tells an impossible round")
+	}
 	dmn.mergeClosings(now, from, bet.ClosedDomains)
 	dmn.handleCompleteOffset(now, from, bet.CompleteUpTo)
 	dmn.handleListState(from, &bet)
--- a/internal/process/daemon/process_test.go
+++ b/internal/process/daemon/process_test.go
@@ -21,6 +21,8 @@
 	suspendedFor time.Duration
 	// pausedSince is when the process stopped getting processor time; zero while it runs.
 	pausedSince time.Time
+	// ahead is how far the machine's clock is ahead of the true time.
+	ahead time.Duration
 	// clk, if it is set, is the clock that the daemon reads.
 	clk *clock
 }
@@ -33,9 +35,9 @@
 	prc.mu.Lock()
 	defer prc.mu.Unlock()
 	if !prc.pausedSince.IsZero() {
-		return prc.pausedSince.Add(prc.suspendedFor)
+		return prc.pausedSince.Add(prc.suspendedFor + prc.ahead)
 	}
-	return time.Now().Add(prc.suspendedFor)
+	return time.Now().Add(prc.suspendedFor + prc.ahead)
 }
 
 // suspended returns the total time for which the machine was suspended, as the daemon asks for it.
--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -57,6 +57,8 @@
 	hidesIncarnations bool
 	// losesStops is set while the servers neither carry stops out nor answer them.
 	losesStops atomic.Bool
+	// clocksAhead is how far the clocks of instances are ahead, by name.
+	clocksAhead map[string]time.Duration
 	// services are the services of backend servers whose tasks are not of the usual one.
 	services map[string]string
 
@@ -233,7 +235,7 @@
 		sys.net.Narrow(host, sys.linkBytes)
 	}
 	ctx, stop := context.WithCancel(sys.ctx)
-	prc := &process{name: name, host: host, domain: domain, stop: stop, done: make(chan struct{})}
+	prc := &process{name: name, host: host, domain: domain, stop: stop, done: make(chan struct{}), ahead: sys.clocksAhead[name]}
 	if old := sys.instances[name]; old != nil {
 		sys.formerProcesses = append(sys.formerProcesses, old)
 	}
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -56,7 +56,8 @@
 	// RecheckInterval is how often all shards are checked although nothing has changed, to find leaders that have become replaceable by
 	// time alone.
 	RecheckInterval time.Duration
-	// InitialBackoff is the pause after a shard was first lost to another leader's token; it doubles with each loss up to MaxBackoff.
+	// InitialBackoff is the pause after a shard was first lost to another leader's token; it doubles with each loss up to MaxBackoff, and
+	// begins anew after a loss that comes later than MaxBackoff after the last pause.
 	InitialBackoff, MaxBackoff time.Duration
 }
 
@@ -149,6 +150,14 @@
 // SetLeaving marks the own instance as about to end: the other instances take over the shards that it leads.
 func (elc *Elector) SetLeaving() { elc.self.Stopping, elc.self.Leaving = true, true }
 
+// ReadyFor returns for how long the own instance has been able to lead, 0 if it isn't.
+func (elc *Elector) ReadyFor(now time.Time) time.Duration {
+	if !elc.self.Ready {
+		return 0
+	}
+	return now.Sub(elc.readyAt)
+}
+
 // Ready reports whether the own instance is able to lead.
 func (elc *Elector) Ready() bool { return elc.self.Ready }
 
@@ -208,6 +217,9 @@
 		return
 	}
 	bck := elc.backoffs[name]
+	if now.Sub(bck.until) > elc.cfg.MaxBackoff {
+		bck.count = 0 // The last loss has nothing to do with this one.
+	}
 	pause := min(elc.cfg.InitialBackoff<<min(bck.count, maxBackoffDoublings), elc.cfg.MaxBackoff)
 	elc.backoffs[name] = backoff{until: now.Add(pause), count: bck.count + 1}
 }
