Pass the run numbers of a clock that was ahead in a few refusals

What callers would see: a task of a job that was sent again starts nowhere for over a second after all instances lost power, if its former leader's clock was an hour ahead.

Cause: servers refuse runs that are not above the highest of the task, numbers are the leader's time of day, and each refusal added 65 s only.

Other refusals add 65 s, as before.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -45,6 +45,9 @@
 			ldr.noteAccepted(now, srv, rn)
 			break
 		}
+		if rn.ord != nil {
+			rn.ord.raiseRunNumber()
+		}
 		ldr.requeueRefused(now, srv, rn)
 	case Refused, OverCapacity:
 		if rn.repeats > 0 {
@@ -91,10 +94,18 @@
 const (
 	// refusalDelay is about ten times the round trip of a start.
 	refusalDelay = 20 * time.Millisecond
-	// runNumberJump exceeds the difference between two machines' clocks, in milliseconds.
-	runNumberJump = 1 << 16
+	// runNumberJump exceeds the usual difference between two machines' clocks, in milliseconds. After a refusal of a number that was too low the jump
+	// is twice as far as after the one before, up to twelve days, as the clock of a former leader may have been hours ahead.
+	runNumberJump    = 1 << 16
+	maxJumpDoublings = 14
 )
 
+// raiseRunNumber raises the number of the next run after a server has refused one that is too low.
+func (ord *order) raiseRunNumber() {
+	ord.runNumber += runNumberJump << min(ord.numberJumps, maxJumpDoublings)
+	ord.numberJumps++
+}
+
 // noteAccepted records that a server has, or had, a run. A run that is being stopped stays in that state.
 func (ldr *Leader) noteAccepted(now time.Time, srv *server, rn *run) {
 	rn.acceptedAt, rn.progressAt = now, now
--- a/internal/request/shard/queue.go
+++ b/internal/request/shard/queue.go
@@ -26,8 +26,9 @@
 	cancelled bool
 	// starts counts the runs that were started for it here.
 	starts int
-	// runNumber is the number of the last run started here, raised by runNumberJump at a refusal.
-	runNumber int64
+	// runNumber is the number of the last run started here, raised by each of numberJumps refusals of a number that was too low.
+	runNumber   int64
+	numberJumps int
 	// waitedForSpeed is set once the order was left waiting for a faster server.
 	waitedForSpeed bool
 }
