Let an order that comes during a takeover claim the run of its task

What servers saw: a task of a job that was submitted to two instances ran twice at once, on two servers of one leader.

Cause: an order claims a run of its task that a server has listed before. Where the server lists the run after the order has come, only orders that were with a former leader claimed it (adoptWaiting). A second owner's first order doesn't: the run that the former leader had started for the first owner was stopped as unclaimed at the end of the takeover, and the order's run started on another server in the same instant, before the stop had been carried out.

Change: all waiting orders claim runs that are listed later, as orders that come after the listing do. Servers without unclaimed runs are passed over, so that a long queue costs nothing there.

--- a/internal/process/succession/explore_repeat_test.go
+++ b/internal/process/succession/explore_repeat_test.go
@@ -17,6 +17,7 @@
 		"unseen restarts":          simulateUnseenRestarts,
 		"unclaimed runs":           simulateUnclaimedRuns,
 		"restarts between leaders": simulateRestartsBetweenLeaders,
+		"two owners":               simulateTwoOwners,
 	}
 	for name, search := range searches {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -177,11 +177,12 @@
 	})
 }
 
-// adoptWaiting connects waiting reassigned orders to runs that servers have listed since, and asks for the proof that the others run nowhere.
+// adoptWaiting connects waiting orders to runs that servers have listed since, and asks for the proof that the other reassigned ones run nowhere.
+// An order that was with no former leader may have such a run, too, for another owner to which its job was submitted.
 func (ldr *Leader) adoptWaiting(now time.Time) {
 	kept := make([]*order, 0, len(ldr.que.orders))
 	for _, ord := range ldr.que.orders {
-		if ord.Reassigned && ldr.adopt(now, ord) {
+		if ldr.adopt(now, ord) {
 			continue
 		}
 		if ord.Reassigned {
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -23,6 +23,9 @@
 		return true
 	}
 	for _, srv := range ldr.serverList {
+		if srv.unclaimed == 0 {
+			continue
+		}
 		for _, rn := range srv.runList {
 			if rn.ord != nil || rn.id.Task != ord.Task || rn.acceptedAt.IsZero() {
 				continue // A start that got no answer, and whose order went back, is only kept until a stop of it is accepted.
--- a/internal/request/shard/unclaimed_test.go
+++ b/internal/request/shard/unclaimed_test.go
@@ -150,3 +150,30 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: an order comes during a takeover, before a server lists the run of its task that a former leader has started for
+// another owner. At the end of the takeover the run is stopped as unclaimed while the order's run starts elsewhere.
+func TestOrderDuringATakeoverClaimsTheRunOfItsTask(t *testing.T) {
+	run := RunID{Task: "j.0", Number: 7}
+	for name, orderFirst := range map[string]bool{"the order comes first": true, "the listing comes first": false} {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := &harness{t: t, now: time.Unix(1000, 0)}
+			har.ldr = NewLeader(DefaultConfig(), NewUplink(0), "a.0", 9, har.now)
+			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s1", 32000), serverEntry("s2", 32000)}}))
+			list := func() { har.answerRenewal("s1", RenewResult{Clock: time.Minute, Running: []Progress{{Run: run}}}) }
+			if !orderFirst {
+				list()
+			}
+			har.record(har.ldr.HandleOrder(har.now, har.order(0, run.Task)))
+			if orderFirst {
+				list()
+			}
+			har.answerRenewal("s2", RenewResult{Clock: time.Minute})
+			har.advance(DefaultConfig().AdoptWait)
+			chk.Equal(len(har.starts()), 0)
+			chk.Equal(har.stops(), 0)
+			chk.Equal(har.reports(Started), 1)
+		})
+	}
+}
