Play instances that are cut off alone, and measure how close two runs come

The explorations so far had one shard per failure domain, and links that were cut at random or around one forced takeover.

TestExploreCutOffInstances has two or three shards in a failure domain, so that one instance leads several, and cuts single instances off from all others and the store in series of 0.2 to 5 s, while they reach servers and callers; servers that only one node reaches, lost answers of starts, lost renewals and stops, pauses and takeovers come around the cuts. Callers never submit again. It also states the shortest time between the latest possible end of a run and the next start of its task where no node was told that the first is over: by the leader's leases, or by a wait of the owner or the next leader.

--- a/internal/process/succession/explore_action_test.go
+++ b/internal/process/succession/explore_action_test.go
@@ -102,6 +102,7 @@
 		case shard.NoteIncarnation:
 			nod.sim.note("%s: %s of %s: known %d, told %d, %d runs carried", nod.id, act.Reason, act.Server, act.Known, act.Told, act.Carried)
 		case shard.NoteRunOver:
+			nod.sim.noteLeaseOver(act)
 			nod.sim.note("%s counts %s %d at %s as over: %s, extended %v ago, accepted %v ago", nod.id, act.Run.Task, act.Run.Number, act.Server, act.Evidence,
 				act.Extended, act.Accepted)
 		case shard.StartRun:
@@ -133,7 +134,9 @@
 	sent := nod.sim.now
 	nod.call(act.Server.ID, timeout, func(srv *fakeServer, reply func(shard.RenewResult, shard.CallResult)) {
 		clr := srv.start(act, nod.sim.runTime(act.Run.Task))
-		reply(shard.RenewResult{Clock: srv.clock()}, clr)
+		if !srv.losesStartAnswers {
+			reply(shard.RenewResult{Clock: srv.clock()}, clr)
+		}
 	}, func(res shard.RenewResult, clr shard.CallResult) {
 		nod.handle(func(now time.Time) {
 			nod.uplink.HandleStartResult(act.Payload, now.Sub(sent), clr)
@@ -147,9 +150,14 @@
 // renew calls a backend server to extend leases and to learn its runs.
 func (nod *node) renew(name shard.Name, act shard.Renew, timeout time.Duration) {
 	sent := nod.sim.now
-	nod.call(act.Server.ID, act.WaitForEnd+timeout, func(srv *fakeServer, reply func(shard.RenewResult, shard.CallResult)) { srv.handleRenew(act, reply) },
+	nod.call(act.Server.ID, act.WaitForEnd+timeout, func(srv *fakeServer, reply func(shard.RenewResult, shard.CallResult)) {
+		if !srv.losesRenewals {
+			srv.handleRenew(act, reply)
+		}
+	},
 		func(res shard.RenewResult, clr shard.CallResult) {
 			nod.handle(func(now time.Time) {
+				nod.sim.noteTold(nod, act.Server.ID, res, clr)
 				if ldr := nod.leaderWithToken(name, act.Token); ldr != nil {
 					nod.runLeaderActions(name, ldr.HandleRenewResult(now, sent, act, res, clr))
 				}
--- a/internal/process/succession/explore_caller_test.go
+++ b/internal/process/succession/explore_caller_test.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -18,6 +19,9 @@
 	attempts int
 	// urgent jobs go before all others, and their answers are due soon. The callers of patient ones give no call up early.
 	urgent, patient bool
+	// timeout is how long the caller waits for an answer, callerTimeout if it is 0. once is set if the caller never submits the job again.
+	timeout time.Duration
+	once    bool
 	// mayHaveRun is set once an attempt ended with anything but "not run".
 	mayHaveRun, refused, succeeded bool
 }
@@ -64,13 +68,16 @@
 	maxAttempts   = 4
 )
 
+// waits returns how long the caller waits for an answer.
+func (job *callerJob) waits() time.Duration { return cmp.Or(job.timeout, callerTimeout) }
+
 // retry sends the job to a random node.
 func (job *callerJob) retry() { job.send(job.sim.anyNode()) }
 
 // send submits the job to a node, unless all attempts are used up; one caller in six gives the call up early.
 func (job *callerJob) send(nod *node) {
 	sim := job.sim
-	if job.attempts++; job.attempts > maxAttempts {
+	if job.attempts++; job.attempts > maxAttempts || job.once && job.attempts > 1 {
 		return
 	}
 	if nod.dead || nod.stopping {
@@ -82,7 +89,7 @@
 	sim.note("%s is sent to %s: %d tasks of %v", job.id, nod.id, job.tasks, job.runTime)
 	nod.callers[att.call] = att
 	sub := submission.Submission{
-		ID: job.id, Request: job.id, Route: "r", Service: "render", MaxAttempts: 3, CallerTimeout: callerTimeout,
+		ID: job.id, Request: job.id, Route: "r", Service: "render", MaxAttempts: 3, CallerTimeout: job.waits(),
 		Steps:     []submission.Step{{Count: job.tasks, Processor: taskSize, Memory: 64, ExpectedRunTime: job.runTime}},
 		Objective: func(work time.Duration) time.Duration { return 3*work + time.Second },
 	}
@@ -97,7 +104,7 @@
 	nod.deliver("caller "+job.id, func() {
 		nod.handle(func(now time.Time) { nod.runCoordinatorActions(nod.coordinator.HandleSubmit(now, att.call, sub)) })
 	})
-	leaves := callerTimeout
+	leaves := job.waits()
 	if sim.rnd.IntN(6) == 0 && !job.patient {
 		leaves = sim.within(600 * time.Millisecond)
 	}
--- a/internal/process/succession/explore_division_test.go
+++ b/internal/process/succession/explore_division_test.go
@@ -90,18 +90,36 @@
 // shards returns the shards known to the node with their listed servers.
 func (nod *node) shards() map[Shard][]shard.ServerEntry {
 	div := map[Shard][]shard.ServerEntry{}
-	for _, ent := range nod.missing {
-		nod.divisions.KeepEmptyShards(div, ent.FailureDomain)
+	for _, id := range sortedKeys(nod.missing) {
+		nod.keepShards(div, nod.missing[id])
 	}
 	for _, id := range sortedKeys(nod.entries) {
 		ent := nod.entries[id]
-		nod.divisions.KeepEmptyShards(div, ent.FailureDomain)
-		shd := nod.divisions.ShardOf(ent)
+		nod.keepShards(div, ent)
+		shd := nod.shardOf(ent)
 		div[shd] = append(div[shd], ent)
 	}
 	return div
 }
 
+// keepShards adds the shards that exist as a server does.
+func (nod *node) keepShards(div map[Shard][]shard.ServerEntry, ent shard.ServerEntry) {
+	if nod.sim.shardNumbers == nil {
+		nod.divisions.KeepEmptyShards(div, ent.FailureDomain)
+		return
+	}
+	shd := nod.shardOf(ent)
+	div[shd] = append([]shard.ServerEntry(nil), div[shd]...)
+}
+
+// shardOf returns the shard of a server: by the simulation's numbers, if it has any, else by the divisions that the node knows.
+func (nod *node) shardOf(ent shard.ServerEntry) Shard {
+	if nums := nod.sim.shardNumbers; nums != nil {
+		return shardOf(ent.FailureDomain, nums[ent.ID])
+	}
+	return nod.divisions.ShardOf(ent)
+}
+
 // shardsOfDomain returns by how many shards of a failure domain a node leads, as last heard; 0 if that is not known.
 func (nod *node) shardsOfDomain(leader shard.InstanceID, domain string) int {
 	if leader == nod.id {
--- a/internal/process/succession/explore_list_test.go
+++ b/internal/process/succession/explore_list_test.go
@@ -76,13 +76,13 @@
 		}
 		lst := shard.Listing{
 			Listed: div[shd], All: nod.entries, Shards: nod.divisions.ConfirmedCount(shd.Domain),
-			Belongs: func(ent shard.ServerEntry) bool { return nod.divisions.ShardOf(ent) == shd },
+			Belongs: func(ent shard.ServerEntry) bool { return nod.shardOf(ent) == shd },
 		}
 		if nod.coverage.Complete(now) {
 			lst.ReadAt = nod.listReadAt
 		}
 		for _, id := range sortedKeys(nod.missing) {
-			if nod.divisions.ShardOf(nod.missing[id]) == shd {
+			if nod.shardOf(nod.missing[id]) == shd {
 				lst.Missing = append(lst.Missing, nod.missing[id])
 			}
 		}
--- a/internal/process/succession/explore_repeat_test.go
+++ b/internal/process/succession/explore_repeat_test.go
@@ -18,6 +18,7 @@
 		"unclaimed runs":           simulateUnclaimedRuns,
 		"restarts between leaders": simulateRestartsBetweenLeaders,
 		"two owners":               simulateTwoOwners,
+		"cut-off instances":        simulateCutOffs,
 	}
 	for name, search := range searches {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/succession/explore_server_test.go
+++ b/internal/process/succession/explore_server_test.go
@@ -32,13 +32,16 @@
 	lostAnswers int
 	// losesStops is set while stops neither get an answer nor are carried out.
 	losesStops bool
+	// losesStartAnswers is set while starts are carried out and not answered, losesRenewals while renewals are neither.
+	losesStartAnswers, losesRenewals bool
 }
 
 type fakeRun struct {
 	id       shard.RunID
 	stopping bool
-	began    time.Time
-	runTime  time.Duration
+	// latestEnd is until when the run may last at most since it is being ended.
+	began, latestEnd time.Time
+	runTime          time.Duration
 }
 
 const (
@@ -100,6 +103,8 @@
 	srv.extendLease(act.LeaseUntil)
 	srv.highestRun[act.Run.Task] = act.Run.Number
 	srv.sim.checkStart(srv, act.Run)
+	srv.sim.noteGap(srv, act)
+	srv.sim.noteStartAfterDone(act.Run.Task)
 	rn := &fakeRun{id: act.Run, began: srv.sim.now, runTime: runTime}
 	srv.running[act.Run.Task] = rn
 	if len(srv.running)*taskSize > serverSize {
@@ -121,7 +126,7 @@
 	srv.token = act.Token
 	srv.highestRun[act.Run.Task] = max(srv.highestRun[act.Run.Task], act.Run.Number)
 	if rn := srv.running[act.Run.Task]; rn != nil && rn.id.Number <= act.Run.Number && !rn.stopping {
-		rn.stopping = true
+		rn.stopping, rn.latestEnd = true, srv.sim.now.Add(stopTime)
 		srv.sim.after(srv.sim.within(stopTime), func() { srv.endRun(rn, shard.EndedStopped) })
 	}
 	return shard.Accepted
@@ -137,7 +142,12 @@
 	if act.LeaseUntil > 0 {
 		srv.extendLease(act.LeaseUntil)
 	}
-	srv.ended = slices.DeleteFunc(srv.ended, func(end shard.End) bool { return end.Seq <= act.AckedSeq })
+	srv.ended = slices.DeleteFunc(srv.ended, func(end shard.End) bool {
+		if end.Seq <= act.AckedSeq {
+			srv.sim.noteAcked(srv, end)
+		}
+		return end.Seq <= act.AckedSeq
+	})
 	if act.WaitForEnd == 0 || len(srv.ended) > 0 {
 		reply(srv.renewResult(), shard.Accepted)
 		return
@@ -173,6 +183,9 @@
 	if until <= srv.lease {
 		return
 	}
+	if srv.lease <= srv.clock() {
+		srv.sim.noteLapse(srv)
+	}
 	srv.lease = until
 	left, inc := time.Duration(float64(until-srv.clock())/srv.clockRate), srv.incarnation
 	srv.sim.after(left, func() {
@@ -181,6 +194,9 @@
 		}
 		for _, task := range sortedKeys(srv.running) {
 			rn := srv.running[task]
+			if rn.latestEnd.IsZero() {
+				rn.latestEnd = srv.sim.now.Add(stopTime)
+			}
 			srv.sim.after(srv.sim.within(stopTime), func() {
 				if srv.lease <= until || srv.sim.strict {
 					srv.endRun(rn, shard.EndedStopped)
@@ -196,6 +212,7 @@
 		return
 	}
 	delete(srv.running, rn.id.Task)
+	srv.sim.noteEnd(srv, rn, how)
 	srv.endSeq++
 	srv.ended = append(srv.ended, shard.End{Seq: srv.endSeq, Run: rn.id, Kind: how})
 	srv.sim.note("%s ended %s %d how %d", srv.id, rn.id.Task, rn.id.Number, how)
--- a/internal/process/succession/explore_test.go
+++ b/internal/process/succession/explore_test.go
@@ -80,6 +80,8 @@
 	names        []string
 	nodes        map[string]*node
 	servers      []*fakeServer
+	// shardNumbers has the numbers of the servers' shards within their failure domains, all 0 if it is nil.
+	shardNumbers map[shard.ServerID]int
 	// listed are the servers that have entries in the store.
 	listed map[shard.ServerID]bool
 	// list has all records of the list, by their offsets.
@@ -99,8 +101,15 @@
 	// features are those of all leaders and owners, preemptions counts the runs that were stopped for urgent tasks.
 	features    shard.Features
 	preemptions int
-	violations  []string
-	trace       []string
+	// pastRuns has the last run of each task that has ended, gaps the shortest times between the end of a run and the next one's start.
+	pastRuns map[string]*pastRun
+	// doneRuns has the runs of each task that have ended as done.
+	doneRuns map[string][]*doneRun
+	// startsAfterDone are the tasks that have started again after such an end was acknowledged.
+	startsAfterDone []string
+	gaps            gaps
+	violations      []string
+	trace           []string
 }
 
 type event struct {
