Show that a task starts again after an end that a leader has acknowledged

What callers see: work done twice, one run after the other. The rule TWICE has two halves: no two runs at once, and no start after a run has ended as done if that end is taken note of, that is, acknowledged to its server. No test looked at the second one.

Cause, by three traces of TestExploreCutOffInstances: a leader acknowledges an end in its next renewal, whether or not the owner knows of it.

An end that is acknowledged only once its owner has it, and an unclaimed one not before it has been claimed or its owner would have given it up, would end all three; that spans the leader and the receipts of batches between instances.

--- a/internal/process/succession/explore_done_test.go
+++ b/internal/process/succession/explore_done_test.go
@@ -1,6 +1,21 @@
 package succession
 
-import "chestnutstack/internal/request/shard"
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/request/shard"
+)
+
+// TestDoneRunStartsAgain guards against a task that starts again after a run of it has ended as done: the leader acknowledges the end to the server, which
+// forgets it, while no owner has claimed the run or the report doesn't reach the owner, which orders the task anew.
+func TestDoneRunStartsAgain(t *testing.T) {
+	chk := is.NewRelaxed(t)
+	for _, seed := range []uint64{273, 285, 288} {
+		chk.Equal(simulateCutOffs(seed).startsAfterDone, nil)
+	}
+}
 
 // doneRun is a run that has ended as done. The end is taken note of when a leader acknowledges it, unless the server's lease has ended between the two.
 type doneRun struct {
