Count lost instances as ones that may have a job, unless they refuse

What callers would see: GET of a running job gets 410 at an instance that has stood still for a second.

Cause: the others have lost that instance, end their sessions with it, and "ended by the peer" was taken for the end of their processes. The query then knew of nobody who might have the job.

Change: only a refused connection proves that a process has ended. What is heard again, or as a later incarnation, can be asked. A request whose context has ended is not submitted either.

--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -17,6 +17,12 @@
 	return shard.InstanceID(name + "/" + strconv.FormatInt(incarnation, 10))
 }
 
+// Name returns the name of the instance whose incarnation an ID identifies.
+func Name(id shard.InstanceID) string {
+	name, _ := splitID(id)
+	return name
+}
+
 // splitID returns the name and the incarnation in an ID; the incarnation is 0 if it has none.
 func splitID(id shard.InstanceID) (name string, incarnation int64) {
 	idx := strings.LastIndexByte(string(id), '/')
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -64,7 +64,7 @@
 	sub.Route = rte.Name()
 	dmn.cnt.submissions.Add(1)
 	now := dmn.beginSubmission(ctx)
-	if tcp.CallerHasLeft(ctx) {
+	if ctx.Err() != nil || tcp.CallerHasLeft(ctx) {
 		// Its job may run elsewhere by now. The context ends only once the connection is read again.
 		dmn.logCallerGone(ctx, &sub, now)
 		dmn.endEvent(now)
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -71,7 +71,7 @@
 	fresh, changed := dmn.elector.HandleHeartbeat(ins)
 	if fresh {
 		dmn.firstHeardAt[from] = now
-		delete(dmn.jobQueries.silent, from)
+		dmn.jobQueries.handleHeard(from)
 		dmn.log.Info().Str("peer", string(from)).Msg("instance heard")
 	}
 	if changed {
@@ -201,7 +201,7 @@
 	defer dmn.endEvent(now)
 	dmn.log.Warn().Str("peer", string(id)).Str("cause", string(cau)).Msg("instance lost")
 	dmn.announceLoss(id, cau)
-	dmn.jobQueries.handleLoss(now, id, cau.IsSilence() || cau == mesh.Unacknowledged)
+	dmn.jobQueries.handleLoss(now, id, cau != mesh.Refused)
 	delete(dmn.firstHeardAt, id)
 	delete(dmn.configSentAt, id)
 	delete(dmn.changesSentAt, id)
--- a/internal/process/daemon/jobs.go
+++ b/internal/process/daemon/jobs.go
@@ -14,8 +14,8 @@
 type jobQueries struct {
 	open map[int64]*jobQuery
 	last int64
-	// silent has the instances that were lost by their silence, and when: they may live and have jobs open.
-	silent map[shard.InstanceID]time.Time
+	// unheard has the instances that were lost though their processes may live and have jobs open, and when.
+	unheard map[shard.InstanceID]time.Time
 }
 
 // jobQuery is one query. Its finding goes to done once it is known.
@@ -31,8 +31,8 @@
 	jobQueryTimeout = missedHeartbeats * heartbeatInterval
 	// maxJobQueries bounds the queries that wait at once: each costs a message to every instance.
 	maxJobQueries = 64
-	// silentMemory is how long an instance that was lost by its silence counts as one that may have a job open.
-	silentMemory = 30 * time.Second
+	// unheardMemory is how long an instance that was lost counts as one that may have a job open.
+	unheardMemory = 30 * time.Second
 )
 
 // FindJob implements platform.Entry: it looks for a route's job at all instances that are heard, and cancels it if cancel is set.
@@ -108,10 +108,19 @@
 	jqs.settle(ans.Number)
 }
 
+// handleHeard takes note that an instance is heard: it can be asked, and its machine's former processes have ended.
+func (jqs *jobQueries) handleHeard(id shard.InstanceID) {
+	for oth := range jqs.unheard {
+		if mesh.Name(oth) == mesh.Name(id) {
+			delete(jqs.unheard, oth)
+		}
+	}
+}
+
 // handleLoss takes note that an instance was lost, and whether its process may live.
 func (jqs *jobQueries) handleLoss(now time.Time, id shard.InstanceID, mayLive bool) {
 	if mayLive {
-		jqs.silent[id] = now
+		jqs.unheard[id] = now
 	}
 	for num, qry := range jqs.open {
 		if qry.asked[id] {
@@ -124,12 +133,12 @@
 
 // knowsAll reports whether no instance may have a job open that can't be asked.
 func (jqs *jobQueries) knowsAll(now time.Time) bool {
-	for id, at := range jqs.silent {
-		if now.Sub(at) > silentMemory {
-			delete(jqs.silent, id)
+	for id, at := range jqs.unheard {
+		if now.Sub(at) > unheardMemory {
+			delete(jqs.unheard, id)
 		}
 	}
-	return len(jqs.silent) == 0
+	return len(jqs.unheard) == 0
 }
 
 // settle ends a query once the job is found or all instances have answered.
--- a/internal/process/daemon/jobs_unheard_test.go
+++ b/internal/process/daemon/jobs_unheard_test.go
@@ -10,14 +10,14 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Guards against the answer that no instance has a job, whose owner runs it out of reach for longer than silentMemory.
+// Guards against the answer that no instance has a job, whose owner runs it out of reach for longer than unheardMemory.
 func TestJobOfAnOwnerThatIsLongCutOff(t *testing.T) {
 	inTestSystem(t, 2, 2, 4, func(sys *system) {
 		chk := is.NewRelaxed(t)
 		sys.sendAsync(sys.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 4, payload: payload{Millis: 40000}, callerTimeout: 60 * time.Second})
 		time.Sleep(500 * time.Millisecond)
 		sys.cut("domain-1")
-		time.Sleep(silentMemory + 5*time.Second)
+		time.Sleep(unheardMemory + 5*time.Second)
 		for _, method := range []string{http.MethodGet, http.MethodDelete} {
 			status, body := sys.jobCall("entry-2-1", method, jobID(1))
 			if running := sys.ldg.JobRunning(jobID(1)); running > 0 && status == http.StatusGone {
