Lose stops in the stand-in, and name the platform's topic by its constant

A path of the platform's calls stood in a test of process/daemon, which has its own way to lose stops beside the stand-in's (standin.LoseStops), and a topic in another.

Cause: TestOwnerLosesPowerAndStopsAreLost needs all stops lost for as long as it says; the stand-in could lose a number of them only.

Change: Server.LoseAllStops; the test system no longer wraps the stand-in's handler. rounds_test uses platform.InstancesTopic.

No bound or assertion has changed.

--- a/internal/process/daemon/instance_faults_test.go
+++ b/internal/process/daemon/instance_faults_test.go
@@ -313,7 +313,7 @@
 				sys.sendAsync(sys.ctx, own, job)
 				time.Sleep(300 * time.Millisecond)
 				chk.Equal(sys.ldg.Running(), 1)
-				sys.losesStops.Store(true)
+				sys.loseStops(true)
 				sys.powerOff(own)
 				began := time.Now()
 				if cse.every > 0 {
@@ -326,7 +326,7 @@
 				chk.Equal(sys.ldg.Running(), 0)
 				time.Sleep(10 * time.Millisecond)
 				chk.Equal(sys.send(sys.ctx, "entry-2-1", job), http.StatusOK)
-				sys.losesStops.Store(false)
+				sys.loseStops(false)
 			})
 		})
 	}
--- a/internal/process/daemon/rounds_test.go
+++ b/internal/process/daemon/rounds_test.go
@@ -181,7 +181,7 @@
 			inTestSystem(t, 2, 2, 2, func(sys *system) {
 				sys.raiseRounds(1e6)
 				sys.takeOverAgain()
-				sys.sto.Put("keyed.instances", platform.RoundsKey, val)
+				sys.sto.Put(string(platform.InstancesTopic), platform.RoundsKey, val)
 				time.Sleep(8 * time.Second) // The mark is written again.
 				before, _ := sys.roundsAndRefusals()
 				sys.loseAllPower()
--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -5,11 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,8 +53,6 @@
 	refused map[string]bool
 	// hidesIncarnations is set if the backend servers don't tell their incarnations.
 	hidesIncarnations bool
-	// losesStops is set while the servers neither carry stops out nor answer them.
-	losesStops atomic.Bool
 	// clocksAhead is how far the clocks of instances are ahead, by name.
 	clocksAhead map[string]time.Duration
 	// services are the services of backend servers whose tasks are not of the usual one.
@@ -207,17 +203,17 @@
 		srv.HideIncarnation()
 	}
 	sys.servers[id] = srv
-	sys.serve(id+":1", http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
-		if sys.losesStops.Load() && req.URL.Path == "/api/run-stop" {
-			_, _ = io.Copy(io.Discard, req.Body) // The context ends with the connection only once the body was read.
-			<-req.Context().Done()
-			return
-		}
-		srv.ServeHTTP(wrt, req)
-	}))
+	sys.serve(id+":1", srv)
 	sys.listServer(id, domain, "ready")
 }
 
+// loseStops has all backend servers neither carry out nor answer orders to stop, or ends that.
+func (sys *system) loseStops(lose bool) {
+	for _, srv := range sys.servers {
+		srv.LoseAllStops(lose)
+	}
+}
+
 // listServer writes a server's record, as its heartbeat does; state is "ready" or "draining".
 func (sys *system) listServer(id, domain, state string) {
 	svc := service
