--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -168,7 +168,7 @@
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{}, leavingSince: map[shard.ServerID]time.Time{},
 		services: map[string]bool{}, closedDomains: domainlist.New(prm.Settings.FailureDomains),
 		callers:      map[submission.CallID]chan submission.Answer{},
-		jobQueries:   jobQueries{open: map[int64]*jobQuery{}, unheard: map[shard.InstanceID]time.Time{}},
+		jobQueries:   newJobQueries(),
 		configSentAt: map[shard.InstanceID]time.Time{}, firstHeardAt: map[shard.InstanceID]time.Time{},
 		listNews:     newListNews(),
 		listLimit:    newListLimit(&prm.Settings, &pcs, prm.Now()),
--- a/internal/process/daemon/jobs.go
+++ b/internal/process/daemon/jobs.go
@@ -35,6 +35,28 @@
 	unheardMemory = 30 * time.Second
 )
 
+// newJobQueries returns the queries of an instance that has lost no other.
+func newJobQueries() jobQueries {
+	return jobQueries{open: map[int64]*jobQuery{}, unheard: map[shard.InstanceID]time.Time{}}
+}
+
+// begin returns a new query that waits for instances, and its number.
+func (jqs *jobQueries) begin(fin submission.Finding, asked map[shard.InstanceID]bool) (int64, *jobQuery) {
+	qry := &jobQuery{asked: asked, finding: fin, done: make(chan submission.Finding, 1)}
+	jqs.last++
+	jqs.open[jqs.last] = qry
+	jqs.settle(jqs.last)
+	return jqs.last, qry
+}
+
+// end removes a query that has waited long enough, and returns what is known by then.
+func (jqs *jobQueries) end(num int64, qry *jobQuery) submission.Finding {
+	delete(jqs.open, num)
+	fin := qry.finding
+	fin.Complete = fin.Complete && len(qry.asked) == 0
+	return fin
+}
+
 // FindJob implements platform.Entry: it looks for a route's job at all instances that are heard, and cancels it if cancel is set.
 func (dmn *Daemon) FindJob(ctx context.Context, rte config.Route, id string, cancel bool) submission.Finding {
 	num, qry := dmn.beginJobQuery(rte.Name(), id, cancel)
@@ -48,33 +70,28 @@
 	}
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
-	delete(dmn.jobQueries.open, num)
-	fin := qry.finding
-	fin.Complete = fin.Complete && len(qry.asked) == 0
-	return fin
+	return dmn.jobQueries.end(num, qry)
 }
 
 // beginJobQuery looks for a job here and asks the other instances for it. A job that is found here is one of theirs, too, only if its caller has submitted it
 // again; so they are still told to cancel it, and their answers aren't waited for.
 func (dmn *Daemon) beginJobQuery(route, id string, cancel bool) (int64, *jobQuery) {
-	qry := &jobQuery{asked: map[shard.InstanceID]bool{}, done: make(chan submission.Finding, 1)}
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
 	if dmn.coordinator == nil || len(dmn.jobQueries.open) >= maxJobQueries {
-		qry.done <- submission.Finding{}
-		return 0, qry
+		return dmn.jobQueries.begin(submission.Finding{}, nil)
 	}
-	qry.finding = submission.Finding{State: dmn.jobState(route, id, cancel, dmn.self), Complete: dmn.jobQueries.knowsAll(now)}
-	dmn.jobQueries.last++
-	num := dmn.jobQueries.last
-	if qry.finding.State == submission.NoJob || cancel {
+	fin := submission.Finding{State: dmn.jobState(route, id, cancel, dmn.self), Complete: dmn.jobQueries.knowsAll(now)}
+	asked := map[shard.InstanceID]bool{}
+	if fin.State == submission.NoJob || cancel {
 		for peer := range dmn.elector.Peers() {
-			qry.asked[peer] = true
-			dmn.mesh.Send(peer, mesh.JobQuery{Number: num, Route: route, Job: id, Cancel: cancel})
+			asked[peer] = true
 		}
 	}
-	dmn.jobQueries.open[num] = qry
-	dmn.jobQueries.settle(num)
+	num, qry := dmn.jobQueries.begin(fin, asked)
+	for peer := range asked {
+		dmn.mesh.Send(peer, mesh.JobQuery{Number: num, Route: route, Job: id, Cancel: cancel})
+	}
 	return num, qry
 }
 
@@ -100,7 +117,7 @@
 // handleAnswer takes in another instance's answer.
 func (jqs *jobQueries) handleAnswer(from shard.InstanceID, ans mesh.JobAnswer) {
 	qry := jqs.open[ans.Number]
-	if qry == nil || !qry.asked[from] {
+	if qry == nil {
 		return
 	}
 	delete(qry.asked, from)
@@ -119,6 +136,7 @@
 
 // handleLoss takes note that an instance was lost, and whether its process may live.
 func (jqs *jobQueries) handleLoss(now time.Time, id shard.InstanceID, mayLive bool) {
+	jqs.forget(now)
 	if mayLive {
 		jqs.unheard[id] = now
 	}
@@ -133,12 +151,17 @@
 
 // knowsAll reports whether no instance may have a job open that can't be asked.
 func (jqs *jobQueries) knowsAll(now time.Time) bool {
+	jqs.forget(now)
+	return len(jqs.unheard) == 0
+}
+
+// forget removes the instances that were lost long ago.
+func (jqs *jobQueries) forget(now time.Time) {
 	for id, at := range jqs.unheard {
 		if now.Sub(at) > unheardMemory {
 			delete(jqs.unheard, id)
 		}
 	}
-	return len(jqs.unheard) == 0
 }
 
 // settle ends a query once the job is found or all instances have answered.
--- a/internal/request/shard/harness_test.go
+++ b/internal/request/shard/harness_test.go
@@ -149,3 +149,14 @@
 	}
 	return act
 }
+
+// actionsOf returns the recorded actions of a type.
+func actionsOf[T Action](har *harness) []T {
+	var found []T
+	for _, act := range har.acts {
+		if typ, ok := act.(T); ok {
+			found = append(found, typ)
+		}
+	}
+	return found
+}
