Send deferred reports after an interval at the latest

Cause: the report of a start waits until a batch is sent for another reason. Of two instances one makes the calls; the other one's heartbeats go with its receipts, so it sends no batch of its own for as long as that lasts, and its deferred reports wait without a bound. Owners use them for more than the choice of orders to recall: whether a job has begun decides between "not run" and "unfinished".

Change: an instance with messages to send calls after an interval, also if it has answered a batch meanwhile.

--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -109,8 +109,11 @@
 	defer nod.mu.Unlock()
 	nod.heard[from]++
 	for _, msg := range msgs {
-		if can, ok := msg.(mesh.Cancellation); ok {
-			nod.got = append(nod.got, can.Task)
+		switch msg := msg.(type) {
+		case mesh.Cancellation:
+			nod.got = append(nod.got, msg.Task)
+		case mesh.Report:
+			nod.got = append(nod.got, msg.Report.Task)
 		}
 	}
 	if len(hbt.Leaderships) != 1 || !slices.Equal(hbt.Leaderships[0].Load.FreeMemory, []int64{64, 0}) || hbt.CompleteUpTo != 5 || hbt.ListOffset != 6 || hbt.ListBytes != 11 || hbt.ListRate != 12 || !hbt.WantsList || hbt.TokenRound != 7 || hbt.Processor != 0.4 || hbt.Divisions["a"].Count != 2 ||
@@ -132,7 +135,7 @@
 	delete(nod.heard, id)
 }
 
-// seen returns the tasks of the cancellations received, the number of losses that the Handler was told of, and whether
+// seen returns the tasks of the cancellations and reports received, the number of losses that the Handler was told of, and whether
 // another instance was heard since its last loss.
 func (nod *node) seen() (got []string, lost int, hears bool) {
 	nod.mu.Lock()
--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -33,7 +33,7 @@
 		case <-gone:
 			// The peer's process may have ended; a refused dial proves it at once.
 		case <-time.After(msh.callInterval(per)):
-			if msh.repliedLately(per) {
+			if !msh.callIsDue(per) {
 				continue
 			}
 		}
@@ -59,12 +59,12 @@
 // spreadParts is the number of different lengths of an interval.
 const spreadParts = 64
 
-// repliedLately reports whether this instance answered a batch of the peer within the last interval; the receipt had the heartbeat that
-// would be sent now.
-func (msh *Mesh) repliedLately(per *peer) bool {
+// callIsDue reports whether a peer is to be called after an interval without a call. If this instance answered a batch of the peer within that time, the
+// receipt had the heartbeat that would be sent now; deferred messages must not wait for longer.
+func (msh *Mesh) callIsDue(per *peer) bool {
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
-	return per.established && msh.cfg.Now().Sub(per.repliedAt) < per.interval
+	return !per.established || len(per.outbox) > 0 || msh.cfg.Now().Sub(per.repliedAt) >= per.interval
 }
 
 // handleFailedCall deals with a batch that got no receipt. A refused dial proves that the peer's process has ended; after any
