Raise run numbers in one place

A refused start raised the number of the task's next run by 65 s in requeueRefused, whatever the reason, and, where the number was too low, once more in raiseRunNumber. Only a number that was too low calls for a higher one: a server that has no room or refuses work has not seen the run.

Change: requeueRefused raises nothing; raiseRunNumber does, for Outdated.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -79,13 +79,11 @@
 // calls.
 const startRepeats = 2
 
-// requeueRefused queues a task again that a server refused to start. The server may have seen a higher run number for it from a
-// leader whose clock is ahead, so the number jumps; the delay prevents a tight loop of refusals.
+// requeueRefused queues a task again that a server refused to start; the delay prevents a tight loop of refusals.
 func (ldr *Leader) requeueRefused(now time.Time, srv *server, rn *run) {
 	if ord := rn.ord; ord != nil {
 		ord.mayHaveRun = !rn.firstStart || rn.repeats > 0
 		ord.notBefore = now.Add(refusalDelay)
-		ord.runNumber += runNumberJump
 		ord.Avoid = append(ord.Avoid, srv.ent.ID)
 	}
 	ldr.dropRun(now, srv, rn)
