Take no run for gone while a server has more ends to list

What callers saw: nothing wrong in their answers, but their tasks ran again though they were done: a job of 1,300 tasks that end together on one server took 1,716 starts.

Cause: a server lists 500 ends at once. A leader took each run that an answer has neither as running nor as ended for gone, also those whose ends are the 501st and later, and started their tasks again. A new leader proved by the same listing that an order's task runs nowhere, and a new incarnation that a run had ended with the former one.

Change: an answer with as many ends as are listed at once says so. It proves nothing of runs that it lacks and doesn't confirm the server; the next call acknowledges its ends at once and brings the others.

--- a/internal/request/shard/incarnation.go
+++ b/internal/request/shard/incarnation.go
@@ -77,7 +77,7 @@
 		switch {
 		case ans.listsEnd(rn.id):
 			srv.add(rn)
-		case rn.endedWithFormer(sent) && !ans.listsRunning(rn.id):
+		case rn.endedWithFormer(sent) && !ans.listsRunning(rn.id) && !ans.MoreEnds:
 			ldr.requeue(now, old, rn, FormerIncarnation)
 		default:
 			rn.state, rn.timeHandled, rn.confirmed = ending, true, false
--- a/internal/request/shard/renew.go
+++ b/internal/request/shard/renew.go
@@ -102,7 +102,7 @@
 	switch res {
 	case Accepted:
 		ldr.applyRenewal(now, srv, sent, ans)
-		if ldr.takeoverComplete && srv.idle() {
+		if ldr.takeoverComplete && srv.idle() && !ans.MoreEnds {
 			srv.renewAt = now.Add(idleRenewDelay)
 		}
 	case Fenced:
@@ -148,7 +148,10 @@
 	first := srv.state == claiming
 	srv.state = confirmed
 	srv.missed = 0
-	srv.confirmedAt, ldr.heardAt = sent, now
+	ldr.heardAt = now
+	if !ans.MoreEnds {
+		srv.confirmedAt = sent
+	}
 	if first && srv.renewedAt.IsZero() {
 		srv.noteFormerLeader(now)
 	}
@@ -166,7 +169,7 @@
 		ldr.noteProgress(now, srv, prg)
 	}
 	for _, rn := range srv.runList {
-		if listed[rn.id] || !rn.provenGone(sent) {
+		if listed[rn.id] || ans.MoreEnds || !rn.provenGone(sent) {
 			continue
 		}
 		ldr.requeue(now, srv, rn, NotListed)
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -54,7 +54,7 @@
 	renewAt  time.Time
 	// delayNext is set to send the next renewal after renewDelay.
 	delayNext bool
-	// confirmedAt is the time of sending of the newest renewal that the server answered with this leader's token.
+	// confirmedAt is the time of sending of the newest renewal that the server answered with this leader's token, listing all that ended.
 	confirmedAt time.Time
 	// proofPending is set while a renewal is in progress that returns at once, because an order waits for the proof that its task does not
 	// run here.
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -57,6 +57,8 @@
 	Clock   time.Duration
 	Running []Progress
 	Ended   []End
+	// MoreEnds is set if the server may have further ends, which it lists once these are acknowledged: a run that is not listed may be done.
+	MoreEnds bool
 }
 
 // CallResult is the result of a call to a backend server.
