Keep the ends of done runs until orders of their tasks come

What callers saw: nothing wrong in their answers, but a task might run again though a run of it was done.

Cause: a new leader reads, and acknowledges, the ends of runs that no order has yet. It kept them for the 120 ms in which it awaits orders, by task, the newest one listed. An order that came later found nothing and started its task again, as did one whose done end was followed in the listing by the end of an earlier, stopped run. An order that waited already, when the done end of a former run of its task was listed, started, too.

Change: only ends of done runs are kept, at any time and for 15 s, the longest time for which known callers wait; an order that waits is done at once.

--- a/internal/request/shard/events.go
+++ b/internal/request/shard/events.go
@@ -202,8 +202,8 @@
 		if rn != nil && end.Kind != EndedDone {
 			ldr.noteOver(now, srv, rn, listedAs(end.Kind))
 		}
-		if ldr.adopting(now) {
-			ldr.unclaimedEnds[end.Run.Task] = foundEnd{kind: end.Kind, server: srv.ent.ID, run: end.Run}
+		if end.Kind == EndedDone {
+			ldr.noteUnclaimedEnd(now, srv, end.Run)
 		}
 		return
 	}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -25,7 +26,7 @@
 	ownersHeard map[InstanceID]time.Time
 	// Nothing starts before noStartsUntil.
 	noStartsUntil time.Time
-	// unclaimedEnds holds, by task, ends listed during the takeover for which no order has come yet.
+	// unclaimedEnds holds, by task, the listed ends of runs that are done and that no order had, for endMemory.
 	unclaimedEnds map[string]foundEnd
 	// unansweredStarts holds the starts without an answer of servers that were dropped.
 	unansweredStarts map[ServerID][]*run
@@ -69,11 +70,11 @@
 	heardAt time.Time
 }
 
-// foundEnd is an unclaimed end and the server that listed it.
+// foundEnd is the unclaimed end of a run that is done, the server that listed it, and when it did.
 type foundEnd struct {
-	kind   EndKind
 	server ServerID
 	run    RunID
+	at     time.Time
 }
 
 // NewLeader returns the leader of a shard that was taken over with a fencing token; link is shared by all leaders of the instance.
@@ -352,9 +353,7 @@
 		ldr.dropUnlisted(now, srv)
 	}
 	ldr.pruneSteps(now)
-	if !ldr.adopting(now) {
-		clear(ldr.unclaimedEnds)
-	}
+	maps.DeleteFunc(ldr.unclaimedEnds, func(_ string, end foundEnd) bool { return now.Sub(end.at) > endMemory })
 	ldr.rates.update(now, ldr.serviceRate(), ldr.meanRun, ldr.waitingProcessor(now))
 	ldr.updateSpeeds(now)
 	ldr.returnTooLateOrders(now)
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -11,9 +11,21 @@
 	}
 }
 
-// adopt connects an order to a run or an end that was found at the takeover, and reports whether there was one.
+// noteUnclaimedEnd keeps the end of a run that is done, which no order has. An order of its task that waits is done, too.
+func (ldr *Leader) noteUnclaimedEnd(now time.Time, srv *server, run RunID) {
+	ldr.unclaimedEnds[run.Task] = foundEnd{server: srv.ent.ID, run: run, at: now}
+	if ord := ldr.orders[run.Task]; ord != nil && ord.run == nil {
+		ldr.que.remove(ord)
+		ldr.adopt(now, ord)
+	}
+}
+
+// endMemory is the longest time for which known callers wait, so that orders of their tasks may come.
+const endMemory = 15 * time.Second
+
+// adopt connects an order to a run that a former leader has started, or to an end that no order had, and reports whether there was one.
 func (ldr *Leader) adopt(now time.Time, ord *order) bool {
-	if end, ok := ldr.unclaimedEnds[ord.Task]; ok && end.kind == EndedDone {
+	if end, ok := ldr.unclaimedEnds[ord.Task]; ok {
 		delete(ldr.unclaimedEnds, ord.Task)
 		delete(ldr.orders, ord.Task)
 		ldr.emit(NoteAdoption{Task: ord.Task, Owner: ord.Owner, Server: end.server, Run: end.run, Ended: true})
