Start nothing on an added server that only a cut-off leader may know

Cause: a leader that was succeeded without knowing it admits a newly listed server once all others that answer have confirmed it since. If none answers, that is true of none: it started tasks there, while its successor, which had not read of that server yet, proved by its own servers that they run nowhere.

Change: a newly listed server gets tasks once one that the leader has had for longer confirms it, or after 2 s, in which each leader has read of it, and 450 ms, in which the leader may start orders of an owner that has given it up. Servers that were added with it vouch for nothing, nor does one that has started again. A leader that had no server before doesn't wait: a successor without servers proves nothing. Nor does a server that starts again under its ID, which a successor asks.

Failed try: the wait for each added server, also one that started again: it kept single servers from tasks for 2.45 s after a restart, which TestServerStartsAgainUnderItsID forbids.

TestReturnedTaskStartsOnAnotherServer added its free server only after the other one was out of reach. That server is known from the beginning now, as leaving until then; the bound is as it was, and the fault that the test guards against still makes it red.

Cost: a shard all of whose servers are gone from the list and come back takes no tasks for 2.45 s.

--- a/internal/request/shard/action.go
+++ b/internal/request/shard/action.go
@@ -133,6 +133,8 @@
 	// OwnerTimeout is how long after its owner was last heard an order may start. It must not exceed the time until other instances take
 	// the owner for lost, as the task is started elsewhere some time after that.
 	OwnerTimeout time.Duration
+	// ListAge is how long after a server is listed the last leader that reads the list learns of it.
+	ListAge time.Duration
 	// StallTimeout is how long a run may make no progress.
 	StallTimeout time.Duration
 	// InitialQuarantine is the first quarantine of a server that fails its runs; each further one is twice as long, up to MaxQuarantine.
@@ -157,6 +159,7 @@
 		ConfirmTimeout:    2 * time.Second,
 		LongestLease:      time.Second,
 		OwnerTimeout:      450 * time.Millisecond,
+		ListAge:           2 * time.Second,
 		StallTimeout:      350 * time.Millisecond,
 		InitialQuarantine: time.Second,
 		MaxQuarantine:     8 * time.Second,
--- a/internal/request/shard/added_server_test.go
+++ b/internal/request/shard/added_server_test.go
@@ -49,3 +49,60 @@
 		})
 	}
 }
+
+// Guards against a leader that admits servers which a successor may not have read of, and against one that waits though a server vouches for it.
+func TestWhenAddedServersGetTasks(t *testing.T) {
+	cfg := DefaultConfig()
+	cases := map[string]struct {
+		before, added []string
+		// answering are the servers that answer, restarting one that starts again a second after it was added.
+		answering  []string
+		restarting string
+		least      time.Duration
+	}{
+		"another server answers":               {before: []string{"s1"}, added: []string{"s2"}, answering: []string{"s1", "s2"}},
+		"no other server answers":              {before: []string{"s1"}, added: []string{"s2"}, answering: []string{"s2"}, least: cfg.ListAge + cfg.OwnerTimeout},
+		"only another added one answers":       {before: []string{"s1"}, added: []string{"s2", "s3"}, answering: []string{"s2", "s3"}, least: cfg.ListAge + cfg.OwnerTimeout},
+		"it starts again and no other answers": {before: []string{"s1"}, added: []string{"s2"}, answering: []string{"s2"}, restarting: "s2", least: time.Second + cfg.ListAge + cfg.OwnerTimeout},
+		"the leader had none":                  {added: []string{"s2"}, answering: []string{"s2"}},
+		"the leader had none, two are added":   {added: []string{"s2", "s3"}, answering: []string{"s2", "s3"}},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			har := &harness{t: t, now: time.Unix(1000, 0)}
+			har.ldr = NewLeader(cfg, NewUplink(0), "a.0", 9, har.now)
+			har.list(firstIncarnation, cse.before...)
+			for _, id := range cse.before {
+				har.answer(ServerID(id), firstIncarnation, RenewResult{})
+			}
+			har.advance(cfg.AdoptWait)
+			for _, id := range cse.before {
+				for range minMissed {
+					har.answerRenewalSentAt(ServerID(id), har.now, RenewResult{}, Unknown)
+				}
+			}
+			har.list(firstIncarnation, append(cse.before, cse.added...)...)
+			began := har.now
+			for har.now.Sub(began) < 2*(cfg.ListAge+cfg.OwnerTimeout) && len(har.starts()) == 0 {
+				for _, id := range cse.answering {
+					inc, clock := firstIncarnation, time.Minute+har.now.Sub(began)
+					if id == cse.restarting && har.now.Sub(began) >= time.Second {
+						inc, clock = secondIncarnation, har.now.Sub(began)-time.Second+time.Millisecond
+					}
+					har.answer(ServerID(id), inc, RenewResult{Clock: clock})
+					if inc == secondIncarnation {
+						lst := Listing{Listed: []ServerEntry{incarnationEntry("s1", firstIncarnation), incarnationEntry(id, inc)}, Shards: 1}
+						har.record(har.ldr.SetServers(har.now, lst))
+					}
+				}
+				har.record(har.ldr.HandleOrder(har.now, har.order(0, "j.0")))
+				har.advance(10 * time.Millisecond)
+			}
+			took := har.now.Sub(began)
+			t.Logf("started after %v", took)
+			chk.Equal(len(har.starts()), 1)
+			chk.True(took >= cse.least && took <= cse.least+50*time.Millisecond)
+		})
+	}
+}
--- a/internal/request/shard/incarnation.go
+++ b/internal/request/shard/incarnation.go
@@ -68,7 +68,7 @@
 	if last := old.lastExtension(); !last.IsZero() && last.After(now.Add(-time.Duration(float64(ans.Clock)*clockSkew))) {
 		srv.foreignLeaseAt = last // The incarnation had begun by then, and may have carried the call out.
 	}
-	srv.addedAt = now
+	srv.addedAt, srv.newlyListed = now, old.newlyListed
 	if old.addedAt.IsZero() {
 		ldr.added++
 	}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -49,8 +49,9 @@
 	// began. A listing that was read since then has each server that a former leader may use: it uses none that is listed later, as its other
 	// servers refuse it by then (see admitAdded).
 	allConfirmedAt, listReadAt time.Time
-	// added counts the servers with addedAt set.
-	added int
+	// added counts the servers with addedAt set. hadServers is set once there was one.
+	added      int
+	hadServers bool
 	// shards is into how many shards the failure domain is divided; 0 if that is not known.
 	shards int
 	// droppedUnproven is set once a server was dropped on which another leader may still run tasks.
@@ -130,6 +131,7 @@
 		ldr.listReadAt = lst.ReadAt
 	}
 	ldr.shards = lst.Shards
+	hadServers := ldr.hadServers
 	listed := make(map[ServerID]bool, len(lst.Listed))
 	for _, ent := range lst.Listed {
 		listed[ent.ID] = true
@@ -139,7 +141,7 @@
 		}
 		srv := ldr.addServer(now, ent)
 		if ldr.takeoverComplete {
-			srv.addedAt = now
+			srv.addedAt, srv.newlyListed = now, hadServers
 			ldr.added++
 		}
 	}
@@ -369,7 +371,7 @@
 		ldr.allConfirmedAt = now
 		ldr.emit(ReadList{})
 	}
-	ldr.admitAdded()
+	ldr.admitAdded(now)
 	if !ldr.takeoverComplete {
 		ldr.completeTakeover(now)
 	}
--- a/internal/request/shard/returned_test.go
+++ b/internal/request/shard/returned_test.go
@@ -20,9 +20,11 @@
 	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
 			chk := is.New(t)
-			har := newHarness(t, serverEntry("s", 32000))
+			leaving := serverEntry("s2", 32000)
+			leaving.Leaving = true
+			har := newHarness(t, serverEntry("s", 32000), leaving)
 			har.answerRenewal("s", RenewResult{Clock: time.Minute})
-			har.place(0, "j.0")
+			chk.Equal(har.place(0, "j.0")["j.0"], ServerID("s"))
 			_, _, returned := har.playWithoutAnswers("s", 40*time.Millisecond)
 			chk.True(!returned.IsZero())
 			har.record(har.ldr.SetServers(har.now, Listing{Listed: []ServerEntry{serverEntry("s", 32000), serverEntry("s2", 32000)}, Shards: 1}))
--- a/internal/request/shard/server.go
+++ b/internal/request/shard/server.go
@@ -27,6 +27,9 @@
 	unlisted, unreadable bool
 	// addedAt is when a server was listed that is to get no task yet (see admitAdded); zero for the others.
 	addedAt time.Time
+	// newlyListed is set if the server was added because it was listed, not because it has started again, and the leader had others before. A successor
+	// that has no server at all proves nothing.
+	newlyListed bool
 	// runs is changed only by add and drop, which keep the used and unclaimed counts right.
 	runs map[RunID]*run
 	// runList has the same runs in the order in which they were added.
--- a/internal/request/shard/takeover.go
+++ b/internal/request/shard/takeover.go
@@ -130,7 +130,7 @@
 
 // admitAdded lets servers that were listed after the takeover get tasks once all others that answer have confirmed the leader since. A
 // leader that was succeeded without knowing it is refused by them, and must not start tasks on servers that its successor does not know.
-func (ldr *Leader) admitAdded() {
+func (ldr *Leader) admitAdded(now time.Time) {
 	if ldr.added == 0 {
 		return
 	}
@@ -138,22 +138,28 @@
 	for _, srv := range ldr.serverList {
 		switch {
 		case srv.addedAt.IsZero():
-		case srv.state == confirmed && ldr.othersConfirmedSince(srv, srv.addedAt):
-			srv.addedAt = time.Time{}
+		case srv.state == confirmed && ldr.mayAdmit(now, srv):
+			srv.addedAt, srv.newlyListed = time.Time{}, false
 		default:
 			ldr.added++
 		}
 	}
 }
 
-// othersConfirmedSince reports whether all servers that answer, except one, have confirmed the leader since a time.
-func (ldr *Leader) othersConfirmedSince(except *server, since time.Time) bool {
+// mayAdmit reports whether all other servers that answer have confirmed the leader since a server was added. If none of those which the leader has had
+// for longer answers, a successor must have read of a newly listed one before a task starts there.
+func (ldr *Leader) mayAdmit(now time.Time, added *server) bool {
+	witnessed := false
 	for _, srv := range ldr.serverList {
-		if srv != except && srv.state == confirmed && !srv.confirmedSince(since) {
+		if srv == added || srv.state != confirmed {
+			continue
+		}
+		if !srv.confirmedSince(added.addedAt) {
 			return false
 		}
+		witnessed = witnessed || srv.addedAt.IsZero()
 	}
-	return true
+	return witnessed || !added.newlyListed || now.Sub(added.addedAt) >= ldr.cfg.ListAge+ldr.cfg.OwnerTimeout
 }
 
 // allListed reports whether every server has confirmed this leader and listed its runs.
--- a/internal/request/shard/walk.go
+++ b/internal/request/shard/walk.go
@@ -11,7 +11,7 @@
 // putServer adds a server, or puts it in the place of the one that has its ID.
 func (ldr *Leader) putServer(srv *server) {
 	old := ldr.servers[srv.ent.ID]
-	ldr.servers[srv.ent.ID] = srv
+	ldr.servers[srv.ent.ID], ldr.hadServers = srv, true
 	if idx := slices.Index(ldr.serverList, old); idx >= 0 {
 		ldr.serverList = slices.Clone(ldr.serverList)
 		ldr.serverList[idx] = srv
