Make the test of callers who have left fail in each run without the mend

What was wrong: TestResumedInstanceOrdersNothingForCallersWhoHaveLeft left it to the scheduler whether an instance that resumes reads a request or the end of its connection first.

Change: the network of the tests can resume a process in a given order: the ends of connections are known to its kernel at once or later, and are read after the requests. Each order is a case, beside the one that is left to the scheduler.

--- a/internal/process/daemon/callers_gone_test.go
+++ b/internal/process/daemon/callers_gone_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -8,46 +9,59 @@
 	"github.com/matryer/is"
 
 	"chestnutstack/internal/connection/tcp"
+	"chestnutstack/internal/process/pipe"
 	"chestnutstack/internal/request/submission"
 	"chestnutstack/platform/standin"
 )
 
 // Guards against a task that runs twice as an instance resumes after a pause: the requests that it reads then are of callers who have closed their connections
-// and sent their jobs to another instance.
+// and sent their jobs to another instance. Which of the two it reads first is left to the kernel and the scheduler, so that each order is a case.
 func TestResumedInstanceOrdersNothingForCallersWhoHaveLeft(t *testing.T) {
-	cases := map[string]struct {
-		pause, callerTimeout time.Duration
-	}{
-		"callers leave at their deadline": {pause: 4 * time.Second, callerTimeout: 1500 * time.Millisecond},
-		"callers leave soon":              {pause: 2 * time.Second, callerTimeout: 300 * time.Millisecond},
+	callers := map[string]struct{ pause, timeout time.Duration }{
+		"at their deadline": {pause: 4 * time.Second, timeout: 1500 * time.Millisecond},
+		"soon":              {pause: 2 * time.Second, timeout: 300 * time.Millisecond},
 	}
-	for name, cas := range cases {
-		t.Run(name, func(t *testing.T) {
-			inTestSystem(t, 1, 3, 27, func(sys *system) {
-				prc := sys.instances["entry-1-2"]
-				prc.stopClock()
-				sys.grp.Go(func() error {
-					sys.pauseProcess(prc, cas.pause)
-					return nil
+	orders := map[string]pipe.WakeOrder{
+		"ends are read in any order":                      {},
+		"ends are known and read last":                    {Read: 200 * time.Millisecond},
+		"ends become known after 20 ms":                   {Known: 20 * time.Millisecond, Read: 20 * time.Millisecond},
+		"ends become known after 20 ms and are read last": {Known: 20 * time.Millisecond, Read: 200 * time.Millisecond},
+	}
+	for name, cal := range callers {
+		for order, ord := range orders {
+			t.Run(fmt.Sprintf("callers leave %s, %s", name, order), func(t *testing.T) {
+				inTestSystem(t, 1, 3, 27, func(sys *system) {
+					sys.resumeBesideCallersWhoLeft(cal.pause, cal.timeout, ord)
 				})
-				var all []*sentJob
-				for num := range 40 {
-					// The last callers leave 1.3 s before the instance resumes, and their jobs run elsewhere by then.
-					time.Sleep((cas.pause - cas.callerTimeout - resendTime - 100*time.Millisecond) / 40)
-					all = append(all, sys.sendTwice(prc.name, "entry-1-1", jobSpec{
-						id: jobID(num + 1), tasks: 4, payload: payload{Millis: 900, Needs: 1000}, callerTimeout: cas.callerTimeout,
-					}))
-				}
-				for _, snt := range all {
-					<-snt.done
-					if snt.status != 200 {
-						t.Errorf("a job that was sent again got %d: %s", snt.status, snt.body)
-					}
-				}
-				time.Sleep(2 * time.Second)
 			})
-		})
+		}
+	}
+}
+
+// resumeBesideCallersWhoLeft pauses an instance, has callers submit jobs to it, leave and submit them again to another one, the last of them so that
+// their jobs run there as the instance resumes, and checks that all are answered.
+func (sys *system) resumeBesideCallersWhoLeft(pause, callerTimeout time.Duration, ord pipe.WakeOrder) {
+	sys.t.Helper()
+	prc := sys.instances["entry-1-2"]
+	prc.stopClock()
+	sys.grp.Go(func() error {
+		sys.pauseProcessInOrder(prc, pause, ord)
+		return nil
+	})
+	var all []*sentJob
+	for num := range 40 {
+		time.Sleep((pause - callerTimeout - resendTime - 100*time.Millisecond) / 40)
+		all = append(all, sys.sendTwice(prc.name, "entry-1-1", jobSpec{
+			id: jobID(num + 1), tasks: 4, payload: payload{Millis: 900, Needs: 1000}, callerTimeout: callerTimeout,
+		}))
+	}
+	for _, snt := range all {
+		<-snt.done
+		if snt.status != 200 {
+			sys.t.Errorf("a job that was sent again got %d: %s", snt.status, snt.body)
+		}
 	}
+	time.Sleep(2 * time.Second)
 }
 
 // sendTwice submits a job to an instance until its caller leaves, and after resendTime to another one, in the background.
--- a/internal/process/daemon/process_test.go
+++ b/internal/process/daemon/process_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"chestnutstack/internal/process/pipe"
 )
 
 // process is one incarnation of an instance: a daemon that can be stopped, killed, paused or suspended.
@@ -66,10 +68,15 @@
 // pauseProcess keeps a process, whose clock stopClock has stopped, from receiving anything for a while. Then it sees the whole time pass at
 // once and receives everything that was sent to it meanwhile, as after a time without processor.
 func (sys *system) pauseProcess(prc *process, dur time.Duration) {
+	sys.pauseProcessInOrder(prc, dur, pipe.WakeOrder{})
+}
+
+// pauseProcessInOrder is pauseProcess for a process that then reads its sockets in a given order.
+func (sys *system) pauseProcessInOrder(prc *process, dur time.Duration, ord pipe.WakeOrder) {
 	sys.net.Stall(prc.host)
 	time.Sleep(dur)
 	prc.resumeClock()
-	sys.net.Resume(prc.host)
+	sys.net.ResumeInOrder(prc.host, ord)
 }
 
 // stopClock stops the process's clock and reports whether it was running; if not, the process is paused already.
--- a/internal/process/pipe/pipe.go
+++ b/internal/process/pipe/pipe.go
@@ -250,6 +250,8 @@
 	// held is set while what is written waits in kernels; waiting has it, and releasing is set while it is being delivered.
 	held, releasing bool
 	waiting         [][]byte
+	// endKnownAt and endReadAt are when the other host's kernel has the end of what is held, and when its process reads it, if that is set.
+	endKnownAt, endReadAt time.Time
 }
 
 // Close implements net.Conn. What was written before still arrives.
@@ -264,13 +266,13 @@
 	return con.Conn.Close()
 }
 
-// PeerHasLeft reports whether the other end was closed and nothing is held up that was sent before.
+// PeerHasLeft reports whether this host's kernel knows that the other end was closed.
 func (con *conn) PeerHasLeft() bool { return !con.isSilent() && con.other.hasEnded() }
 
 func (con *conn) hasEnded() bool {
 	con.mu.Lock()
 	defer con.mu.Unlock()
-	return con.closed && !con.held
+	return con.closed && (!con.held || !con.endKnownAt.IsZero() && !time.Now().Before(con.endKnownAt))
 }
 
 func (con *conn) isClosed() bool {
--- a/internal/process/pipe/stall.go
+++ b/internal/process/pipe/stall.go
@@ -18,14 +18,40 @@
 	}
 }
 
-// Resume lets a host's process go on.
-func (ntw *Network) Resume(host string) {
+// Resume lets a host's process go on. The order in which it reads its sockets is left to the scheduler.
+func (ntw *Network) Resume(host string) { ntw.ResumeInOrder(host, WakeOrder{}) }
+
+// WakeOrder says when the ends of connections that were closed meanwhile reach a process that goes on, counted from that moment.
+type WakeOrder struct {
+	// Known is when its kernel has them, 0 if it had them before; Read is when the process reads them, after all that was sent before. With a
+	// Read of 0 both are when the process happens to read them.
+	Known, Read time.Duration
+}
+
+// ResumeInOrder is Resume for a process whose sockets are read in a given order.
+func (ntw *Network) ResumeInOrder(host string, ord WakeOrder) {
 	ntw.mu.Lock()
 	defer ntw.mu.Unlock()
 	delete(ntw.stalled, host)
+	if now := time.Now(); ord.Read > 0 {
+		for _, con := range ntw.conns {
+			if con.to == host {
+				con.setEnd(now.Add(ord.Known), now.Add(ord.Read))
+			}
+		}
+	}
 	ntw.release()
 }
 
+// setEnd sets when the end of a held connection is known to the kernel of the host that it leads to, and when it is read there.
+func (con *conn) setEnd(known, read time.Time) {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	if con.held {
+		con.endKnownAt, con.endReadAt = known, read
+	}
+}
+
 // CutWay holds up all that one host sends to another, and no connection comes about between them: what the other sends arrives. It
 // lasts until MendWay, which delivers what was held up.
 func (ntw *Network) CutWay(from, to string) {
@@ -104,6 +130,11 @@
 			con.mu.Unlock()
 			return nil // It is held up again.
 		}
+		if wait := time.Until(con.endReadAt); len(con.waiting) == 0 && con.closed && wait > 0 {
+			con.mu.Unlock()
+			time.Sleep(wait)
+			continue
+		}
 		if len(con.waiting) == 0 {
 			con.held, con.releasing = false, false
 			closed := con.closed
