Find the end of a connection behind bytes that were not read

What callers saw: nothing yet; found by reading (the doc of PeerHasLeft said so). A caller that sends a request ahead on its channel, or a longer body than is read, and then leaves counted as there, so that its job was started.

Cause: MSG_PEEK returns the bytes that come before the end.

Evidence: TestPeerHasLeft, the cases "closed behind bytes to be read" and "reset behind bytes to be read", fail without the change.

Change: where bytes wait, poll tells of the end (POLLRDHUP).

--- a/internal/connection/tcp/tcp.go
+++ b/internal/connection/tcp/tcp.go
@@ -10,25 +10,32 @@
 	"golang.org/x/sys/unix"
 )
 
-// PeerHasLeft reports whether the peer of a connection has closed or reset it, as far as the kernel knows by now. It takes nothing from the connection and
-// doesn't wait, also while another goroutine reads from it. Bytes that were not read yet hide an end that comes after them; a connection
-// that is neither a socket nor tells by itself counts as open.
+// PeerHasLeft reports whether the peer of a connection has closed or reset it, as far as the kernel knows by now, also if bytes that were sent before
+// wait to be read. It takes nothing from the connection and doesn't wait, also while another goroutine reads from it. A connection that is
+// neither a socket nor tells by itself counts as open.
 func PeerHasLeft(con net.Conn) bool {
+	switch typ := innermost(con).(type) {
+	case interface{ PeerHasLeft() bool }:
+		return typ.PeerHasLeft()
+	case syscall.Conn:
+		return socketHasEnded(typ)
+	default:
+		return false
+	}
+}
+
+// innermost returns the connection inside those that wrap it.
+func innermost(con net.Conn) net.Conn {
 	for {
-		switch typ := con.(type) {
-		case interface{ PeerHasLeft() bool }:
-			return typ.PeerHasLeft()
-		case interface{ NetConn() net.Conn }:
-			con = typ.NetConn()
-		case syscall.Conn:
-			return socketHasEnded(typ)
-		default:
-			return false
+		wrp, ok := con.(interface{ NetConn() net.Conn })
+		if !ok {
+			return con
 		}
+		con = wrp.NetConn()
 	}
 }
 
-// socketHasEnded reports whether nothing more will arrive at a socket.
+// socketHasEnded reports whether the peer of a socket sends nothing more.
 func socketHasEnded(con syscall.Conn) bool {
 	raw, err := con.SyscallConn()
 	if err != nil {
@@ -42,11 +49,52 @@
 		for errors.Is(err, unix.EINTR) {
 			num, _, err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		}
-		ended = err == nil && num == 0 || err != nil && !errors.Is(err, unix.EAGAIN)
+		ended = err == nil && (num == 0 || endsAfterBytes(int(fd))) || err != nil && !errors.Is(err, unix.EAGAIN)
 	})
 	return err != nil || ended // An error of Control means that this side has closed the socket.
 }
 
+// endsAfterBytes reports whether the peer of a socket with bytes to be read has closed or reset it.
+func endsAfterBytes(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	_, err := unix.Poll(fds, 0)
+	for errors.Is(err, unix.EINTR) {
+		_, err = unix.Poll(fds, 0)
+	}
+	return err == nil && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// SinceLastReceived returns how long ago the last bytes of a connection came to this machine, whether they were read since or not, in
+// milliseconds; 0 if that is not known.
+func SinceLastReceived(con net.Conn) time.Duration {
+	switch typ := innermost(con).(type) {
+	case interface{ SinceLastReceived() time.Duration }:
+		return typ.SinceLastReceived()
+	case syscall.Conn:
+		return socketReceived(typ)
+	default:
+		return 0
+	}
+}
+
+// socketReceived returns how long ago a socket got its last bytes, by the kernel's timer; 0 if that is not known.
+func socketReceived(con syscall.Conn) time.Duration {
+	raw, err := con.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var ago time.Duration
+	err = raw.Control(func(fd uintptr) {
+		if inf, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			ago = time.Duration(inf.Last_data_recv) * time.Millisecond
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return ago
+}
+
 type contextKey struct{}
 
 // accepted is a connection and when it was accepted.
@@ -66,6 +114,16 @@
 	return ok && PeerHasLeft(acc.con)
 }
 
+// RequestAge returns how long ago the last bytes came on the connection in the context of a request; 0 if that is not known. Bytes of a later
+// request on the same connection make the age too small.
+func RequestAge(ctx context.Context) time.Duration {
+	acc, ok := ctx.Value(contextKey{}).(accepted)
+	if !ok {
+		return 0
+	}
+	return SinceLastReceived(acc.con)
+}
+
 // ConnectionAge returns how long ago the connection in the context of a request was accepted; 0 without one.
 func ConnectionAge(ctx context.Context) time.Duration {
 	acc, ok := ctx.Value(contextKey{}).(accepted)
--- a/internal/connection/tcp/tcp_test.go
+++ b/internal/connection/tcp/tcp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -54,6 +55,14 @@
 			_, _ = near.Read(make([]byte, 1)) // The read gets the error of the reset.
 			return err
 		}, left: true},
+		"closed behind bytes to be read": {does: func(_, far *net.TCPConn) error {
+			_, err := far.Write([]byte("a request sent ahead"))
+			return errors.Join(err, far.Close())
+		}, left: true},
+		"reset behind bytes to be read": {does: func(_, far *net.TCPConn) error {
+			_, err := far.Write([]byte("a request sent ahead"))
+			return errors.Join(err, far.SetLinger(0), far.Close())
+		}, left: true},
 		"closed here": {does: func(near, _ *net.TCPConn) error { return near.Close() }, left: true},
 	}
 	for name, cas := range cases {
@@ -96,6 +105,34 @@
 	chk.Equal(<-read, "all")
 }
 
+// Guards against a request that is taken for new as its process had no processor while it waited.
+func TestRequestAge(t *testing.T) {
+	chk := is.New(t)
+	near, far := connect(t)
+	ctx := NewContext(context.Background(), wrapped{near})
+	_, err := far.Write([]byte("x"))
+	chk.NoErr(err)
+	time.Sleep(300 * time.Millisecond)
+	chk.True(RequestAge(ctx) >= 200*time.Millisecond) // The kernel's timer is coarse.
+	_, err = near.Read(make([]byte, 1))
+	chk.NoErr(err)
+	chk.True(RequestAge(ctx) >= 200*time.Millisecond) // The read doesn't make them new.
+	chk.Equal(RequestAge(context.Background()), time.Duration(0))
+	one, two := net.Pipe()
+	defer func() { _, _ = one.Close(), two.Close() }()
+	chk.Equal(SinceLastReceived(one), time.Duration(0))
+}
+
+func BenchmarkRequestAge(b *testing.B) {
+	near, _ := connect(b)
+	ctx := NewContext(context.Background(), wrapped{near})
+	for b.Loop() {
+		if RequestAge(ctx) > time.Hour {
+			b.Fatal("the connection is new")
+		}
+	}
+}
+
 func BenchmarkPeerHasLeft(b *testing.B) {
 	near, _ := connect(b)
 	ctx := NewContext(context.Background(), wrapped{near})
