Count how long a request has waited, not how long the process stood still

What callers saw: nothing yet; shown in the tests. A request that waited in a socket for longer than its caller waits was submitted as a new one, if no single pause of the process was long (it stood still in pieces) or the end of its connection was not there yet. Its job got the caller's whole deadline anew, and ran when the caller had given up or come again elsewhere.

Cause: only the pauses of the process told that a request may be old. Nothing told how old the request itself was.

Evidence: TestRequestThatHasWaited.

Change: the kernel's time of the last bytes of the connection (TCP_INFO) counts as the time of the request. A job whose caller's deadline has passed by then is refused at once, the others are due and end by that time, and one that has waited for over 500 ms waits 50 ms more for the end of its connection. "submitted" tells the age. The network of the tests tells it as the kernel does, and can have the requests of a resumed process read late.

--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -63,12 +63,12 @@
 func (dmn *Daemon) Submit(ctx context.Context, rte config.Route, sub submission.Submission) submission.Answer {
 	sub.Route = rte.Name()
 	dmn.cnt.submissions.Add(1)
-	now := dmn.beginSubmission(ctx)
-	if ctx.Err() != nil || tcp.CallerHasLeft(ctx) {
-		// Its job may run elsewhere by now. The context ends only once the connection is read again.
-		dmn.logCallerGone(ctx, &sub, now)
+	now := dmn.beginRequest(ctx, sub.CallerTimeout)
+	sub.Waited = tcp.RequestAge(ctx)
+	if reason := absence(ctx, &sub); reason != "" {
+		dmn.logAbsence(ctx, &sub, reason)
 		dmn.endEvent(now)
-		return submission.Answer{Result: submission.NotRun, RetryAfter: retryAfter, Reason: reasonCallerGone}
+		return submission.Answer{Result: submission.NotRun, RetryAfter: retryAfter, Reason: reason}
 	}
 	if dmn.coordinator == nil {
 		dmn.endEvent(now)
@@ -81,7 +81,7 @@
 	dmn.callers[cal] = chn
 	dmn.log.Info().Str("request", sub.Request).Str("job", sub.ID).Str("route", sub.Route).
 		Int("priority", sub.Priority).Dur("patience", sub.CallerTimeout).Int64("config", dmn.cfg.Load().Version()).
-		Dur("connection-age", tcp.ConnectionAge(ctx)).Msg("submitted")
+		Dur("connection-age", tcp.ConnectionAge(ctx)).Dur("request-age", sub.Waited).Msg("submitted")
 	dmn.runCoordinatorActions(dmn.coordinator.HandleSubmit(now, cal, sub))
 	dmn.endEvent(now)
 	select {
@@ -99,36 +99,6 @@
 	return ans
 }
 
-// reasonCallerGone is the reason of answers that nobody reads.
-const reasonCallerGone = "the caller closed its connection"
-
-// beginSubmission is beginEvent for a new job. After a long pause it first waits until the sockets are read: requests that came meanwhile may be of callers
-// who have left, and whose jobs run elsewhere.
-func (dmn *Daemon) beginSubmission(ctx context.Context) time.Time {
-	for {
-		now := dmn.beginEvent()
-		wait := dmn.socketsReadAt.Sub(now)
-		if wait <= 0 {
-			return now
-		}
-		dmn.endEvent(now)
-		if !sleepContext(ctx, wait) {
-			return dmn.beginEvent()
-		}
-	}
-}
-
-// logCallerGone logs and counts a job that is not submitted as its caller has left, with the last long pause of the process, which may have delayed it.
-func (dmn *Daemon) logCallerGone(ctx context.Context, sub *submission.Submission, now time.Time) {
-	dmn.cnt.callersGone.Add(1)
-	lin := dmn.log.Info().Str("request", sub.Request).Str("job", sub.ID).Str("route", sub.Route).Dur("patience", sub.CallerTimeout).
-		Dur("connection-age", tcp.ConnectionAge(ctx))
-	if dmn.longPause > 0 {
-		lin = lin.Dur("last-pause", dmn.longPause).Dur("resumed-ago", now.Sub(dmn.socketsReadAt.Add(-socketReadTime)))
-	}
-	lin.Msg("caller has left before its job was submitted")
-}
-
 // logReport logs the outcome of an order; the begin of a run only at debug level, as the log line of its start has it.
 func (dmn *Daemon) logReport(from shard.InstanceID, rep shard.Report) {
 	lvl := zerolog.InfoLevel
--- /dev/null
+++ b/internal/process/daemon/resumed_test.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/internal/connection/tcp"
+	"chestnutstack/internal/request/submission"
+	"chestnutstack/platform/standin"
+)
+
+// callerConn is a connection that a caller leaves at a time, and on which a request came at a time.
+type callerConn struct {
+	leavingConn
+	cameAt time.Time
+}
+
+// SinceLastReceived tells how long ago the request came, as the kernel does.
+func (con callerConn) SinceLastReceived() time.Duration { return time.Since(con.cameAt) }
+
+// submitSteps submits a job of some steps, each after the one before, to an instance. Its caller leaves at a time, which the process reads when
+// ctx ends.
+func (sys *system) submitSteps(ctx context.Context, prc *process, con callerConn, callerTimeout time.Duration, steps ...payload) submission.Answer {
+	rte, _ := prc.dmn.Configuration().Match(standin.Host, "/thumb/")
+	sub := submission.Submission{
+		ID: jobID(1), Service: service, MaxAttempts: 3, CallerTimeout: callerTimeout, Objective: rte.Objective,
+		Payload: fmt.Sprintf(`{"Millis":%d,"Needs":1000,"Fails":%t}`, steps[0].Millis, steps[0].Fails),
+	}
+	for num := range steps {
+		stp := submission.Step{Count: 4, Processor: 1000, Memory: 64, ExpectedRunTime: time.Duration(steps[0].Millis) * time.Millisecond}
+		if num > 0 {
+			stp.DependsOn = []int{num - 1}
+		}
+		sub.Steps = append(sub.Steps, stp)
+	}
+	return prc.dmn.Submit(tcp.NewContext(ctx, con), rte, sub)
+}
+
+// Guards against a job that is begun for a caller who waits no longer, as its request has waited in a process that stood still in short pieces, or
+// before the end of its connection is read.
+func TestRequestThatHasWaited(t *testing.T) {
+	cases := map[string]struct {
+		waited, leavesAfter, takes time.Duration
+		starts                     int
+		result                     submission.Result
+		within                     time.Duration
+	}{
+		"longer than its caller": {waited: 1600 * time.Millisecond, leavesAfter: time.Minute, result: submission.NotRun},
+		"600 ms, and the caller's end comes 20 ms later": {
+			waited: 600 * time.Millisecond, leavesAfter: 20 * time.Millisecond, result: submission.NotRun, within: socketReadTime,
+		},
+		"600 ms, and the caller stays": {
+			waited: 600 * time.Millisecond, leavesAfter: time.Minute, takes: 100 * time.Millisecond, starts: 4, result: submission.Succeeded, within: 300 * time.Millisecond,
+		},
+		"1 s, and the job takes longer than is left": {
+			waited: time.Second, leavesAfter: time.Minute, takes: 600 * time.Millisecond, starts: 4, result: submission.Unfinished, within: 500*time.Millisecond + tickInterval,
+		},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.NewRelaxed(t)
+			inTestSystem(t, 1, 3, 27, func(sys *system) {
+				now := time.Now()
+				con := callerConn{leavingConn{leavesAt: now.Add(cas.leavesAfter)}, now.Add(-cas.waited)}
+				ans := sys.submitSteps(sys.ctx, sys.instances["entry-1-2"], con, 1500*time.Millisecond, payload{Millis: int(cas.takes.Milliseconds())})
+				chk.Equal(ans.Result, cas.result)
+				chk.True(time.Since(now) <= cas.within)
+				chk.Equal(sys.ldg.JobStarts(jobID(1)), cas.starts)
+			})
+		})
+	}
+}
--- a/internal/process/pipe/pipe.go
+++ b/internal/process/pipe/pipe.go
@@ -250,8 +250,11 @@
 	// held is set while what is written waits in kernels; waiting has it, and releasing is set while it is being delivered.
 	held, releasing bool
 	waiting         [][]byte
-	// endKnownAt and endReadAt are when the other host's kernel has the end of what is held, and when its process reads it, if that is set.
-	endKnownAt, endReadAt time.Time
+	// bytesReadAt is when the process of the other host reads what is held, endKnownAt when its kernel has the end of that and endReadAt when the
+	// process reads the end; zero if that is left to the scheduler.
+	bytesReadAt, endKnownAt, endReadAt time.Time
+	// wroteAt is when this end last sent something.
+	wroteAt time.Time
 }
 
 // Close implements net.Conn. What was written before still arrives.
@@ -269,6 +272,16 @@
 // PeerHasLeft reports whether this host's kernel knows that the other end was closed.
 func (con *conn) PeerHasLeft() bool { return !con.isSilent() && con.other.hasEnded() }
 
+// SinceLastReceived returns how long ago the other end last sent something, which this host's kernel has had since then.
+func (con *conn) SinceLastReceived() time.Duration {
+	con.other.mu.Lock()
+	defer con.other.mu.Unlock()
+	if con.other.wroteAt.IsZero() {
+		return 0
+	}
+	return time.Since(con.other.wroteAt)
+}
+
 func (con *conn) hasEnded() bool {
 	con.mu.Lock()
 	defer con.mu.Unlock()
@@ -307,6 +320,9 @@
 }
 
 func (con *conn) Write(data []byte) (int, error) {
+	con.mu.Lock()
+	con.wroteAt = time.Now()
+	con.mu.Unlock()
 	if con.isSilent() {
 		return len(data), nil
 	}
--- a/internal/process/pipe/stall.go
+++ b/internal/process/pipe/stall.go
@@ -21,10 +21,12 @@
 // Resume lets a host's process go on. The order in which it reads its sockets is left to the scheduler.
 func (ntw *Network) Resume(host string) { ntw.ResumeInOrder(host, WakeOrder{}) }
 
-// WakeOrder says when the ends of connections that were closed meanwhile reach a process that goes on, counted from that moment.
+// WakeOrder says when what was sent to a process meanwhile, over connections of that time, reaches it as it goes on, counted from that moment.
 type WakeOrder struct {
-	// Known is when its kernel has them, 0 if it had them before; Read is when the process reads them, after all that was sent before. With a
-	// Read of 0 both are when the process happens to read them.
+	// Bytes is when the process reads what was sent.
+	Bytes time.Duration
+	// Known is when its kernel has the ends of connections, 0 if it had them before; Read is when the process reads them, after all that was sent
+	// before. With a Read of 0 both are when the process happens to read them.
 	Known, Read time.Duration
 }
 
@@ -33,22 +35,22 @@
 	ntw.mu.Lock()
 	defer ntw.mu.Unlock()
 	delete(ntw.stalled, host)
-	if now := time.Now(); ord.Read > 0 {
+	if now := time.Now(); ord != (WakeOrder{}) {
 		for _, con := range ntw.conns {
 			if con.to == host {
-				con.setEnd(now.Add(ord.Known), now.Add(ord.Read))
+				con.setWake(now, ord)
 			}
 		}
 	}
 	ntw.release()
 }
 
-// setEnd sets when the end of a held connection is known to the kernel of the host that it leads to, and when it is read there.
-func (con *conn) setEnd(known, read time.Time) {
+// setWake sets when what a connection holds reaches the process that it leads to, which goes on now.
+func (con *conn) setWake(now time.Time, ord WakeOrder) {
 	con.mu.Lock()
 	defer con.mu.Unlock()
 	if con.held {
-		con.endKnownAt, con.endReadAt = known, read
+		con.bytesReadAt, con.endKnownAt, con.endReadAt = now.Add(ord.Bytes), now.Add(ord.Known), now.Add(ord.Read)
 	}
 }
 
@@ -130,7 +132,11 @@
 			con.mu.Unlock()
 			return nil // It is held up again.
 		}
-		if wait := time.Until(con.endReadAt); len(con.waiting) == 0 && con.closed && wait > 0 {
+		readAt := con.bytesReadAt
+		if len(con.waiting) == 0 && con.closed {
+			readAt = con.endReadAt
+		}
+		if wait := time.Until(readAt); wait > 0 {
 			con.mu.Unlock()
 			time.Sleep(wait)
 			continue
--- a/internal/request/submission/admit.go
+++ b/internal/request/submission/admit.go
@@ -69,9 +69,9 @@
 // a new one: its answer is late already, or useless. After a power loss such jobs come together with as many new ones; treated as new,
 // they would make those late, too. On routes where most calls have less than the route's timeout, the time left tells nothing and the
 // objective counts.
-func (crd *Coordinator) setDueTimes(now time.Time, jb *job) {
+func (crd *Coordinator) setDueTimes(jb *job) {
 	obj := jb.sub.Objective(jb.expectedRunTime())
-	jb.due, jb.usefulUntil = now.Add(obj), now.Add(usefulFactor*obj)
+	jb.due, jb.usefulUntil = jb.arrived.Add(obj), jb.arrived.Add(usefulFactor*obj)
 	sub := &jb.sub
 	if sub.RouteTimeout > 0 {
 		share, known := crd.fullTimeoutShare[sub.Route]
@@ -84,9 +84,9 @@
 			full = 1
 		}
 		if share >= minFullTimeoutShare {
-			jb.usefulUntil = now.Add(max(0, left))
+			jb.usefulUntil = jb.arrived.Add(max(0, left))
 			if float64(left) < minNewCallerShare*usefulFactor*float64(obj) {
-				jb.due = now
+				jb.due = jb.arrived
 			}
 		}
 		crd.fullTimeoutShare[sub.Route] = share + shareWeight*(full-share)
--- a/internal/request/submission/submission.go
+++ b/internal/request/submission/submission.go
@@ -41,6 +41,8 @@
 	Objective func(work time.Duration) time.Duration
 	// CallerTimeout is how long the caller waits for the answer; RouteTimeout is the route's timeout, 0 if it has none.
 	CallerTimeout, RouteTimeout time.Duration
+	// Waited is how long ago the caller sent the submission, as far as is known.
+	Waited time.Duration
 	// Unsupported names a feature that the submission requests and the system doesn't have, if any.
 	Unsupported string
 }
--- a/internal/request/submission/submit.go
+++ b/internal/request/submission/submit.go
@@ -18,7 +18,7 @@
 	default:
 		// The caller lost its connection and submitted the job again; both calls get the same answer.
 		old.calls = append(old.calls, cal)
-		old.deadline = now.Add(sub.CallerTimeout)
+		old.deadline = now.Add(sub.CallerTimeout - sub.Waited)
 		crd.calls[cal] = old
 		return crd.takeActions()
 	}
@@ -28,7 +28,7 @@
 		return crd.takeActions()
 	}
 	crd.correctEstimates(jb)
-	crd.setDueTimes(now, jb)
+	crd.setDueTimes(jb)
 	if ans, refused := crd.admit(now, jb); refused {
 		crd.emit(Reply{Call: cal, ID: sub.ID, Answer: ans})
 		return crd.takeActions()
@@ -49,7 +49,8 @@
 
 // newJob returns the state of a new submission, with no task ordered.
 func newJob(now time.Time, cal CallID, sub Submission) *job {
-	jb := &job{sub: sub, calls: []CallID{cal}, firstCall: cal, arrived: now, deadline: now.Add(sub.CallerTimeout)}
+	arrived := now.Add(-sub.Waited)
+	jb := &job{sub: sub, calls: []CallID{cal}, firstCall: cal, arrived: arrived, deadline: arrived.Add(sub.CallerTimeout)}
 	for num, stp := range sub.Steps {
 		tks := make([]*task, stp.Count)
 		for idx := range tks {
