Cancel no job for a caller who has left

What callers saw: nothing yet; shown in the tests. A DELETE waits in the socket of an instance that stands still, its caller leaves and submits the job anew at another instance. As the first one resumes it cancels the new job, whose caller is told that it failed.

Cause: FindJob didn't look whether its caller was there, as Submit does.

Change: queries wait for the sockets and look at their connections as jobs do; for a caller who has left nothing is looked for or cancelled, and a line says so.

Open: a cancel that was passed on just before the pause of the owner's process, and is read by it within the 400 ms in which a batch of messages counts as new.

--- a/internal/process/daemon/jobs.go
+++ b/internal/process/daemon/jobs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chestnutstack/internal/connection/mesh"
+	"chestnutstack/internal/connection/tcp"
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
 	"chestnutstack/internal/version/config"
@@ -59,7 +60,7 @@
 
 // FindJob implements platform.Entry: it looks for a route's job at all instances that are heard, and cancels it if cancel is set.
 func (dmn *Daemon) FindJob(ctx context.Context, rte config.Route, id string, cancel bool) submission.Finding {
-	num, qry := dmn.beginJobQuery(rte.Name(), id, cancel)
+	num, qry := dmn.beginJobQuery(ctx, rte.Name(), id, cancel)
 	timeout := time.NewTimer(jobQueryTimeout)
 	defer timeout.Stop()
 	select {
@@ -74,10 +75,16 @@
 }
 
 // beginJobQuery looks for a job here and asks the other instances for it. A job that is found here is one of theirs, too, only if its caller has submitted it
-// again; so they are still told to cancel it, and their answers aren't waited for.
-func (dmn *Daemon) beginJobQuery(route, id string, cancel bool) (int64, *jobQuery) {
-	now := dmn.beginEvent()
+// again; so they are still told to cancel it, and their answers aren't waited for. Nothing is cancelled for a caller who has left, as the job may have been
+// submitted anew since.
+func (dmn *Daemon) beginJobQuery(ctx context.Context, route, id string, cancel bool) (int64, *jobQuery) {
+	now := dmn.beginRequest(ctx, 0)
 	defer dmn.endEvent(now)
+	if callerHasLeft(ctx) {
+		dmn.cnt.callersGone.Add(1)
+		dmn.log.Info().Str("job", id).Str("route", route).Bool("cancel", cancel).Dur("request-age", tcp.RequestAge(ctx)).Msg("caller has left before its query was handled")
+		return dmn.jobQueries.begin(submission.Finding{}, nil)
+	}
 	if dmn.coordinator == nil || len(dmn.jobQueries.open) >= maxJobQueries {
 		return dmn.jobQueries.begin(submission.Finding{}, nil)
 	}
--- a/internal/process/daemon/resumed_test.go
+++ b/internal/process/daemon/resumed_test.go
@@ -3,16 +3,55 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"chestnutstack/internal/connection/tcp"
+	"chestnutstack/internal/process/pipe"
 	"chestnutstack/internal/request/submission"
 	"chestnutstack/platform/standin"
 )
 
+// Guards against a DELETE that waited in a paused instance, whose caller has left, and that cancels the job which was submitted anew since.
+func TestResumedInstanceCancelsNothingForCallersWhoHaveLeft(t *testing.T) {
+	cases := map[string]struct {
+		pause time.Duration
+		ord   pipe.WakeOrder
+	}{
+		"short pause, ends are known and read last": {pause: 250 * time.Millisecond, ord: pipe.WakeOrder{Read: 200 * time.Millisecond}},
+		"long pause, ends are known and read last": {
+			pause: 3 * time.Second, ord: pipe.WakeOrder{Bytes: 1200 * time.Millisecond, Read: 1400 * time.Millisecond}, // The others are heard by then.
+		},
+		"long pause, ends become known 20 ms after the request": {
+			pause: 3 * time.Second, ord: pipe.WakeOrder{Bytes: 1200 * time.Millisecond, Known: 1220 * time.Millisecond, Read: 1400 * time.Millisecond},
+		},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			chk := is.NewRelaxed(t)
+			inTestSystem(t, 1, 3, 27, func(sys *system) {
+				prc := sys.instances["entry-1-2"]
+				prc.stopClock()
+				sys.net.Stall(prc.host) // Before the request is sent.
+				sys.grp.Go(func() error {
+					sys.pauseProcessInOrder(prc, cas.pause, cas.ord)
+					return nil
+				})
+				ctx, leave := context.WithTimeout(sys.ctx, 100*time.Millisecond)
+				_, err := sys.client().Job(ctx, http.MethodDelete, prc.host+":1", "/thumb/", jobID(1))
+				leave()
+				chk.True(err != nil)
+				time.Sleep(cas.pause - 150*time.Millisecond)
+				_, body := sys.call(sys.ctx, "entry-1-1", jobSpec{id: jobID(1), tasks: 2, payload: payload{Millis: 2000, Needs: 1000}})
+				chk.Equal(body, `{"State":"succeeded"}`)
+			})
+		})
+	}
+}
+
 // callerConn is a connection that a caller leaves at a time, and on which a request came at a time.
 type callerConn struct {
 	leavingConn
