Order nothing more for callers who left while the instance stood still

What callers saw: nothing yet; shown in the tests. An instance that resumes reads that a step is done or that a task has failed before it reads that the caller has left, and orders the next step, or the task again. The caller may have its job run elsewhere.

Cause: only the submission of a job looks at its caller's connection. The orders that follow it relied on net/http, which reads the end of the connection in its own time.

Change: at the first event after a pause of over 60 ms, and again once the sockets are read after one of over 500 ms, the instance looks at the connections of all open calls and ends those whose callers have left, before the event is handled. In between no task is ordered (held-by "paused").

Not covered: an order for which the end of the connection comes to the machine later than 50 ms after it resumes; orders that have a new leader take a run over, which are sent at once as its lease goes on.

--- a/internal/process/daemon/callers.go
+++ b/internal/process/daemon/callers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"chestnutstack/internal/connection/tcp"
@@ -16,6 +18,33 @@
 	reasonCallerLate = "the deadline passed before the request was read"
 )
 
+// caller is a call of Submit that waits for its answer.
+type caller struct {
+	ctx    context.Context //nolint:containedctx // it has the connection of the request
+	answer chan<- submission.Answer
+}
+
+// callersMayHaveLeft reports whether callers are to be looked at: after a pause, and once the sockets are read after a long one.
+func (dmn *Daemon) callersMayHaveLeft(now time.Time) bool {
+	paused := !dmn.lastTickAt.IsZero() && now.Sub(dmn.lastTickAt) > pauseThreshold && dmn.callersSeenBefore != dmn.lastTickAt
+	socketsRead := dmn.callersSeenAt.Before(dmn.socketsReadAt) && !now.Before(dmn.socketsReadAt)
+	return paused || socketsRead
+}
+
+// discardAbsentCallers ends the calls whose callers have left, before the ends of their connections are read.
+func (dmn *Daemon) discardAbsentCallers(now time.Time) {
+	dmn.callersSeenAt, dmn.callersSeenBefore = now, dmn.lastTickAt
+	for _, cal := range slices.Sorted(maps.Keys(dmn.callers)) {
+		clr, waits := dmn.callers[cal]
+		if !waits || !callerHasLeft(clr.ctx) {
+			continue
+		}
+		delete(dmn.callers, cal)
+		clr.answer <- submission.Answer{Result: submission.Unfinished, Reason: reasonCallerGone}
+		dmn.runCoordinatorActions(dmn.coordinator.HandleCallerGone(cal))
+	}
+}
+
 // beginRequest is beginEvent for a request. After a long pause of the process, and if the request has waited for long, it first waits for the end of
 // the connection, which is read behind the request: the caller may have left, and its job may run elsewhere. It doesn't wait if the request is older
 // than patience, which is how long its caller waits, 0 if that is not known.
--- a/internal/process/daemon/carry.go
+++ b/internal/process/daemon/carry.go
@@ -71,9 +71,9 @@
 
 // replyToCaller passes a final answer to the waiting Submit, if its caller hasn't gone.
 func (dmn *Daemon) replyToCaller(act submission.Reply) {
-	if chn := dmn.callers[act.Call]; chn != nil {
+	if clr, waits := dmn.callers[act.Call]; waits {
 		delete(dmn.callers, act.Call)
-		chn <- act.Answer
+		clr.answer <- act.Answer
 	}
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -115,9 +115,10 @@
 	coverage          *serverlist.Coverage
 	follower          *serverlist.Follower
 	listReadRequested chan struct{}
-	// callers are the channels on which calls of Submit wait for their answers.
-	callers  map[submission.CallID]chan submission.Answer
-	lastCall submission.CallID
+	// callers are the calls of Submit that wait for their answers. They were last looked at at callersSeenAt, when callersSeenBefore was the last tick.
+	callers                          map[submission.CallID]caller
+	lastCall                         submission.CallID
+	callersSeenAt, callersSeenBefore time.Time
 	// jobQueries are those that wait for other instances.
 	jobQueries jobQueries
 	// suspended is the last value of Params.Suspended.
@@ -167,7 +168,7 @@
 		leaders: map[shard.Name]*shard.Leader{}, uplink: shard.NewUplink(prm.Settings.LinkBytes), divisions: succession.Divisions{},
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{}, leavingSince: map[shard.ServerID]time.Time{},
 		services: map[string]bool{}, closedDomains: domainlist.New(prm.Settings.FailureDomains),
-		callers:      map[submission.CallID]chan submission.Answer{},
+		callers:      map[submission.CallID]caller{},
 		jobQueries:   newJobQueries(),
 		configSentAt: map[shard.InstanceID]time.Time{}, firstHeardAt: map[shard.InstanceID]time.Time{},
 		listNews:     newListNews(),
--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -11,8 +11,9 @@
 )
 
 // beginEvent takes the lock for an event and returns the time. After a suspension of the machine it first resigns all shards: other
-// instances have taken over meanwhile, and renewed leases would keep alive runs whose jobs the callers have sent elsewhere. After a long
-// pause it has the leaders delay their starts, and Submit its jobs, until the sockets are read.
+// instances have taken over meanwhile, and renewed leases would keep alive runs whose jobs the callers have sent elsewhere. After a long pause
+// nothing starts and no job is submitted until the sockets are read. Calls whose callers have left meanwhile are ended before the event can order more
+// tasks of their jobs.
 func (dmn *Daemon) beginEvent() time.Time {
 	dmn.mu.Lock()
 	now := dmn.now()
@@ -25,9 +26,12 @@
 		}
 		if dmn.coordinator != nil && dmn.pausedSince != dmn.lastTickAt {
 			dmn.pausedSince, dmn.longPause, dmn.socketsReadAt = dmn.lastTickAt, pause, now.Add(socketReadTime)
-			dmn.coordinator.HandlePause(pause)
+			dmn.coordinator.HandlePause(pause, dmn.socketsReadAt)
 		}
 	}
+	if dmn.callersMayHaveLeft(now) {
+		dmn.discardAbsentCallers(now)
+	}
 	if slp := dmn.prm.Suspended(); slp-dmn.suspended > suspensionThreshold {
 		dmn.handleSuspension(now, slp-dmn.suspended)
 		dmn.suspended = slp
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -78,7 +78,7 @@
 	}
 	cal := dmn.nextCall()
 	chn := make(chan submission.Answer, 1)
-	dmn.callers[cal] = chn
+	dmn.callers[cal] = caller{ctx: ctx, answer: chn}
 	dmn.log.Info().Str("request", sub.Request).Str("job", sub.ID).Str("route", sub.Route).
 		Int("priority", sub.Priority).Dur("patience", sub.CallerTimeout).Int64("config", dmn.cfg.Load().Version()).
 		Dur("connection-age", tcp.ConnectionAge(ctx)).Dur("request-age", sub.Waited).Msg("submitted")
--- a/internal/process/daemon/resumed_test.go
+++ b/internal/process/daemon/resumed_test.go
@@ -79,6 +79,56 @@
 	return prc.dmn.Submit(tcp.NewContext(ctx, con), rte, sub)
 }
 
+// Guards against orders that a resumed instance sends for a job whose caller has left meanwhile: steps whose turn has come, and failed tasks.
+func TestResumedInstanceOrdersNothingMoreForCallersWhoHaveLeft(t *testing.T) {
+	const justBefore = -time.Millisecond
+	cases := map[string]struct {
+		// after is when the pause begins; the tasks of the first step end after 300 ms.
+		after, pause time.Duration
+		// leaves is when the end of the connection is known, counted from when the instance resumes.
+		leaves time.Duration
+		fails  bool
+	}{
+		"the next step, brief pause":                    {after: 200 * time.Millisecond, pause: 150 * time.Millisecond, leaves: justBefore},
+		"the next step, short pause":                    {after: 50 * time.Millisecond, pause: 350 * time.Millisecond, leaves: justBefore},
+		"the next step, long pause":                     {after: 50 * time.Millisecond, pause: 2 * time.Second, leaves: justBefore},
+		"the next step, long pause, the end comes late": {after: 50 * time.Millisecond, pause: 2 * time.Second, leaves: 20 * time.Millisecond},
+		"a failed task, brief pause":                    {after: 200 * time.Millisecond, pause: 150 * time.Millisecond, leaves: justBefore, fails: true},
+		"a failed task, short pause":                    {after: 50 * time.Millisecond, pause: 350 * time.Millisecond, leaves: justBefore, fails: true},
+		"a failed task, long pause":                     {after: 50 * time.Millisecond, pause: 2 * time.Second, leaves: justBefore, fails: true},
+		"a failed task, long pause, the end comes late": {after: 50 * time.Millisecond, pause: 2 * time.Second, leaves: 20 * time.Millisecond, fails: true},
+	}
+	for name, cas := range cases {
+		for _, owner := range []string{"entry-1-1", "entry-1-2", "entry-1-3"} {
+			t.Run(name+", at "+owner, func(t *testing.T) {
+				chk := is.NewRelaxed(t)
+				inTestSystem(t, 1, 3, 27, func(sys *system) {
+					prc := sys.instances[owner]
+					began := time.Now()
+					resumes := began.Add(cas.after + cas.pause)
+					ctx, read := context.WithDeadline(sys.ctx, resumes.Add(200*time.Millisecond))
+					defer read()
+					done := make(chan struct{})
+					sys.grp.Go(func() error {
+						defer close(done)
+						con := callerConn{leavingConn{leavesAt: resumes.Add(cas.leaves)}, began}
+						sys.submitSteps(ctx, prc, con, 5*time.Second, payload{Millis: 300, Fails: cas.fails}, payload{})
+						return nil
+					})
+					time.Sleep(cas.after)
+					prc.stopClock()
+					sys.pauseProcess(prc, cas.pause)
+					starts := sys.ldg.JobStarts(jobID(1))
+					<-done
+					time.Sleep(2 * time.Second)
+					chk.Equal(starts, 4)
+					chk.Equal(sys.ldg.JobStarts(jobID(1)), starts)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a job that is begun for a caller who waits no longer, as its request has waited in a process that stood still in short pieces, or
 // before the end of its connection is read.
 func TestRequestThatHasWaited(t *testing.T) {
--- a/internal/request/submission/choose.go
+++ b/internal/request/submission/choose.go
@@ -113,9 +113,14 @@
 	return bst, most > 0
 }
 
-// orderTask sends a task to the shard where it is expected to start first. It sends nothing if no shard has a leader, or if the link to
-// other instances is full.
+// orderTask sends a task to the shard where it is expected to start first. It sends nothing if no shard has a leader, if the link to other
+// instances is full, or right after a pause of this process.
 func (crd *Coordinator) orderTask(tsk *task) {
+	if crd.now.Before(crd.noOrdersUntil) {
+		tsk.heldUntil = crd.noOrdersUntil
+		tsk.history.noteDelay(crd.now, ProcessPaused)
+		return
+	}
 	if !tsk.heldUntil.IsZero() {
 		tsk.history.noteDelay(crd.now, ReturnedOften)
 		return
--- a/internal/request/submission/coordinator.go
+++ b/internal/request/submission/coordinator.go
@@ -107,6 +107,8 @@
 	fullTimeoutShare map[string]float64
 	// servingAt is when a shard was last known to have a leader and a server that answers; until then, when the Coordinator was created.
 	servingAt time.Time
+	// noOrdersUntil is when orders are sent again after a pause of this process.
+	noOrdersUntil time.Time
 	// now is the time of the last HandleSubmit, HandleReport, HandleTick or HandleClosedDomains, at most one tick interval ago.
 	now time.Time
 	// heldBytes is the sum of the bytes (shard.StartBytes) of the orders held back by the link since the last resume; a task held back
@@ -162,7 +164,7 @@
 	// moves is the number of such reports since the task last started. The task is not recalled before movableAt.
 	moves     int
 	movableAt time.Time
-	// heldUntil is set while the task is not ordered, as leaders returned it again and again.
+	// heldUntil is set while the task is not ordered, as leaders returned it again and again or this process was paused.
 	heldUntil time.Time
 	// avoid has the servers where the task failed.
 	avoid []shard.ServerID
--- a/internal/request/submission/coordinator_test.go
+++ b/internal/request/submission/coordinator_test.go
@@ -278,7 +278,7 @@
 				hrn.record(hrn.crd.HandleTick(hrn.now))
 				hrn.record(hrn.crd.HandleLeader(Target{Shard: "a.0"}, sameDomain))
 				hrn.now = hrn.now.Add(2 * time.Second)
-				hrn.crd.HandlePause(2 * time.Second)
+				hrn.crd.HandlePause(2*time.Second, hrn.now)
 				hrn.submit(1, "j", 1)
 				hrn.setLeader("a.0", true, self, 2, 1)
 			},
--- a/internal/request/submission/end.go
+++ b/internal/request/submission/end.go
@@ -64,8 +64,11 @@
 	return crd.takeActions()
 }
 
-// HandlePause takes note that this process was paused for a time: that no shard was seen to be served meanwhile is no evidence that none was.
-func (crd *Coordinator) HandlePause(dur time.Duration) { crd.servingAt = crd.servingAt.Add(dur) }
+// HandlePause takes note that this process was paused for a time: that no shard was seen to be served meanwhile is no evidence that none was. No task is
+// ordered before until, as callers may have left, which is read by then.
+func (crd *Coordinator) HandlePause(dur time.Duration, until time.Time) {
+	crd.servingAt, crd.noOrdersUntil = crd.servingAt.Add(dur), until
+}
 
 // ResumeHeld orders the tasks that were held back by the link, as far as it has room. It is called when the link may have become free.
 func (crd *Coordinator) ResumeHeld() []Action {
--- a/internal/request/submission/reason.go
+++ b/internal/request/submission/reason.go
@@ -51,13 +51,15 @@
 	ReturnedOften
 	// NoOpenShard means that no shard accepted work.
 	NoOpenShard
+	// ProcessPaused means that the owner's process was paused, and callers who had left meanwhile were read first.
+	ProcessPaused
 	// OrderDelays is the number of delays.
 	OrderDelays
 )
 
 // String returns the kebab-case name that logs and metrics use.
 func (dly OrderDelay) String() string {
-	names := [OrderDelays]string{"", "link", "returns", "no-open-shard"}
+	names := [OrderDelays]string{"", "link", "returns", "no-open-shard", "paused"}
 	if dly < 0 || dly >= OrderDelays {
 		return "unknown"
 	}
--- a/internal/request/submission/reserve_test.go
+++ b/internal/request/submission/reserve_test.go
@@ -192,7 +192,7 @@
 	chk := is.New(t)
 	hrn := newSharingHarness(self)
 	hrn.now = hrn.now.Add(5 * time.Second) // It knows nothing of what others did meanwhile.
-	hrn.crd.HandlePause(5 * time.Second)
+	hrn.crd.HandlePause(5*time.Second, hrn.now)
 	sent := map[string]int{}
 	for num := range 50 {
 		hrn.submit(CallID(num), fmt.Sprintf("j%d", num), 8)
