Notice that a caller has left who had sent a request ahead

What callers saw: nothing yet; shown in the tests. A caller sends bytes of a further request on its channel while its job runs, and leaves. The job runs to its end or its deadline, also beside its second submission elsewhere.

Cause: net/http reads one byte ahead to see the end of a connection, and reads no further while the request is being answered.

Change: the connections of open calls are looked at each 400 ms, the time in which a lost instance is noticed, so that the runs are over within the 1,300 ms after which a caller comes again.

--- a/internal/process/daemon/callers.go
+++ b/internal/process/daemon/callers.go
@@ -24,11 +24,16 @@
 	answer chan<- submission.Answer
 }
 
-// callersMayHaveLeft reports whether callers are to be looked at: after a pause, and once the sockets are read after a long one.
+// callerLookInterval is how long the end of a connection may go unnoticed behind bytes that are not read, as of a request that is sent ahead. It is the
+// time in which a lost instance is noticed, so that the runs are over within minResendAfter.
+const callerLookInterval = missedHeartbeats * heartbeatInterval
+
+// callersMayHaveLeft reports whether callers are to be looked at: after a pause, once the sockets are read after a long one, and each
+// callerLookInterval.
 func (dmn *Daemon) callersMayHaveLeft(now time.Time) bool {
 	paused := !dmn.lastTickAt.IsZero() && now.Sub(dmn.lastTickAt) > pauseThreshold && dmn.callersSeenBefore != dmn.lastTickAt
 	socketsRead := dmn.callersSeenAt.Before(dmn.socketsReadAt) && !now.Before(dmn.socketsReadAt)
-	return paused || socketsRead
+	return paused || socketsRead || now.Sub(dmn.callersSeenAt) >= callerLookInterval
 }
 
 // discardAbsentCallers ends the calls whose callers have left, before the ends of their connections are read.
--- a/internal/process/daemon/resumed_test.go
+++ b/internal/process/daemon/resumed_test.go
@@ -163,3 +163,24 @@
 		})
 	}
 }
+
+// Guards against a job that runs on for a caller who has sent bytes of a further request and left: net/http doesn't see the end behind them.
+func TestCallerWhoSendsAheadLeaves(t *testing.T) {
+	chk := is.NewRelaxed(t)
+	inTestSystem(t, 1, 3, 27, func(sys *system) {
+		body := `{"Spec":"{\"Millis\":3000,\"Needs\":1000}","BestEffort":true,"Steps":[{"Count":4,"Cpu":1000,"MemMb":64,"EstRuntimeMs":3000}]}`
+		con, err := sys.net.Dialer(clientHost)(sys.ctx, "tcp", sys.instances["entry-1-2"].host+":1")
+		chk.NoErr(err)
+		_, err = fmt.Fprintf(con, "POST /thumb/%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n%s: 8000\r\n\r\n%s",
+			jobID(1), standin.Host, len(body), "X-Chestnutstack-Deadline-Ms", body)
+		chk.NoErr(err)
+		time.Sleep(500 * time.Millisecond)
+		chk.Equal(sys.ldg.JobRunning(jobID(1)), 4)
+		_, err = con.Write([]byte("G"))
+		chk.NoErr(err)
+		time.Sleep(10 * time.Millisecond)
+		chk.NoErr(con.Close())
+		time.Sleep(orphanExpiry)
+		chk.Equal(sys.ldg.JobRunning(jobID(1)), 0)
+	})
+}
