Take no submission of a caller who left while the entry instance stood still

What callers saw: nothing yet; shown in the tests. An entry instance stands still for 2 s, its callers give up after 0.3 s and send their submissions to another instance, not marked. As it goes on it takes the first ones, too, and the tasks start twice.

Cause: the look at the connection that brought was in process/daemon only. On HTTP/2 it wouldn't help: the connection lives on when one caller leaves, and the reset of the stream waits in the socket behind the request.

Change: after a pause of over 500 ms a submission waits until the sockets were read for 50 ms, and it isn't taken if its stream or connection has ended by then. The verdict is not-run, or may-have-run for a marked resubmission.

Ruled out by reading: a Cancel that waited names a job by an ID that is never given again, so it can't end another submission of the same work; not-after bounds starts of submissions that are read late.

--- a/internal/connection/http2/http2.go
+++ b/internal/connection/http2/http2.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"chestnutstack/internal/connection/tcp"
 )
 
 const (
@@ -33,6 +35,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       tcp.NewContext,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams,
 			SendPingTimeout:      readIdleTimeout,
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -40,6 +40,8 @@
 	PeerTLS    *tls.Config
 	// Dial opens the connections to peers and backend servers; TCP if nil.
 	Dial http2.Dialer
+	// Now is the clock of decisions; time.Now if nil.
+	Now func() time.Time
 	// Tokens are known besides those of the catalogue, so that an empty one can be edited.
 	Tokens []catalogue.Token
 	// SeedPeers are addresses of other instances that are asked for the pool and the catalogue by one
@@ -105,6 +107,7 @@
 	limits    *limit.Limiter
 	auth      *token.Authenticator
 	metrics   *metrics.Set
+	pauses    pauses
 
 	stage atomic.Int32
 	// ctx lives as long as the instance works, past the time when it stops taking jobs.
@@ -117,11 +120,14 @@
 	name := joinName(dispatch.PeerID(cfg.ID), cfg.Incarnation)
 	cfg.Dispatch.Self = dispatch.PeerID(cfg.ID)
 	cfg.Dispatch.FailureDomain = cfg.FailureDomain
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	ins := &Instance{
 		cfg:     cfg,
 		name:    name,
 		log:     lgr.With().Str("entry", cfg.ID).Logger(),
-		now:     time.Now,
+		now:     cfg.Now,
 		wake:    make(chan struct{}, 1),
 		table:   newTable(),
 		metrics: metrics.New(time.Now),
@@ -192,6 +198,7 @@
 	grp.Go(func() error { return ins.catalogue.run(work) })
 	grp.Go(func() error { return ignoreCancel(work, ins.claims.Run(work)) })
 	grp.Go(func() error { return ins.runExpiry(work) })
+	grp.Go(func() error { return ins.runPauses(work) })
 	drained, drain := context.WithCancel(work)
 	defer drain()
 	grp.Go(func() error { return ins.serveCallers(drained) })
--- a/internal/process/entry/jobs.go
+++ b/internal/process/entry/jobs.go
@@ -39,6 +39,9 @@
 	if err := ins.accepting(); err != nil {
 		return nil, err
 	}
+	if err := ins.checkCaller(ctx, resubmission); err != nil {
+		return nil, err
+	}
 	dig := digest(&spc)
 	rec, first := ins.table.reserve(spc, dig, resubmission, ins.progress)
 	if first {
--- a/internal/process/entry/world_test.go
+++ b/internal/process/entry/world_test.go
@@ -59,6 +59,34 @@
 type process struct {
 	stop context.CancelFunc
 	done chan struct{}
+	clk  *stoppableClock
+}
+
+// stoppableClock is the clock of a process, which stands while the process does.
+type stoppableClock struct {
+	mu        sync.Mutex
+	stoppedAt time.Time
+}
+
+func (clk *stoppableClock) now() time.Time {
+	clk.mu.Lock()
+	defer clk.mu.Unlock()
+	if !clk.stoppedAt.IsZero() {
+		return clk.stoppedAt
+	}
+	return time.Now()
+}
+
+func (clk *stoppableClock) stop() {
+	clk.mu.Lock()
+	defer clk.mu.Unlock()
+	clk.stoppedAt = time.Now()
+}
+
+func (clk *stoppableClock) resume() {
+	clk.mu.Lock()
+	defer clk.mu.Unlock()
+	clk.stoppedAt = time.Time{}
 }
 
 type shape struct {
@@ -147,8 +175,10 @@
 			Name: string(par) + "/test", Partner: par, Role: catalogue.RoleOperator, Hash: token.Hash(tok),
 		})
 	}
+	clk := &stoppableClock{}
 	cfg := entry.Config{
-		ID: id, Incarnation: fmt.Sprintf("life-%d", time.Now().UnixNano()), FailureDomain: domain,
+		Now: clk.now,
+		ID:  id, Incarnation: fmt.Sprintf("life-%d", time.Now().UnixNano()), FailureDomain: domain,
 		Callers: wld.net.Listen(id + ":1"), Peers: wld.net.Listen(id + ":2"),
 		SeedPeers: []string{"entry-1:2", "entry-2:2", "entry-3:2"},
 		Dial:      wld.net.Dialer(id), Tokens: toks, PeerToken: "shared-by-all-entries",
@@ -157,7 +187,7 @@
 	plt := platform.New(http2.NewClient(nil, wld.net.Dialer(id)), "http://platform:1", 5*time.Second)
 	ins := entry.New(cfg, plt, zerolog.Nop())
 	ctx, stop := context.WithCancel(wld.ctx)
-	prc := &process{stop: stop, done: make(chan struct{})}
+	prc := &process{stop: stop, done: make(chan struct{}), clk: clk}
 	wld.entries[id] = prc
 	wld.grp.Go(func() error {
 		defer close(prc.done)
