Tell the ages of requests and messages, and of callers found by a look

To tell whether a resumed process acts on what was sent long before: histograms of the ages of requests as they are submitted (by the kernel) and of batches of messages as they are taken (by the process ages that they carry), and a line for each caller whose end was found by a look, with whether a pause came before.

Evidence: the tests of callers who have left pass; no decision reads the histograms.

--- a/internal/process/daemon/callers.go
+++ b/internal/process/daemon/callers.go
@@ -21,6 +21,7 @@
 // caller is a call of Submit that waits for its answer.
 type caller struct {
 	ctx    context.Context //nolint:containedctx // it has the connection of the request
+	job    string
 	answer chan<- submission.Answer
 }
 
@@ -45,6 +46,9 @@
 			continue
 		}
 		delete(dmn.callers, cal)
+		dmn.cnt.callersGone.Add(1)
+		dmn.log.Info().Str("job", clr.job).Dur("connection-age", tcp.ConnectionAge(clr.ctx)).Bool("after-pause", now.Sub(dmn.lastTickAt) > pauseThreshold).
+			Msg("caller has left, found by a look")
 		clr.answer <- submission.Answer{Result: submission.Unfinished, Reason: reasonCallerGone}
 		dmn.runCoordinatorActions(dmn.coordinator.HandleCallerGone(cal))
 	}
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -38,7 +38,7 @@
 type counters struct {
 	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses,
 	configsSent, changesSent, roomChanges, listReadsDeferred, listsSent atomic.Int64
-	// callersGone counts the jobs that were not submitted as their callers had left.
+	// callersGone counts the requests that were not handled, and the jobs that were ended by a look, as their callers had left.
 	callersGone atomic.Int64
 	// cancels counts the jobs that were cancelled here.
 	cancels atomic.Int64
@@ -64,11 +64,13 @@
 	starts                  [shard.Outdated + 1]atomic.Int64
 	answers                 [submission.Unfinished + 1]atomic.Int64
 	startTimes, answerTimes histogram
-	urgent                  urgentCounters
-	claims                  claimCounters
-	leases                  leaseCounters
-	causes                  causeCounters
-	traffic                 traffic
+	// requestAges has how long jobs had waited as they were submitted, batchAges how old messages of other instances were at most as they were taken.
+	requestAges, batchAges histogram
+	urgent                 urgentCounters
+	claims                 claimCounters
+	leases                 leaseCounters
+	causes                 causeCounters
+	traffic                traffic
 }
 
 // countStart counts an answered or failed start call.
@@ -169,6 +171,8 @@
 		}
 		cnt.startTimes.write("start", line)
 		cnt.answerTimes.write("answer", line)
+		cnt.requestAges.write("request-age", line)
+		cnt.batchAges.write("batch-age", line)
 		if mem := expvar.Get("memstats"); mem != nil {
 			_, _ = fmt.Fprintf(wrt, "memstats %s\n", mem) // Fails as above.
 		}
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -65,6 +65,7 @@
 	dmn.cnt.submissions.Add(1)
 	now := dmn.beginRequest(ctx, sub.CallerTimeout)
 	sub.Waited = tcp.RequestAge(ctx)
+	dmn.cnt.requestAges.observe(sub.Waited)
 	if reason := absence(ctx, &sub); reason != "" {
 		dmn.logAbsence(ctx, &sub, reason)
 		dmn.endEvent(now)
@@ -78,7 +79,7 @@
 	}
 	cal := dmn.nextCall()
 	chn := make(chan submission.Answer, 1)
-	dmn.callers[cal] = caller{ctx: ctx, answer: chn}
+	dmn.callers[cal] = caller{ctx: ctx, job: sub.ID, answer: chn}
 	dmn.log.Info().Str("request", sub.Request).Str("job", sub.ID).Str("route", sub.Route).
 		Int("priority", sub.Priority).Dur("patience", sub.CallerTimeout).Int64("config", dmn.cfg.Load().Version()).
 		Dur("connection-age", tcp.ConnectionAge(ctx)).Dur("request-age", sub.Waited).Msg("submitted")
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -39,6 +39,9 @@
 func (dmn *Daemon) HandleBatch(from shard.InstanceID, at time.Time, bet mesh.Heartbeat, msgs []mesh.Message) {
 	now := dmn.beginEvent()
 	defer dmn.endEvent(now)
+	if len(msgs) > 0 {
+		dmn.cnt.batchAges.observe(now.Sub(at))
+	}
 	for _, ldr := range dmn.leaders {
 		ldr.HandleOwnerHeard(from, at)
 	}
