Let no order of an earlier submission replace that of a later one

An order that comes late, of a submission whose caller has submitted the job again at another owner since, took the place of that owner's order: the run was stopped, and the caller who waits got a 504.

Cause: a leader with two orders of one task kept the one that came last.

Evidence: TestOrderOfAnEarlierSubmission, the cases "comes last", failed before.

Reassigned orders, and orders beside a silent owner, do as before, as do submissions that are simultaneous.

Failed try: to prefer the owner with the higher ID among simultaneous submissions ends TestOneOwnerKeepsAJobOfTwo, but fails TestTwoOwnersOfOneJob: the preferred caller may have left already, its cancel being under way, and the other one is refused.

--- a/internal/process/daemon/causes.go
+++ b/internal/process/daemon/causes.go
@@ -91,7 +91,7 @@
 	}
 	lin := dmn.log.Info().Str("task", act.Task).Str("shard", string(name)).Int64("token", dmn.tokenOf(name)).Str("owner", string(act.Owner)).
 		Str("former-owner", string(act.FormerOwner)).Dur("former-ago", act.FormerAge).Bool("former-cancelled", act.Cancelled).
-		Bool("followed", act.Followed)
+		Bool("followed", act.Followed).Bool("former-kept", act.Kept)
 	if act.Server != "" {
 		lin = lin.Int64("run", act.Run.Number).Str("server", string(act.Server)).Bool("stopped", act.Stopped)
 	}
--- a/internal/request/shard/leader.go
+++ b/internal/request/shard/leader.go
@@ -230,7 +230,7 @@
 }
 
 // handleRepeatedOrder handles an order or recall for a task that the leader already has. An order from another owner means that the caller
-// submitted its job again after the first owner was lost: a run for the first owner must be over before the second starts.
+// has submitted its job again: the later submission counts, and a run for the other owner must be over before one for it starts.
 func (ldr *Leader) handleRepeatedOrder(now time.Time, old *order, req Order) {
 	if req.Recall && (old.Owner != req.Owner || old.cancelled) {
 		return // Another owner has the task now, and a recall lacks the other fields of an order.
@@ -242,6 +242,9 @@
 		}
 		return
 	}
+	if ldr.refuseEarlier(now, old, &req) {
+		return
+	}
 	ldr.reportReplaced(old, req.Owner)
 	if req.Reassigned {
 		// What the servers have said before this order came proves nothing.
--- a/internal/request/shard/repeated.go
+++ b/internal/request/shard/repeated.go
@@ -15,6 +15,8 @@
 	Run     RunID
 	Server  ServerID
 	Stopped bool
+	// Kept is set if the former order stays, as its job was submitted later.
+	Kept bool
 }
 
 // NoteAdoption describes an order that was connected to a run which a former leader started.
@@ -51,5 +53,6 @@
 		return
 	}
 	note.Stopped = old.run != nil && old.run.state == ending
+	note.Kept = old.Owner != note.Owner
 	ldr.emit(*note)
 }
--- a/internal/request/shard/replaced_test.go
+++ b/internal/request/shard/replaced_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -137,6 +138,56 @@
 	}
 }
 
+// Guards against an order that comes late, of a submission that its caller has repeated at another owner since, and that stops the run for which the
+// caller waits.
+func TestOrderOfAnEarlierSubmission(t *testing.T) {
+	const resent = 1300 * time.Millisecond
+	cases := map[string]struct {
+		// first and second are the owners in the order in which their orders come; apart is how much later the first one's job came.
+		first, second InstanceID
+		apart         time.Duration
+		how           Order
+		// silent is how long the first owner was not heard.
+		silent time.Duration
+		has    InstanceID
+	}{
+		"comes last": {first: secondOwner, second: owner, apart: resent, has: secondOwner},
+		"comes last, of the owner with the last ID": {first: owner, second: secondOwner, apart: resent, has: owner},
+		"comes first":                     {first: owner, second: secondOwner, apart: -resent, has: secondOwner},
+		"simultaneous":                    {first: secondOwner, second: owner, apart: sameArrival, has: owner},
+		"the later one's owner is silent": {first: secondOwner, second: owner, apart: resent, silent: time.Second, has: owner},
+		"was with a former leader":        {first: secondOwner, second: owner, apart: resent, how: Order{Reassigned: true, MayRunFor: resent}, has: owner},
+	}
+	for name, cse := range cases {
+		for _, runs := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, running %t", name, runs), func(t *testing.T) {
+				chk := is.New(t)
+				har := newHarness(t, serverEntry("s1", size))
+				if !runs {
+					har.place(0, "k.0") // It fills the server.
+				}
+				har.orderBy(cse.first, 1, Order{})
+				if runs {
+					har.answerStart("j.0", Accepted)
+				}
+				har.ldr.HandleOwnerHeard(cse.first, har.now.Add(-cse.silent))
+				late := har.order(0, "j.0")
+				late.Owner, late.SubmissionNumber, late.Arrived = cse.second, 2, late.Arrived.Add(-cse.apart)
+				late.Reassigned, late.MayRunFor = cse.how.Reassigned, cse.how.MayRunFor
+				har.record(har.ldr.HandleOrder(har.now, late))
+				if cse.has == cse.first {
+					chk.Equal(har.replacedReports(), []SendReport{replacement(cse.second, 2, cse.first)})
+					chk.Equal(har.stops(), 0)
+				} else {
+					chk.Equal(har.replacedReports(), []SendReport{replacement(cse.first, 1, cse.second)})
+					chk.Equal(har.stops() > 0, runs)
+				}
+				chk.Equal(har.ldr.orders["j.0"].Owner, cse.has)
+			})
+		}
+	}
+}
+
 // Guards against a task that runs twice, or never, once its order was replaced: the second owner's run starts when the first owner's is over.
 func TestRunOfAReplacingOrder(t *testing.T) {
 	chk := is.New(t)
