Refuse batches that are meant for another instance

A machine that gets the address of one that was removed is called under both names. It counts as two live instances with the same leaderships, and the batches meant for the two, each with its own numbers, share one session.

Cause: a batch named its sender only.

Change: a batch names its receiver; another instance answers with an error, which the sender takes for a failed call.

--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -176,7 +176,7 @@
 		per.startAckWait(now)
 	}
 	dlv := &meshpb.Delivery{
-		From: msh.cfg.Name, Address: msh.cfg.Address, Own: per.ownEpoch.encode(), Other: per.peerEpoch.encode(),
+		From: msh.cfg.Name, To: per.name, Address: msh.cfg.Address, Own: per.ownEpoch.encode(), Other: per.peerEpoch.encode(),
 		Beat:      encodeHeartbeat(per.withoutAckedDivisions(hbt)),
 		AgeMicros: msh.processAge(now).Microseconds(), HeardAgeMicros: per.peerAge.Microseconds(),
 	}
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -59,7 +59,7 @@
 
 // Handle implements jsonrpc2.Handler.
 func (hdl deliveryHandler) Handle(ctx context.Context, cnn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	dlv, err := decodeDelivery(req)
+	dlv, err := hdl.msh.decodeDelivery(req)
 	if err == nil {
 		var data []byte
 		if data, err = proto.Marshal(hdl.msh.handleDelivery(dlv)); err == nil {
@@ -71,8 +71,9 @@
 	_ = cnn.ReplyWithError(ctx, req.ID, rem) // As above.
 }
 
-// decodeDelivery returns the batch in a request, or an error that says what is wrong with the request.
-func decodeDelivery(req *jsonrpc2.Request) (*meshpb.Delivery, error) {
+// decodeDelivery returns the batch in a request, or an error that says what is wrong with the request. A batch for another instance is refused: its
+// machine may have had this address before.
+func (msh *Mesh) decodeDelivery(req *jsonrpc2.Request) (*meshpb.Delivery, error) {
 	if req.Method != methodDeliver || req.Params == nil {
 		return nil, errors.New("expected a deliver request with parameters")
 	}
@@ -87,6 +88,9 @@
 	if dlv.GetFrom() == "" {
 		return nil, errors.New("delivery without a sender")
 	}
+	if to := dlv.GetTo(); to != "" && to != msh.cfg.Name {
+		return nil, errors.Newf("delivery for %s at %s", to, msh.cfg.Name)
+	}
 	return dlv, nil
 }
 
