Cancel the tasks of a caller who has left before the event that finds it

What callers saw: nothing; found in reading. A leader that is also the owner resumes, finds that a caller has left, and the event at hand, an answer of a backend server, frees room: the queued task of that caller starts, and is stopped right after.

Cause: the withdrawal of an order to the own leader is queued until the event ends.

Change: queued withdrawals are carried out as soon as the callers were looked at.

--- a/internal/connection/tcp/tcp.go
+++ b/internal/connection/tcp/tcp.go
@@ -64,8 +64,8 @@
 	return err == nil && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
-// SinceLastReceived returns how long ago the last bytes of a connection came to this machine, whether they were read since or not, in
-// milliseconds; 0 if that is not known.
+// SinceLastReceived returns how long ago the last bytes of a connection came to this machine, to the millisecond, whether they were read since or
+// not; 0 if that is not known.
 func SinceLastReceived(con net.Conn) time.Duration {
 	switch typ := innermost(con).(type) {
 	case interface{ SinceLastReceived() time.Duration }:
--- a/internal/process/daemon/callers.go
+++ b/internal/process/daemon/callers.go
@@ -25,8 +25,8 @@
 	answer chan<- submission.Answer
 }
 
-// callerLookInterval is how long the end of a connection may go unnoticed behind bytes that are not read, as of a request that is sent ahead. It is the
-// time in which a lost instance is noticed, so that the runs are over within minResendAfter.
+// callerLookInterval bounds how long the end of a connection goes unnoticed behind bytes that are not read, such as a request that is sent ahead. It is
+// the time in which a lost instance is noticed, so that the runs are over within minResendAfter.
 const callerLookInterval = missedHeartbeats * heartbeatInterval
 
 // callersMayHaveLeft reports whether callers are to be looked at: after a pause, once the sockets are read after a long one, and each
@@ -52,6 +52,7 @@
 		clr.answer <- submission.Answer{Result: submission.Unfinished, Reason: reasonCallerGone}
 		dmn.runCoordinatorActions(dmn.coordinator.HandleCallerGone(cal))
 	}
+	dmn.runLocalActions(now) // Before the event lets the own leaders start what is cancelled.
 }
 
 // beginRequest is beginEvent for a request. After a long pause of the process, and if the request has waited for long, it first waits for the end of
--- a/internal/process/daemon/resumed_test.go
+++ b/internal/process/daemon/resumed_test.go
@@ -65,12 +65,15 @@
 // ctx ends.
 func (sys *system) submitSteps(ctx context.Context, prc *process, con callerConn, callerTimeout time.Duration, steps ...payload) submission.Answer {
 	rte, _ := prc.dmn.Configuration().Match(standin.Host, "/thumb/")
+	if steps[0].Needs == 0 {
+		steps[0].Needs = 1000
+	}
 	sub := submission.Submission{
 		ID: jobID(1), Service: service, MaxAttempts: 3, CallerTimeout: callerTimeout, Objective: rte.Objective,
-		Payload: fmt.Sprintf(`{"Millis":%d,"Needs":1000,"Fails":%t}`, steps[0].Millis, steps[0].Fails),
+		Payload: fmt.Sprintf(`{"Millis":%d,"Needs":%d,"Fails":%t}`, steps[0].Millis, steps[0].Needs, steps[0].Fails),
 	}
 	for num := range steps {
-		stp := submission.Step{Count: 4, Processor: 1000, Memory: 64, ExpectedRunTime: time.Duration(steps[0].Millis) * time.Millisecond}
+		stp := submission.Step{Count: 4, Processor: steps[0].Needs, Memory: 64, ExpectedRunTime: time.Duration(steps[0].Millis) * time.Millisecond}
 		if num > 0 {
 			stp.DependsOn = []int{num - 1}
 		}
@@ -129,6 +132,43 @@
 	}
 }
 
+// Guards against a queued task that a resumed leader starts as room has become free meanwhile, in the event that finds that its caller has left.
+func TestResumedLeaderHasNoTaskOfACallerWhoHasLeft(t *testing.T) {
+	chk := is.NewRelaxed(t)
+	inTestSystem(t, 1, 1, 1, func(sys *system) {
+		prc := sys.instances["entry-1-1"]
+		sys.fill(prc.name)
+		leaves := time.Now().Add(100 * time.Millisecond)
+		ctx, read := context.WithDeadline(sys.ctx, leaves.Add(200*time.Millisecond))
+		defer read()
+		done := make(chan struct{})
+		sys.grp.Go(func() error {
+			defer close(done)
+			sys.submitSteps(ctx, prc, callerConn{leavingConn{leavesAt: leaves}, time.Now()}, 5*time.Second, payload{Millis: 300, Needs: taskProcessor})
+			return nil
+		})
+		time.Sleep(10 * time.Millisecond)
+		queued := func() (byt int64) {
+			for _, ldr := range prc.dmn.leaders {
+				byt += ldr.QueuedBytes()
+			}
+			return byt
+		}
+		prc.dmn.mu.Lock()
+		before := queued()
+		prc.dmn.mu.Unlock()
+		prc.stopClock()
+		time.Sleep(101 * time.Millisecond)
+		prc.resumeClock()
+		now := prc.dmn.beginEvent()
+		after := queued()
+		prc.dmn.endEvent(now)
+		chk.True(before > after) // The filling jobs may wait, too.
+		<-done
+		chk.Equal(sys.ldg.JobStarts(jobID(1)), 0)
+	})
+}
+
 // Guards against a job that is begun for a caller who waits no longer, as its request has waited in a process that stood still in short pieces, or
 // before the end of its connection is read.
 func TestRequestThatHasWaited(t *testing.T) {
