--- a/internal/process/entry/paused_test.go
+++ b/internal/process/entry/paused_test.go
@@ -53,8 +53,9 @@
 						end()
 						return nil
 					})
-					sub.at = "entry-2"
-					copies = append(copies, wld.runningLater(time.Second, sub))
+					again := sub
+					again.at = "entry-2"
+					copies = append(copies, wld.runningLater(time.Second, again))
 				}
 				for _, wait := range copies {
 					if res := wait(); res.err != nil {
