Contest no shard from the minority after a refusal

Cause: the cut instance takes over shards whose leaders it can't hear, and is fenced by them; they are fenced by it, and take the shards back. Each begins again after 50 ms, so that nearly all leaderships end fenced for as long as the cut lasts.

Change: an instance that has lost more others by silence than it hears, and loses a shard to another leader's token, takes none over for 5 s, unless the winner or enough others are heard. It is more likely cut off than they have ended. Where they have ended its takeovers are accepted, and nothing changes.

--- a/internal/process/daemon/decide.go
+++ b/internal/process/daemon/decide.go
@@ -218,7 +218,11 @@
 	}
 	dmn.elector.HandleLeadershipEnd(now, name, fenced)
 	dmn.leadersChanged = true
-	dmn.log.Info().Str("shard", string(name)).Bool("fenced", fenced).Msg("leaving the shard")
+	lin := dmn.log.Info().Str("shard", string(name)).Bool("fenced", fenced)
+	if pause := dmn.elector.BarredFor(now); pause > 0 {
+		lin = lin.Dur("takes-none-for", pause)
+	}
+	lin.Msg("leaving the shard")
 }
 
 // updateOpenOrders updates the instances with which unfinished orders exist, at most once per heartbeat interval.
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -59,6 +59,9 @@
 	// InitialBackoff is the pause after a shard was first lost to another leader's token; it doubles with each loss up to MaxBackoff, and
 	// begins anew after a loss that comes later than MaxBackoff after the last pause.
 	InitialBackoff, MaxBackoff time.Duration
+	// MinorityPause is how long an instance that has lost more others than it hears takes no shard over after one was lost to another leader's
+	// token. It is well below the time in which the system has to serve again if the others have ended after all.
+	MinorityPause time.Duration
 }
 
 // DefaultConfig returns the delays for heartbeats each 100 ms, with instances taken for lost after 400 ms of silence.
@@ -74,6 +77,7 @@
 		RecheckInterval:      250 * time.Millisecond,
 		InitialBackoff:       50 * time.Millisecond,
 		MaxBackoff:           5 * time.Second,
+		MinorityPause:        5 * time.Second,
 	}
 }
 
@@ -103,6 +107,7 @@
 	heardAt, hearingSince time.Time
 	backoffs              map[shard.Name]backoff
 	claims                claims
+	contest               contest
 	// changed is set by each event that may change who leads a shard. All shards were last checked at checkedAt; unsettled are those
 	// that had no leader then, or a replaceable one.
 	changed   bool
@@ -129,7 +134,7 @@
 		cfg: cfg, self: self,
 		lastPeerLostAt: now,
 		peers:          map[shard.InstanceID]*Instance{}, takeableSince: map[shard.Name]time.Time{}, backoffs: map[shard.Name]backoff{},
-		lastLeaders: map[shard.Name]lastLeader{}, claims: claims{},
+		lastLeaders: map[shard.Name]lastLeader{}, claims: claims{}, contest: contest{unheard: map[shard.InstanceID]time.Time{}},
 	}
 }
 
@@ -167,6 +172,7 @@
 	old := elc.peers[ins.ID]
 	elc.peers[ins.ID] = &ins
 	elc.everHadPeers = true
+	delete(elc.contest.unheard, ins.ID)
 	switch {
 	case old == nil:
 		elc.claims.set(ins.ID, nil, ins.Leads)
@@ -191,6 +197,9 @@
 	if silent && ins.Domain == elc.self.Domain {
 		elc.countSilent(now)
 	}
+	if silent {
+		elc.noteSilent(now, id)
+	}
 	elc.claims.set(id, ins.Leads, nil)
 	elc.changed = true
 	delete(elc.peers, id)
@@ -216,6 +225,7 @@
 	if !fenced {
 		return
 	}
+	elc.handleFenced(now, name)
 	bck := elc.backoffs[name]
 	if now.Sub(bck.until) > elc.cfg.MaxBackoff {
 		bck.count = 0 // The last loss has nothing to do with this one.
@@ -317,7 +327,7 @@
 
 // shouldTakeOver reports whether the own instance is to take a shard over now; led is the shard's known leader, or "".
 func (elc *Elector) shouldTakeOver(now time.Time, shd Shard, led shard.InstanceID) bool {
-	if !elc.self.Ready || elc.self.Stopping || now.Before(elc.backoffs[shd.Name].until) {
+	if !elc.self.Ready || elc.self.Stopping || elc.BarredFor(now) > 0 || now.Before(elc.backoffs[shd.Name].until) {
 		return false
 	}
 	if led != "" {
