Let a suspended entry instance read its sockets first, too

What callers saw: nothing yet; found in reading. The steady clock of the runtime stands while a machine is suspended, so that an entry instance took the requests of callers who had left meanwhile without reading its sockets first.

Cause: the pause was told by the steady clock alone.

Evidence: TestPausesOfTheProcess, "its machine was suspended", fails without the change.

Change: a gap of either clock counts as a pause, as for claims.

--- a/internal/process/entry/callers.go
+++ b/internal/process/entry/callers.go
@@ -19,28 +19,41 @@
 	reasonCallerGone = "caller-gone"
 )
 
-// pauses tells whether the process got no processor for a while and has not read yet what came meanwhile.
+// moment is a reading of both clocks: the steady one, since the process began, stands while the machine is suspended.
+type moment struct {
+	steady time.Duration
+	wall   time.Time
+}
+
+// pauses tells whether the process got no processor for a while, or its machine was suspended, and has not read yet what came meanwhile.
 type pauses struct {
 	mu sync.Mutex
-	// ranAt is when the process last noted that it runs. The sockets are read until socketsReadAt.
-	ranAt, socketsReadAt time.Time
+	// ran is when the process last noted that it runs, nil before it first did. The sockets are read until socketsReadAt, by the steady clock.
+	ran           *moment
+	socketsReadAt time.Duration
 }
 
-// note notes that the process runs at now, and returns how long its sockets are still to be read.
-func (pau *pauses) note(now time.Time) time.Duration {
+// note notes that the process runs at now, and returns how long its sockets are still to be read. A step of the time of day costs a short wait.
+func (pau *pauses) note(now moment) time.Duration {
 	pau.mu.Lock()
 	defer pau.mu.Unlock()
-	if !pau.ranAt.IsZero() && now.Sub(pau.ranAt) > longPause {
-		pau.socketsReadAt = now.Add(socketReadTime)
+	if pau.ran != nil && max(now.steady-pau.ran.steady, now.wall.Sub(pau.ran.wall)) > longPause {
+		pau.socketsReadAt = now.steady + socketReadTime
 	}
-	pau.ranAt = now
-	return pau.socketsReadAt.Sub(now)
+	pau.ran = &now
+	return max(0, pau.socketsReadAt-now.steady)
+}
+
+// noteRunning notes that the process runs, and returns how long its sockets are still to be read after a pause.
+func (ins *Instance) noteRunning() time.Duration {
+	now := ins.now()
+	return ins.pauses.note(moment{steady: now.Sub(ins.began), wall: now.Round(0)})
 }
 
 // runPauses notes that the process runs until ctx ends.
 func (ins *Instance) runPauses(ctx context.Context) error {
 	for ctx.Err() == nil {
-		ins.pauses.note(ins.now())
+		ins.noteRunning()
 		sleep(ctx, runInterval)
 	}
 	return nil
@@ -49,7 +62,7 @@
 // checkCaller refuses a submission whose caller has left and may have sent it to another instance. After a pause it first waits until the sockets are
 // read: on HTTP/2 the reset of a stream waits behind its request, where no look at the socket finds it.
 func (ins *Instance) checkCaller(ctx context.Context, resubmission bool) *verdict.Error {
-	if wait := ins.pauses.note(ins.now()); wait > 0 {
+	if wait := ins.noteRunning(); wait > 0 {
 		sleep(ctx, wait)
 	}
 	if ctx.Err() == nil && !tcp.CallerHasLeft(ctx) {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -83,6 +83,8 @@
 	name string
 	log  zerolog.Logger
 	now  func() time.Time
+	// began is when New was called.
+	began time.Time
 
 	// mu guards dsp and what belongs to it: decisions are made one at a time, and none of them
 	// waits for anything.
@@ -128,6 +130,7 @@
 		name:    name,
 		log:     lgr.With().Str("entry", cfg.ID).Logger(),
 		now:     cfg.Now,
+		began:   cfg.Now(),
 		wake:    make(chan struct{}, 1),
 		table:   newTable(),
 		metrics: metrics.New(time.Now),
