--- a/internal/connection/tcp/tcp.go
+++ b/internal/connection/tcp/tcp.go
@@ -64,9 +64,9 @@
 	return err == nil && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
-// SinceLastReceived returns how long ago the last bytes of a connection came to this machine, to the millisecond, whether they were read since or
+// sinceLastReceived returns how long ago the last bytes of a connection came to this machine, to the millisecond, whether they were read since or
 // not; 0 if that is not known.
-func SinceLastReceived(con net.Conn) time.Duration {
+func sinceLastReceived(con net.Conn) time.Duration {
 	switch typ := innermost(con).(type) {
 	case interface{ SinceLastReceived() time.Duration }:
 		return typ.SinceLastReceived()
@@ -121,7 +121,7 @@
 	if !ok {
 		return 0
 	}
-	return SinceLastReceived(acc.con)
+	return sinceLastReceived(acc.con)
 }
 
 // ConnectionAge returns how long ago the connection in the context of a request was accepted; 0 without one.
--- a/internal/connection/tcp/tcp_test.go
+++ b/internal/connection/tcp/tcp_test.go
@@ -120,7 +120,7 @@
 	chk.Equal(RequestAge(context.Background()), time.Duration(0))
 	one, two := net.Pipe()
 	defer func() { _, _ = one.Close(), two.Close() }()
-	chk.Equal(SinceLastReceived(one), time.Duration(0))
+	chk.Equal(sinceLastReceived(one), time.Duration(0))
 }
 
 func BenchmarkRequestAge(b *testing.B) {
--- a/internal/process/daemon/resumed_test.go
+++ b/internal/process/daemon/resumed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -224,15 +225,24 @@
 func TestCallerWhoSendsAheadLeaves(t *testing.T) {
 	chk := is.NewRelaxed(t)
 	inTestSystem(t, 1, 3, 27, func(sys *system) {
-		body := `{"Spec":"{\"Millis\":3000,\"Needs\":1000}","BestEffort":true,"Steps":[{"Count":4,"Cpu":1000,"MemMb":64,"EstRuntimeMs":3000}]}`
-		con, err := sys.net.Dialer(clientHost)(sys.ctx, "tcp", sys.instances["entry-1-2"].host+":1")
-		chk.NoErr(err)
-		_, err = fmt.Fprintf(con, "POST /thumb/%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n%s: 8000\r\n\r\n%s",
-			jobID(1), standin.Host, len(body), "X-Chestnutstack-Deadline-Ms", body)
-		chk.NoErr(err)
+		cons := make(chan net.Conn, 1)
+		dial := sys.net.Dialer(clientHost)
+		cli := standin.NewClient(&http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			con, err := dial(ctx, network, addr)
+			cons <- con
+			return con, err
+		}}})
+		sys.grp.Go(func() error {
+			_, err := cli.Submit(sys.ctx, sys.instances["entry-1-2"].host+":1", &standin.Job{
+				ID: jobID(1), Queue: "/thumb/", Tasks: 4, Processor: 1000, Memory: 64, Expected: 3 * time.Second, Payload: `{"Millis":3000,"Needs":1000}`, Patience: 8 * time.Second,
+			})
+			chk.True(err != nil) // Its connection is closed below.
+			return nil
+		})
+		con := <-cons
 		time.Sleep(500 * time.Millisecond)
 		chk.Equal(sys.ldg.JobRunning(jobID(1)), 4)
-		_, err = con.Write([]byte("G"))
+		_, err := con.Write([]byte("G"))
 		chk.NoErr(err)
 		time.Sleep(10 * time.Millisecond)
 		chk.NoErr(con.Close())
