--- a/internal/request/submission/submission.go
+++ b/internal/request/submission/submission.go
@@ -88,8 +88,8 @@
 	Token int64
 }
 
-// maxTasks bounds the tasks of a submission: twice the largest job that the system is designed for.
-const maxTasks = 2600
+// MaxTasks bounds the tasks of a submission: twice the largest job that the system is designed for.
+const MaxTasks = 2600
 
 // InvalidReason returns why a submission is invalid, or an empty string if it is valid.
 func (sub *Submission) InvalidReason() string {
@@ -101,7 +101,7 @@
 		if stp.Count < 1 || stp.Processor < 0 || stp.Memory < 0 || stp.ExpectedRunTime < 0 || stp.PerServer < 0 {
 			return "a step needs at least one task and no negative numbers"
 		}
-		if tasks += stp.Count; stp.Count > maxTasks || tasks > maxTasks {
+		if tasks += stp.Count; stp.Count > MaxTasks || tasks > MaxTasks {
 			return "too many tasks"
 		}
 		for _, dep := range stp.DependsOn {
