Bound callers' connections and the heads of their requests

Callers saw an instance end, or serve nobody, while a few hundred clients held connections open: heads without end took its memory (1 MB each, net/http's default), and silent connections the descriptors that the store, other instances and backend servers need. The configuration's limits were decoded and, but for the body's size, not used: the server had constants of its own.

internal/connection/http1 serves the callers, and the readiness and metrics ports, around net/http. Its Table decides, without I/O: a quarter of the memory at 48 KB each, and half of the descriptors beside those for files, bound the connections; a new one takes the place of the one that has been slow for the longest, an idle one before a newer one without an answer, and never that of a request that is read whole. A head is charged 41 bytes of memory for each byte, the most that a benchmark of net/http's parser saw, against a quarter of the memory; the oldest unfinished request gives way. MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs of the configuration are applied at once when it changes, the times twice as before; their defaults are those of the former constants, and 16 KB for a head. What was closed is told in one line a second, and in counters.

TestPlaceForANewConnection, TestHeads, TestSweep and others play the Table, TestTableKeepsItsLimits at random, TestHeadsOverTheBound the server.

--- /dev/null
+++ b/internal/connection/http1/conn.go
@@ -0,0 +1,85 @@
+package http1
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// listener accepts connections for a Server.
+type listener struct {
+	net.Listener
+	srv *Server
+}
+
+// Accept implements net.Listener.
+func (lis listener) Accept() (net.Conn, error) {
+	con, err := lis.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	srv := lis.srv
+	cnn := &conn{Conn: con, srv: srv}
+	srv.decide(func(tab *Table) []Closing {
+		srv.last++
+		cnn.id = srv.last
+		srv.conns[cnn.id] = cnn
+		return tab.Open(cnn.id)
+	})
+	return cnn, nil
+}
+
+// conn is an accepted connection.
+type conn struct {
+	net.Conn
+	srv *Server
+	id  ID
+}
+
+// NetConn returns the connection inside.
+func (cnn *conn) NetConn() net.Conn { return cnn.Conn }
+
+// errTurnedAway is the error of reads from a connection that is closed for its limits.
+var errTurnedAway = errors.New("the connection was closed for its limits")
+
+// refusals are the answers to requests whose heads aren't read to their end.
+var refusals = map[Reason]string{
+	LargeHead:   "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	OutOfMemory: "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+}
+
+// Read implements net.Conn.
+func (cnn *conn) Read(buf []byte) (int, error) {
+	num, err := cnn.Conn.Read(buf)
+	if num == 0 {
+		return 0, err
+	}
+	ended := cnn.srv.apply(func(tab *Table) []Closing { return tab.Receive(cnn.id, num) })
+	rsn, turnedAway := ended[cnn]
+	if turnedAway {
+		_ = cnn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = cnn.Write([]byte(refusals[rsn])) // A client that doesn't take it isn't waited for.
+	}
+	for oth := range ended {
+		_ = oth.Conn.Close() // Its reader finds out, also if it was closed already.
+	}
+	if turnedAway {
+		// An error of the network has net/http answer nothing itself.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errTurnedAway}
+	}
+	return num, err
+}
+
+// refusalTimeout bounds the writing of a refusal, which fits into the kernel's buffer unless the client takes none of its answers.
+const refusalTimeout = 10 * time.Millisecond
+
+// Close implements net.Conn.
+func (cnn *conn) Close() error {
+	cnn.srv.decide(func(tab *Table) []Closing {
+		tab.Close(cnn.id)
+		delete(cnn.srv.conns, cnn.id)
+		return nil
+	})
+	return cnn.Conn.Close()
+}
--- /dev/null
+++ b/internal/connection/http1/table.go
@@ -0,0 +1,384 @@
+package http1
+
+import (
+	"cmp"
+	"container/list"
+	"slices"
+	"time"
+)
+
+// ID names a connection in a Table.
+type ID uint64
+
+// Reason is why a connection is closed.
+type Reason int
+
+// The reasons.
+const (
+	// Crowded means that a newer connection needed the place.
+	Crowded Reason = iota
+	// OutOfMemory means that the requests of other connections needed the memory.
+	OutOfMemory
+	// LargeHead means that the head of a request was too large.
+	LargeHead
+	// SlowHead and SlowBody mean that a head or body took too long.
+	SlowHead
+	SlowBody
+	// Idle means that no further request came.
+	Idle
+	// Deaf means that the client didn't take its answer, or didn't send the rest of a request that was answered.
+	Deaf
+	// Reasons is the number of reasons.
+	Reasons
+)
+
+// String returns the kebab-case name that logs and metrics use.
+func (rsn Reason) String() string {
+	names := [...]string{"crowded", "out-of-memory", "large-head", "slow-head", "slow-body", "idle", "deaf"}
+	if rsn < 0 || int(rsn) >= len(names) {
+		return "invalid"
+	}
+	return names[rsn]
+}
+
+// Closing is a connection that is to be closed; the Table has forgotten it.
+type Closing struct {
+	ID     ID
+	Reason Reason
+}
+
+// phase is what a connection is doing.
+type phase int
+
+const (
+	// waiting is said of a connection of whose next request nothing has come.
+	waiting phase = iota
+	// readingHead and readingBody are said of a request that isn't read whole.
+	readingHead
+	readingBody
+	// decoding is said of a request that was read whole and isn't taken yet.
+	decoding
+	// working is said of a request that was taken.
+	working
+	// ending is said of a request that has its answer, while that is written or the rest of the request is read.
+	ending
+)
+
+// headExpansion is how much memory the head of a request takes at most while it is decoded, per byte: short fields take 41.
+const headExpansion = 41
+
+// record is the state of a connection.
+type record struct {
+	id    ID
+	phase phase
+	// proven is set once a request was answered on the connection.
+	proven bool
+	// since is the Table's clock when the phase began, and entered its place among all begins of phases; timeout is how long the body may take, 0 for as
+	// long as a head.
+	since, timeout time.Duration
+	entered        uint64
+	// head counts the bytes of the present head, charged what is held of the request.
+	head    int
+	charged int64
+	// lst has the record as elm, and those which may be closed in the order in which they came to it; nil once the request is read whole, until it has its
+	// answer.
+	lst *list.List
+	elm *list.Element
+}
+
+// Table holds the connections of all clients and decides which of them are closed, so that the limits hold: new clients that are slow go before those that
+// have been answered before, and of either the one that has been slow for the longest. A request that was read whole is never given up. It does no I/O, and
+// its clock advances by Sweep.
+type Table struct {
+	lim     Limits
+	bnd     Bounds
+	clock   time.Duration
+	entered uint64
+	records map[ID]*record
+	charged int64
+	working int
+	// The connections that may be closed: silent and starting ones that had no answer yet, ending ones, and idle and resuming ones that had.
+	silent, starting, ending, idle, resuming *list.List
+}
+
+// NewTable returns an empty table.
+func NewTable(lim Limits, bnd Bounds) *Table {
+	return &Table{
+		lim: lim, bnd: bnd, records: map[ID]*record{},
+		silent: list.New(), starting: list.New(), ending: list.New(), idle: list.New(), resuming: list.New(),
+	}
+}
+
+// SetBounds changes the bounds on requests, at once also for those that are being read.
+func (tab *Table) SetBounds(bnd Bounds) { tab.bnd = bnd }
+
+// Open adds a connection and returns those that are closed for it. If nothing can be closed, that is the new one.
+func (tab *Table) Open(id ID) []Closing {
+	var cls []Closing
+	for len(tab.records) >= tab.lim.Connections {
+		vic := tab.leastNeeded()
+		if vic == nil {
+			return append(cls, Closing{ID: id, Reason: Crowded})
+		}
+		cls = append(cls, tab.end(vic, Crowded))
+	}
+	rec := &record{id: id}
+	tab.records[id] = rec
+	tab.enter(rec, waiting)
+	return cls
+}
+
+// Close removes a connection that was closed, if the table has it.
+func (tab *Table) Close(id ID) {
+	if rec := tab.records[id]; rec != nil {
+		tab.remove(rec)
+	}
+}
+
+// Receive takes note of bytes that were read from a connection. It returns the connections that are closed for their memory; they include this one if
+// its head is too large, or if no other is slower.
+func (tab *Table) Receive(id ID, num int) []Closing {
+	rec := tab.records[id]
+	if rec == nil || rec.phase != waiting && rec.phase != readingHead {
+		return nil
+	}
+	if rec.phase == waiting {
+		rec.head = 0
+		tab.enter(rec, readingHead)
+	}
+	if rec.head += num; rec.head > tab.bnd.headerBytes()+readAhead {
+		return []Closing{tab.end(rec, LargeHead)}
+	}
+	cls, fits := tab.charge(rec, int64(num)*headExpansion)
+	if !fits {
+		cls = append(cls, tab.end(rec, OutOfMemory))
+	}
+	return cls
+}
+
+// BeginBody takes note that the head of a request is read. The rest is to be read, and the request taken or answered, within timeout; 0 stands for the time
+// of a head.
+func (tab *Table) BeginBody(id ID, timeout time.Duration) {
+	rec := tab.records[id]
+	if rec == nil || rec.phase >= decoding {
+		return
+	}
+	if rec.phase != readingBody {
+		tab.enter(rec, readingBody)
+	}
+	rec.timeout = timeout
+}
+
+// Charge takes room for bytes of a request's body, and gives it back if num is negative. It returns the connections that are closed for that, and whether
+// there is room.
+func (tab *Table) Charge(id ID, num int64) ([]Closing, bool) {
+	rec := tab.records[id]
+	if rec == nil {
+		return nil, false
+	}
+	return tab.charge(rec, num)
+}
+
+// Decode takes note that a request is read whole. Until it has its answer its connection isn't closed for others: that would free nothing at once.
+func (tab *Table) Decode(id ID) {
+	if rec := tab.records[id]; rec != nil && rec.phase < decoding {
+		tab.leave(rec)
+		rec.phase, rec.since = decoding, tab.clock
+	}
+}
+
+// Take takes a request that is read whole, and holds so many bytes until it is answered within timeout: from now on its connection isn't closed for
+// others. It returns the connections that are closed for that, and whether there is room.
+func (tab *Table) Take(id ID, bytes int64, timeout time.Duration) ([]Closing, bool) {
+	rec := tab.records[id]
+	if rec == nil || rec.phase >= working || tab.working >= tab.lim.Working {
+		return nil, false
+	}
+	cls, fits := tab.charge(rec, bytes-rec.charged)
+	if !fits {
+		return cls, false
+	}
+	tab.leave(rec)
+	rec.phase, rec.since, rec.timeout = working, tab.clock, timeout
+	tab.working++
+	return cls, true
+}
+
+// minWait is the shortest time that a refusal can tell.
+const minWait = time.Second
+
+// Wait returns how long it takes until a request of so many bytes surely fits, if no other is taken: requests that aren't read whole give way at once, and
+// those that were taken are answered by their timeouts. Requests that are being decoded are soon taken or refused.
+func (tab *Table) Wait(bytes int64) time.Duration {
+	var taken []*record
+	held := int64(0)
+	for _, rec := range tab.records {
+		if rec.phase == working {
+			taken = append(taken, rec)
+			held += rec.charged
+		}
+	}
+	slices.SortFunc(taken, func(one, two *record) int { return cmp.Compare(one.since+one.timeout, two.since+two.timeout) })
+	wait := minWait
+	for num, rec := range taken {
+		if len(taken)-num < tab.lim.Working && held+bytes <= tab.lim.Bytes {
+			break
+		}
+		held -= rec.charged
+		wait = max(wait, rec.since+rec.timeout-tab.clock)
+	}
+	return wait
+}
+
+// End takes note that a request has its answer.
+func (tab *Table) End(id ID) {
+	if rec := tab.records[id]; rec != nil {
+		tab.release(rec)
+		tab.enter(rec, ending)
+	}
+}
+
+// Await takes note that the answer was written and that the next request is awaited.
+func (tab *Table) Await(id ID) {
+	if rec := tab.records[id]; rec != nil {
+		tab.release(rec)
+		rec.proven = true
+		tab.enter(rec, waiting)
+	}
+}
+
+// Sweep advances the clock and returns the connections that are closed as they have taken too long.
+func (tab *Table) Sweep(elapsed time.Duration) []Closing {
+	tab.clock += elapsed
+	var cls []Closing
+	for _, lst := range []*list.List{tab.silent, tab.starting, tab.ending, tab.idle, tab.resuming} {
+		for elm := lst.Front(); elm != nil; {
+			rec := elm.Value.(*record) //nolint:forcetypeassert // the lists have nothing else
+			elm = elm.Next()
+			if timeout, rsn := tab.timeoutOf(rec); tab.clock-rec.since >= timeout {
+				cls = append(cls, tab.end(rec, rsn))
+			}
+		}
+	}
+	return cls
+}
+
+// timeoutOf returns how long the phase of a connection may last, and the reason for which it is closed then.
+func (tab *Table) timeoutOf(rec *record) (time.Duration, Reason) {
+	switch {
+	case rec.phase == ending:
+		return tab.bnd.idleTimeout(), Deaf
+	case rec.phase == readingBody:
+		return cmp.Or(rec.timeout, tab.bnd.headerTimeout()), SlowBody
+	case rec.phase == waiting && rec.proven:
+		return tab.bnd.idleTimeout(), Idle
+	default:
+		return tab.bnd.headerTimeout(), SlowHead
+	}
+}
+
+// Held returns the open connections, the requests that are worked on and the bytes that are held.
+func (tab *Table) Held() (connections, working int, bytes int64) {
+	return len(tab.records), tab.working, tab.charged
+}
+
+// charge takes room for bytes of a connection, and has the slowest others closed until there is room. It fails rather than close one that is less slow.
+func (tab *Table) charge(rec *record, num int64) ([]Closing, bool) {
+	var cls []Closing
+	for num > 0 && tab.charged+num > tab.lim.Bytes {
+		vic := tab.slowest(tab.starting)
+		if vic == nil {
+			vic = tab.slowest(tab.resuming)
+		}
+		if vic == nil || vic == rec {
+			return cls, false
+		}
+		cls = append(cls, tab.end(vic, OutOfMemory))
+	}
+	rec.charged += num
+	tab.charged += num
+	return cls, true
+}
+
+// graceTime is how old a connection without an answer is before it is closed rather than an idle one that had some: an ordinary client's first request comes
+// sooner.
+const graceTime = 2 * sweepInterval
+
+// leastNeeded returns the connection that is closed for a new one, nil if there is none.
+func (tab *Table) leastNeeded() *record {
+	slow := tab.slowest(tab.silent, tab.starting, tab.ending)
+	if slow != nil && tab.clock-slow.since >= graceTime {
+		return slow
+	}
+	if idl := tab.slowest(tab.idle); idl != nil {
+		return idl
+	}
+	if slow != nil {
+		return slow
+	}
+	return tab.slowest(tab.resuming)
+}
+
+// slowest returns the connection that has been for the longest in one of the lists, nil if all are empty.
+func (tab *Table) slowest(lsts ...*list.List) *record {
+	var found *record
+	for _, lst := range lsts {
+		if elm := lst.Front(); elm != nil {
+			rec := elm.Value.(*record) //nolint:forcetypeassert // the lists have nothing else
+			if found == nil || rec.entered < found.entered {
+				found = rec
+			}
+		}
+	}
+	return found
+}
+
+// enter begins a phase in which the connection may be closed.
+func (tab *Table) enter(rec *record, phs phase) {
+	tab.leave(rec)
+	tab.entered++
+	rec.phase, rec.since, rec.entered = phs, tab.clock, tab.entered
+	rec.lst = tab.listOf(rec)
+	rec.elm = rec.lst.PushBack(rec)
+}
+
+func (tab *Table) listOf(rec *record) *list.List {
+	switch {
+	case rec.phase == ending:
+		return tab.ending
+	case rec.phase == waiting && rec.proven:
+		return tab.idle
+	case rec.phase == waiting:
+		return tab.silent
+	case rec.proven:
+		return tab.resuming
+	default:
+		return tab.starting
+	}
+}
+
+// leave takes a connection out of its list, or ends the work on its request.
+func (tab *Table) leave(rec *record) {
+	if rec.lst != nil {
+		rec.lst.Remove(rec.elm)
+		rec.lst = nil
+	} else if rec.phase == working {
+		tab.working--
+	}
+}
+
+func (tab *Table) release(rec *record) {
+	tab.charged -= rec.charged
+	rec.charged = 0
+}
+
+func (tab *Table) remove(rec *record) {
+	tab.leave(rec)
+	tab.release(rec)
+	delete(tab.records, rec.id)
+}
+
+func (tab *Table) end(rec *record, rsn Reason) Closing {
+	tab.remove(rec)
+	return Closing{ID: rec.id, Reason: rsn}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -11,8 +11,8 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"chestnutstack/internal/connection/http1"
 	"chestnutstack/internal/connection/mesh"
-	"chestnutstack/internal/connection/tcp"
 	"chestnutstack/internal/process/succession"
 	"chestnutstack/internal/request/shard"
 	"chestnutstack/internal/request/submission"
@@ -152,6 +152,9 @@
 	// localActions are pending actions addressed to this instance itself.
 	localActions []func(now time.Time)
 
+	// callerServer serves the callers.
+	callerServer *http1.Server
+
 	mesh  *mesh.Mesh
 	group *errgroup.Group
 	ctx   context.Context //nolint:containedctx // set by Run for the calls that decisions start
@@ -163,7 +166,7 @@
 		prm.Counters = &counters{}
 	}
 	pcs := newStorePaces(&prm.Settings)
-	return &Daemon{
+	dmn := &Daemon{
 		prm: prm, log: prm.Log, now: prm.Now, cnt: prm.Counters, paces: pcs,
 		leaders: map[shard.Name]*shard.Leader{}, uplink: shard.NewUplink(prm.Settings.LinkBytes), divisions: succession.Divisions{},
 		entries: map[shard.ServerID]shard.ServerEntry{}, missing: map[shard.ServerID]missingServer{}, leavingSince: map[shard.ServerID]time.Time{},
@@ -180,6 +183,10 @@
 		listReadRequested: make(chan struct{}, 1),
 		joined:            make(chan struct{}), configured: make(chan struct{}),
 	}
+	dmn.callerServer = http1.NewServer(http1.Config{
+		Handler: platform.Front(dmn), Limits: http1.NewLimits(prm.Settings.MemoryBytes, prm.Settings.Descriptors), Log: prm.Log, Name: "callers",
+	})
+	return dmn
 }
 
 // The times of a daemon.
@@ -229,9 +236,9 @@
 	}
 	dmn.log.Info().Str("failure-domain", set.FailureDomain).Str("callers", set.CallerAddress).
 		Float64("processor", set.Processor).Msg("started")
-	dmn.serveHTTP(work, countedListener{lis.Callers, &dmn.cnt.traffic.callers}, platform.Front(dmn))
-	dmn.serveHTTP(work, lis.Ready, platform.Ready(dmn))
-	dmn.serveHTTP(work, lis.Metrics, dmn.cnt.handler())
+	dmn.serveHTTP(work, countedListener{lis.Callers, &dmn.cnt.traffic.callers}, dmn.callerServer)
+	dmn.serveHTTP(work, lis.Ready, dmn.newInternalServer("readiness", platform.Ready(dmn)))
+	dmn.serveHTTP(work, lis.Metrics, dmn.newInternalServer("metrics", dmn.metricsHandler()))
 	grp.Go(func() error { return dmn.followTopic(work, dmn.configurations()) })
 	grp.Go(func() error { return dmn.followServerList(work) })
 	grp.Go(func() error { return dmn.followDigests(work) })
@@ -256,9 +263,18 @@
 	return err
 }
 
+// newInternalServer returns a server for the platform's own checks.
+func (dmn *Daemon) newInternalServer(name string, hdl http.Handler) *http1.Server {
+	lim := http1.NewLimits(internalServerBytes, 0)
+	return http1.NewServer(http1.Config{Handler: hdl, Limits: lim, Log: dmn.log, Name: name})
+}
+
+// internalServerBytes is the memory for which the limits of a server of the platform's own checks are computed: room for some twenty connections.
+const internalServerBytes = 4 << 20
+
 // serveHTTP serves in the background until ctx ends; requests that were read by then are still answered.
-func (dmn *Daemon) serveHTTP(ctx context.Context, lis net.Listener, hdl http.Handler) {
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: tcp.NewContext}
+func (dmn *Daemon) serveHTTP(ctx context.Context, lis net.Listener, srv *http1.Server) {
+	dmn.group.Go(func() error { return srv.Watch(ctx) })
 	dmn.group.Go(func() error {
 		if err := srv.Serve(lis); err != nil && ctx.Err() == nil {
 			return err
@@ -276,12 +292,6 @@
 	})
 }
 
-const (
-	// The timeouts are twice the values of the known callers' configurations, 3 s and 15 s.
-	headerTimeout = 6 * time.Second
-	idleTimeout   = 30 * time.Second
-)
-
 // join registers this process in the store, creates the decision types and exchanges heartbeats with the other instances until ctx ends.
 func (dmn *Daemon) join(ctx context.Context, lis net.Listener) error {
 	set := &dmn.prm.Settings
--- a/internal/request/submission/submission.go
+++ b/internal/request/submission/submission.go
@@ -112,3 +112,21 @@
 	}
 	return ""
 }
+
+const (
+	// What an open submission holds in memory, its orders at the leaders included: besides its texts, and for each step and task.
+	submissionBytes = 2 << 10
+	stepBytes       = 256
+	taskBytes       = 1 << 10
+	indexBytes      = 8
+)
+
+// Size returns how many bytes of memory a valid submission holds at most while it is open.
+func (sub *Submission) Size() int64 {
+	size := submissionBytes + len(sub.Payload)
+	for idx := range sub.Steps {
+		stp := &sub.Steps[idx]
+		size += stepBytes + stp.Count*taskBytes + len(stp.DependsOn)*indexBytes + len(stp.Label) + len(stp.Rack)
+	}
+	return int64(size)
+}
