Bound the bodies that are read at once, and the jobs that are open

Callers saw an instance end when many clients sent bodies of legal size at once, whole or in pieces, chunked or not, and most stopped just short of their end: nothing bounded the reading in time, the bodies that are read at once, or what they hold, and io.ReadAll holds the old and the new copy while it grows.

A body is charged to a quarter of the machine's memory as it is read, both copies while it grows, and has its caller's own deadline to come. The oldest body that isn't whole gives way to a newer one; without one, the request is refused (503, with the time after which the requests that were taken have their answers). A body that is read whole stays until it has its answer: to close it frees nothing at once. Large bodies are decoded one at a time and small ones beside them, one at a time. A taken job is charged for its tasks, steps and texts until it is answered, so that open jobs are bounded, too. A refused request's connection is closed after half a second, in which its rest is read.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -83,3 +83,29 @@
 	})
 	return cnn.Conn.Close()
 }
+
+// beginBody takes note that the head of a request is read.
+func (cnn *conn) beginBody(timeout time.Duration) {
+	cnn.srv.decide(func(tab *Table) []Closing {
+		tab.BeginBody(cnn.id, timeout)
+		return nil
+	})
+}
+
+// charge takes room for bytes of a body, or gives it back if num is negative.
+func (cnn *conn) charge(num int) error {
+	return cnn.makeRoom(int64(num), func(tab *Table) ([]Closing, bool) { return tab.Charge(cnn.id, int64(num)) })
+}
+
+// makeRoom passes the Table to fnc, which takes room for bytes and returns whether there was any, and closes the connections that it returns.
+func (cnn *conn) makeRoom(bytes int64, fnc func(tab *Table) ([]Closing, bool)) error {
+	var err error
+	cnn.srv.decide(func(tab *Table) []Closing {
+		cls, fits := fnc(tab)
+		if !fits {
+			err = &NoRoomError{retryAfter: tab.Wait(bytes)}
+		}
+		return cls
+	})
+	return err
+}
--- a/internal/connection/http1/server.go
+++ b/internal/connection/http1/server.go
@@ -152,10 +152,7 @@
 // handle passes a request to the handler.
 func (srv *Server) handle(wrt http.ResponseWriter, req *http.Request) {
 	cnn := connOf(req.Context())
-	srv.decide(func(tab *Table) []Closing {
-		tab.Decode(cnn.id)
-		return nil
-	})
+	cnn.beginBody(0)
 	defer srv.decide(func(tab *Table) []Closing {
 		tab.End(cnn.id)
 		return nil
--- a/internal/connection/http1/server_test.go
+++ b/internal/connection/http1/server_test.go
@@ -21,8 +21,19 @@
 type taker struct{ release, held chan struct{} }
 
 func (tkr *taker) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(req.Body)
+	body, err := ReadBody(req, time.Minute)
+	if err == nil {
+		err = Take(req, int64(len(body)), time.Minute)
+	}
+	var room *NoRoomError
+	if errors.As(err, &room) {
+		Abandon(wrt)
+		wrt.Header().Set("Retry-After", fmt.Sprint(int(room.RetryAfter().Seconds())))
+		wrt.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if err != nil {
+		Abandon(wrt)
 		wrt.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -104,6 +115,59 @@
 	chk.Equal(status, http.StatusOK)
 }
 
+// Guards against bodies that stop short and keep the memory from others.
+func TestStoppedBodiesGiveWay(t *testing.T) {
+	chk := is.New(t)
+	srv, _, adr := serve(t, roomy)
+	const size = 1 << 20
+	for range 5 {
+		dial(t, adr, head("/", size), strings.Repeat("a", size-1))
+	}
+	await(func() bool { return srv.Closed(OutOfMemory) > 0 })
+	status, _ := receive(dial(t, adr, head("/", size), strings.Repeat("a", size)))
+	chk.Equal(status, http.StatusOK)
+	_, _, held := srv.Held()
+	chk.True(held <= roomy.Bytes)
+}
+
+// Guards against requests that are given up for others once they were taken, and against refusals without a time to come back.
+func TestTakenRequestsStay(t *testing.T) {
+	chk := is.New(t)
+	srv, tkr, adr := serve(t, Limits{Connections: 20, Working: 2, Bytes: 4 << 20})
+	var open []net.Conn
+	for range 2 {
+		open = append(open, dial(t, adr, head("/hold", 1), "a"))
+	}
+	<-tkr.held
+	<-tkr.held
+	status, retryAfter := receive(dial(t, adr, head("/", 1), "a"))
+	chk.Equal(status, http.StatusServiceUnavailable)
+	chk.Equal(retryAfter, "60")
+	for range 30 {
+		dial(t, adr)
+	}
+	await(func() bool { return srv.Closed(Crowded) >= 10 })
+	close(tkr.release)
+	for _, con := range open {
+		status, _ = receive(con)
+		chk.Equal(status, http.StatusOK)
+	}
+}
+
+// Guards against a connection that stays for good as the rest of an answered request never comes.
+func TestRestOfARefusedBody(t *testing.T) {
+	chk := is.New(t)
+	srv, _, adr := serve(t, Limits{Connections: 20, Working: 2, Bytes: 200 << 10})
+	con := dial(t, adr, head("/", 1<<20), strings.Repeat("a", 300<<10))
+	status, retryAfter := receive(con)
+	chk.Equal(status, http.StatusServiceUnavailable)
+	chk.Equal(retryAfter, "1")
+	await(func() bool {
+		cons, _, held := srv.Held()
+		return cons == 0 && held == 0
+	})
+}
+
 // Guards against requests on one connection that are taken for one.
 func TestRequestsAhead(t *testing.T) {
 	chk := is.New(t)
