Give heads a share of the memory for requests

Heads of many short fields were still able to pass a machine's memory: they expand some forty times while they are read, those that are turned away leave that to the garbage collector, and its soft limit gives way when a crowd comes back each 100 ms.

An eighth of the memory for requests is for heads that aren't read whole; the oldest of them gives way. One alone may take more, so that a single head at the limit is served.

--- a/internal/connection/http1/table.go
+++ b/internal/connection/http1/table.go
@@ -67,6 +67,10 @@
 // headExpansion is how much memory the head of a request takes at most while it is decoded, per byte: short fields take 41.
 const headExpansion = 41
 
+// headShare divides the bytes of all requests: one part of so many is for heads that aren't read whole. They are read at a stretch, and what decoding leaves
+// behind for the garbage collector comes on top.
+const headShare = 8
+
 // record is the state of a connection.
 type record struct {
 	id    ID
@@ -80,6 +84,8 @@
 	// head counts the bytes of the present head, charged what is held of the request.
 	head    int
 	charged int64
+	// headCharged is the part of charged that counts toward the share of heads, while the head is read.
+	headCharged int64
 	// lst has the record as elm, and those which may be closed in the order in which they came to it; nil once the request is read whole, until it has its
 	// answer.
 	lst *list.List
@@ -97,15 +103,23 @@
 	records map[ID]*record
 	charged int64
 	working int
-	// The connections that may be closed: silent and starting ones that had no answer yet, ending ones, and idle and resuming ones that had.
-	silent, starting, ending, idle, resuming *list.List
+	// headBytes is what is held of heads that aren't read whole.
+	headBytes int64
+	// The connections that may be closed, by what they do. Those of newcomers had no answer yet.
+	newcomers, others class
+	ending            *list.List
 }
 
+// class has the connections that wait, read a head or read a body.
+type class struct{ waiting, heads, bodies *list.List }
+
+func newClass() class { return class{waiting: list.New(), heads: list.New(), bodies: list.New()} }
+
 // NewTable returns an empty table.
 func NewTable(lim Limits, bnd Bounds) *Table {
 	return &Table{
 		lim: lim, bnd: bnd, records: map[ID]*record{},
-		silent: list.New(), starting: list.New(), ending: list.New(), idle: list.New(), resuming: list.New(),
+		newcomers: newClass(), others: newClass(), ending: list.New(),
 	}
 }
 
@@ -149,7 +163,7 @@
 	if rec.head += num; rec.head > tab.bnd.headerBytes()+readAhead {
 		return []Closing{tab.end(rec, LargeHead)}
 	}
-	cls, fits := tab.charge(rec, int64(num)*headExpansion)
+	cls, fits := tab.chargeHead(rec, int64(num)*headExpansion)
 	if !fits {
 		cls = append(cls, tab.end(rec, OutOfMemory))
 	}
@@ -251,7 +265,7 @@
 func (tab *Table) Sweep(elapsed time.Duration) []Closing {
 	tab.clock += elapsed
 	var cls []Closing
-	for _, lst := range []*list.List{tab.silent, tab.starting, tab.ending, tab.idle, tab.resuming} {
+	for _, lst := range tab.lists() {
 		for elm := lst.Front(); elm != nil; {
 			rec := elm.Value.(*record) //nolint:forcetypeassert // the lists have nothing else
 			elm = elm.Next()
@@ -286,9 +300,9 @@
 func (tab *Table) charge(rec *record, num int64) ([]Closing, bool) {
 	var cls []Closing
 	for num > 0 && tab.charged+num > tab.lim.Bytes {
-		vic := tab.slowest(tab.starting)
+		vic := tab.slowest(tab.newcomers.heads, tab.newcomers.bodies)
 		if vic == nil {
-			vic = tab.slowest(tab.resuming)
+			vic = tab.slowest(tab.others.heads, tab.others.bodies)
 		}
 		if vic == nil || vic == rec {
 			return cls, false
@@ -300,23 +314,44 @@
 	return cls, true
 }
 
+// chargeHead is charge for a head, within the share of heads unless it is the only one.
+func (tab *Table) chargeHead(rec *record, num int64) ([]Closing, bool) {
+	var cls []Closing
+	for tab.headBytes > rec.headCharged && tab.headBytes+num > tab.lim.Bytes/headShare {
+		vic := tab.slowest(tab.newcomers.heads)
+		if vic == nil {
+			vic = tab.slowest(tab.others.heads)
+		}
+		if vic == nil || vic == rec {
+			return cls, false
+		}
+		cls = append(cls, tab.end(vic, OutOfMemory))
+	}
+	more, fits := tab.charge(rec, num)
+	if fits {
+		rec.headCharged += num
+		tab.headBytes += num
+	}
+	return append(cls, more...), fits
+}
+
 // graceTime is how old a connection without an answer is before it is closed rather than an idle one that had some: an ordinary client's first request comes
 // sooner.
 const graceTime = 2 * sweepInterval
 
 // leastNeeded returns the connection that is closed for a new one, nil if there is none.
 func (tab *Table) leastNeeded() *record {
-	slow := tab.slowest(tab.silent, tab.starting, tab.ending)
+	slow := tab.slowest(tab.newcomers.waiting, tab.newcomers.heads, tab.newcomers.bodies, tab.ending)
 	if slow != nil && tab.clock-slow.since >= graceTime {
 		return slow
 	}
-	if idl := tab.slowest(tab.idle); idl != nil {
+	if idl := tab.slowest(tab.others.waiting); idl != nil {
 		return idl
 	}
 	if slow != nil {
 		return slow
 	}
-	return tab.slowest(tab.resuming)
+	return tab.slowest(tab.others.heads, tab.others.bodies)
 }
 
 // slowest returns the connection that has been for the longest in one of the lists, nil if all are empty.
@@ -343,22 +378,31 @@
 }
 
 func (tab *Table) listOf(rec *record) *list.List {
-	switch {
-	case rec.phase == ending:
+	cls := &tab.newcomers
+	if rec.proven {
+		cls = &tab.others
+	}
+	switch rec.phase {
+	case ending:
 		return tab.ending
-	case rec.phase == waiting && rec.proven:
-		return tab.idle
-	case rec.phase == waiting:
-		return tab.silent
-	case rec.proven:
-		return tab.resuming
+	case readingHead:
+		return cls.heads
+	case readingBody:
+		return cls.bodies
 	default:
-		return tab.starting
+		return cls.waiting
 	}
 }
 
+func (tab *Table) lists() []*list.List {
+	one, two := &tab.newcomers, &tab.others
+	return []*list.List{one.waiting, one.heads, one.bodies, two.waiting, two.heads, two.bodies, tab.ending}
+}
+
 // leave takes a connection out of its list, or ends the work on its request.
 func (tab *Table) leave(rec *record) {
+	tab.headBytes -= rec.headCharged
+	rec.headCharged = 0
 	if rec.lst != nil {
 		rec.lst.Remove(rec.elm)
 		rec.lst = nil
--- a/internal/connection/http1/table_test.go
+++ b/internal/connection/http1/table_test.go
@@ -193,7 +193,7 @@
 // Guards against heads without end, and against many of them at once.
 func TestHeads(t *testing.T) {
 	chk := is.New(t)
-	tab := NewTable(Limits{Connections: 9, Working: 8, Bytes: 2 << 20}, Bounds{HeaderBytes: 8000})
+	tab := NewTable(Limits{Connections: 9, Working: 8, Bytes: 16 << 20}, Bounds{HeaderBytes: 8000})
 	tab.Open(1)
 	chk.Equal(tab.Receive(1, 8000), []Closing(nil))
 	chk.Equal(tab.Receive(1, readAhead), []Closing(nil))
@@ -206,7 +206,7 @@
 		tab.Receive(id, 8000+readAhead)
 	}
 	_, _, held := tab.Held()
-	chk.True(held <= 2<<20)
+	chk.True(held <= 16<<20/headShare)
 	// The bytes of a body, and those that are read ahead of the answer, are no head.
 	tab = NewTable(Limits{Connections: 9, Working: 8, Bytes: 2 << 20}, Bounds{HeaderBytes: 8000})
 	tab.Open(1)
@@ -330,8 +330,8 @@
 		t.Fatalf("%d connections of %d, %d worked on, %d bytes", cons, open, wrk, held)
 	}
 	listed, sum, taken := 0, int64(0), 0
-	for _, lst := range []int{tab.silent.Len(), tab.starting.Len(), tab.ending.Len(), tab.idle.Len(), tab.resuming.Len()} {
-		listed += lst
+	for _, lst := range tab.lists() {
+		listed += lst.Len()
 	}
 	phases := []phase{}
 	for _, rec := range tab.records {
