Bound what the kernel holds unread for callers

The platform counts bytes that were received and not read toward a process's memory. The kernel grew the buffer of each connection on demand: clients that sent 4,000 requests ahead, or chunks of one byte, had an instance's machine hold over 100 KB for each.

The callers' listener sets the receive buffer of its connections to 16 KB, which Linux doubles for its overhead; the number of connections was derived with that. The runtime's soft limit is now what is left by the program (24 MB), these buffers and a margin of a twentieth, instead of 0.7 of the memory: 199 of 284 MB, as before, 120 of 184 and 51 of 96.

--- a/internal/connection/http1/server_test.go
+++ b/internal/connection/http1/server_test.go
@@ -52,6 +52,7 @@
 	srv := NewServer(Config{Handler: tkr, Limits: lim, Log: zerolog.Nop(), Name: "test"})
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	chk.NoErr(err)
+	chk.NoErr(LimitUnread(lis))
 	ctx, cancel := context.WithCancel(context.Background())
 	var grp errgroup.Group
 	grp.Go(func() error { return srv.Serve(lis) })
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"chestnutstack/internal/connection/http1"
 	"chestnutstack/internal/connection/rpc"
 	"chestnutstack/platform"
 )
@@ -36,8 +37,6 @@
 	// gcPercent is GOGC: the heap grows to five times its live size between collections. The live heap is some 10 MB of the smallest
 	// machine's 184, and collections cost latency on a fifth of a core.
 	gcPercent = 400
-	// memoryShare is the soft memory limit of the runtime as a share of the machine's memory.
-	memoryShare = 0.7
 	// dialTimeout is the timeout for opening any connection; an unreachable host doesn't answer at all.
 	dialTimeout = 300 * time.Millisecond
 	// connsPerServer is well below the 64 connections that a backend server accepts from all instances together.
@@ -69,7 +68,7 @@
 	}
 	zerolog.TimeFieldFormat = timeFormat
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(set.MemoryBytes) * memoryShare))
+	debug.SetMemoryLimit(http1.HeapLimit(set.MemoryBytes))
 	cnt := &counters{}
 	wrt := newLineWriter(out, func() { cnt.logsDropped.Add(1) })
 	grp := &errgroup.Group{}
@@ -121,7 +120,7 @@
 		}
 		*tgt = lsn
 	}
-	return lis, nil
+	return lis, errors.Wrap(http1.LimitUnread(lis.Callers), "listen")
 }
 
 // lineWriter gathers log lines and writes them in the background: a system call per line would cost more than the line itself, and a
