Test that the configuration's limits are applied while a process runs

The stand-in of the store tells the limits on requests that all known deployments have, and TestConfiguredLimits changes those on heads and bodies.

--- a/internal/process/soak/crowd_test.go
+++ b/internal/process/soak/crowd_test.go
@@ -344,3 +344,43 @@
 		})
 	}
 }
+
+// TestConfiguredLimits guards against limits of the configuration that are not applied, or only to processes that start.
+func TestConfiguredLimits(t *testing.T) {
+	chk := is.New(t)
+	cys := startCrowdSystem(t, buildDaemon(t), uint64(len(crowdCases))+1, crowdCase{})
+	ins := cys.sys.ins[0]
+	// served reports whether a request with so many bytes of head, and a body of so many, has the answer of a process that has read it.
+	served := func(head, body int) bool {
+		con, err := net.Dial("tcp", callerAddress(ins))
+		chk.NoErr(err)
+		defer func() { _ = con.Close() }() // Its end is known.
+		chk.NoErr(con.SetDeadline(time.Now().Add(time.Minute)))
+		_, _ = fmt.Fprintf(con, "POST %s%016x HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\nX: %s\r\n\r\n%s", queues[0], 1, standin.Host,
+			body, strings.Repeat("a", head), strings.Repeat(" ", body)) // The instance may close the connection meanwhile.
+		rep, err := http.ReadResponse(bufio.NewReader(con), nil)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = rep.Body.Close() }() // Only the status counts.
+		return rep.StatusCode == http.StatusBadRequest
+	}
+	until := func(lim standin.Limits, head, body int, want bool) {
+		cys.sys.sto.Limit(lim)
+		cys.sys.configure()
+		for range 100 {
+			if served(head, body) == want {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		t.Errorf("head of %d bytes, body of %d: want served %t under %+v", head, body, want, lim)
+	}
+	chk.True(served(10_000, 10_000))
+	small, large := standin.DefaultLimits, standin.DefaultLimits
+	small.HeaderBytes, small.BodyBytes = 2000, 20_000
+	large.HeaderBytes = 32_000
+	until(small, 10_000, 10_000, false)
+	until(small, 1000, 30_000, false)
+	until(large, 30_000, 10_000, true)
+}
