--- a/internal/process/cli/platform.go
+++ b/internal/process/cli/platform.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"chestnutstack/internal/connection/http1"
 	"chestnutstack/platform"
 )
 
@@ -50,7 +52,16 @@
 	return errors.Wrap(wrt.Flush(), "writing")
 }
 
+// told returns a number, or that the file doesn't have it.
+func told(num int) string {
+	if num == 0 {
+		return "not told"
+	}
+	return strconv.Itoa(num)
+}
+
 func settingLines(set platform.Settings) []settingLine {
+	lim := http1.NewLimits(set.MemoryBytes, set.Descriptors)
 	return []settingLine{
 		{"instance", set.Instance, "name of this machine"},
 		{"failure-domain", set.FailureDomain, "of " + strings.Join(set.FailureDomains, ", ")},
@@ -62,6 +73,9 @@
 		{"processor", fmt.Sprintf("%.3g", set.Processor), "cores; instances with more lead more shards"},
 		{"link", fmt.Sprintf("%d bytes a second", set.LinkBytes), "what starts and orders on their way are bounded by; 0 for no bound"},
 		{"memory", fmt.Sprintf("%d MB", set.MemoryBytes>>20), "limit of the process"},
+		{"descriptors", told(set.Descriptors), "limit of the process"},
+		{"caller-connections", strconv.Itoa(lim.Connections), "open at most, by memory and descriptors"},
+		{"caller-requests", fmt.Sprintf("%d MB", lim.Bytes>>20), "of memory held at most"},
 		{"longest-lease", set.LongestLease.String(), "that a backend server grants"},
 		{"configuration-bound", set.ConfigurationBound.String(), "until a configuration is in force everywhere; 0s for 2s"},
 		{"drain-bound", set.DrainBound.String(), "until a leaving backend server gets no new task; 0s for 2s"},
