Tell evicting connections from ending requests

A newcomer to the Table read end and End as the same, and others as those of another table: evict closes a connection for its limits, established connections are those that had an answer. No behaviour changes.

--- a/internal/connection/http1/table.go
+++ b/internal/connection/http1/table.go
@@ -67,16 +67,12 @@
 // headExpansion is how much memory the head of a request takes at most while it is decoded, per byte: short fields take 41.
 const headExpansion = 41
 
-// headShare divides the bytes of all requests: one part of so many is for heads that aren't read whole. They are read at a stretch, and what decoding leaves
-// behind for the garbage collector comes on top.
-const headShare = 8
-
 // record is the state of a connection.
 type record struct {
 	id    ID
 	phase phase
-	// proven is set once a request was answered on the connection.
-	proven bool
+	// answered is set once a request was answered on the connection.
+	answered bool
 	// since is the Table's clock when the phase began, and entered its place among all begins of phases; timeout is how long the body may take, 0 for as
 	// long as a head.
 	since, timeout time.Duration
@@ -105,12 +101,12 @@
 	working int
 	// headBytes is what is held of heads that aren't read whole.
 	headBytes int64
-	// The connections that may be closed, by what they do. Those of newcomers had no answer yet.
-	newcomers, others class
-	ending            *list.List
+	// The connections that may be closed, by what they do: newcomers had no answer yet, established ones had.
+	newcomers, established class
+	ending                 *list.List
 }
 
-// class has the connections that wait, read a head or read a body.
+// class has the connections that are waiting, and those of which a head or a body is read, each in the order in which they came to that.
 type class struct{ waiting, heads, bodies *list.List }
 
 func newClass() class { return class{waiting: list.New(), heads: list.New(), bodies: list.New()} }
@@ -119,7 +115,7 @@
 func NewTable(lim Limits, bnd Bounds) *Table {
 	return &Table{
 		lim: lim, bnd: bnd, records: map[ID]*record{},
-		newcomers: newClass(), others: newClass(), ending: list.New(),
+		newcomers: newClass(), established: newClass(), ending: list.New(),
 	}
 }
 
@@ -134,7 +130,7 @@
 		if vic == nil {
 			return append(cls, Closing{ID: id, Reason: Crowded})
 		}
-		cls = append(cls, tab.end(vic, Crowded))
+		cls = append(cls, tab.evict(vic, Crowded))
 	}
 	rec := &record{id: id}
 	tab.records[id] = rec
@@ -161,11 +157,11 @@
 		tab.enter(rec, readingHead)
 	}
 	if rec.head += num; rec.head > tab.bnd.headerBytes()+readAhead {
-		return []Closing{tab.end(rec, LargeHead)}
+		return []Closing{tab.evict(rec, LargeHead)}
 	}
 	cls, fits := tab.chargeHead(rec, int64(num)*headExpansion)
 	if !fits {
-		cls = append(cls, tab.end(rec, OutOfMemory))
+		cls = append(cls, tab.evict(rec, OutOfMemory))
 	}
 	return cls
 }
@@ -256,7 +252,7 @@
 func (tab *Table) Await(id ID) {
 	if rec := tab.records[id]; rec != nil {
 		tab.release(rec)
-		rec.proven = true
+		rec.answered = true
 		tab.enter(rec, waiting)
 	}
 }
@@ -270,7 +266,7 @@
 			rec := elm.Value.(*record) //nolint:forcetypeassert // the lists have nothing else
 			elm = elm.Next()
 			if timeout, rsn := tab.timeoutOf(rec); tab.clock-rec.since >= timeout {
-				cls = append(cls, tab.end(rec, rsn))
+				cls = append(cls, tab.evict(rec, rsn))
 			}
 		}
 	}
@@ -284,7 +280,7 @@
 		return tab.bnd.idleTimeout(), Deaf
 	case rec.phase == readingBody:
 		return cmp.Or(rec.timeout, tab.bnd.headerTimeout()), SlowBody
-	case rec.phase == waiting && rec.proven:
+	case rec.phase == waiting && rec.answered:
 		return tab.bnd.idleTimeout(), Idle
 	default:
 		return tab.bnd.headerTimeout(), SlowHead
@@ -295,134 +291,3 @@
 func (tab *Table) Held() (connections, working int, bytes int64) {
 	return len(tab.records), tab.working, tab.charged
 }
-
-// charge takes room for bytes of a connection, and has the slowest others closed until there is room. It fails rather than close one that is less slow.
-func (tab *Table) charge(rec *record, num int64) ([]Closing, bool) {
-	var cls []Closing
-	for num > 0 && tab.charged+num > tab.lim.Bytes {
-		vic := tab.slowest(tab.newcomers.heads, tab.newcomers.bodies)
-		if vic == nil {
-			vic = tab.slowest(tab.others.heads, tab.others.bodies)
-		}
-		if vic == nil || vic == rec {
-			return cls, false
-		}
-		cls = append(cls, tab.end(vic, OutOfMemory))
-	}
-	rec.charged += num
-	tab.charged += num
-	return cls, true
-}
-
-// chargeHead is charge for a head, within the share of heads unless it is the only one.
-func (tab *Table) chargeHead(rec *record, num int64) ([]Closing, bool) {
-	var cls []Closing
-	for tab.headBytes > rec.headCharged && tab.headBytes+num > tab.lim.Bytes/headShare {
-		vic := tab.slowest(tab.newcomers.heads)
-		if vic == nil {
-			vic = tab.slowest(tab.others.heads)
-		}
-		if vic == nil || vic == rec {
-			return cls, false
-		}
-		cls = append(cls, tab.end(vic, OutOfMemory))
-	}
-	more, fits := tab.charge(rec, num)
-	if fits {
-		rec.headCharged += num
-		tab.headBytes += num
-	}
-	return append(cls, more...), fits
-}
-
-// graceTime is how old a connection without an answer is before it is closed rather than an idle one that had some: an ordinary client's first request comes
-// sooner.
-const graceTime = 2 * sweepInterval
-
-// leastNeeded returns the connection that is closed for a new one, nil if there is none.
-func (tab *Table) leastNeeded() *record {
-	slow := tab.slowest(tab.newcomers.waiting, tab.newcomers.heads, tab.newcomers.bodies, tab.ending)
-	if slow != nil && tab.clock-slow.since >= graceTime {
-		return slow
-	}
-	if idl := tab.slowest(tab.others.waiting); idl != nil {
-		return idl
-	}
-	if slow != nil {
-		return slow
-	}
-	return tab.slowest(tab.others.heads, tab.others.bodies)
-}
-
-// slowest returns the connection that has been for the longest in one of the lists, nil if all are empty.
-func (tab *Table) slowest(lsts ...*list.List) *record {
-	var found *record
-	for _, lst := range lsts {
-		if elm := lst.Front(); elm != nil {
-			rec := elm.Value.(*record) //nolint:forcetypeassert // the lists have nothing else
-			if found == nil || rec.entered < found.entered {
-				found = rec
-			}
-		}
-	}
-	return found
-}
-
-// enter begins a phase in which the connection may be closed.
-func (tab *Table) enter(rec *record, phs phase) {
-	tab.leave(rec)
-	tab.entered++
-	rec.phase, rec.since, rec.entered = phs, tab.clock, tab.entered
-	rec.lst = tab.listOf(rec)
-	rec.elm = rec.lst.PushBack(rec)
-}
-
-func (tab *Table) listOf(rec *record) *list.List {
-	cls := &tab.newcomers
-	if rec.proven {
-		cls = &tab.others
-	}
-	switch rec.phase {
-	case ending:
-		return tab.ending
-	case readingHead:
-		return cls.heads
-	case readingBody:
-		return cls.bodies
-	default:
-		return cls.waiting
-	}
-}
-
-func (tab *Table) lists() []*list.List {
-	one, two := &tab.newcomers, &tab.others
-	return []*list.List{one.waiting, one.heads, one.bodies, two.waiting, two.heads, two.bodies, tab.ending}
-}
-
-// leave takes a connection out of its list, or ends the work on its request.
-func (tab *Table) leave(rec *record) {
-	tab.headBytes -= rec.headCharged
-	rec.headCharged = 0
-	if rec.lst != nil {
-		rec.lst.Remove(rec.elm)
-		rec.lst = nil
-	} else if rec.phase == working {
-		tab.working--
-	}
-}
-
-func (tab *Table) release(rec *record) {
-	tab.charged -= rec.charged
-	rec.charged = 0
-}
-
-func (tab *Table) remove(rec *record) {
-	tab.leave(rec)
-	tab.release(rec)
-	delete(tab.records, rec.id)
-}
-
-func (tab *Table) end(rec *record, rsn Reason) Closing {
-	tab.remove(rec)
-	return Closing{ID: rec.id, Reason: rsn}
-}
