Refuse at once what has no place, before its body is read

A request that could not be taken, as the most are being answered, was refused only once its body was read: its client waited, and sent up to 256 KB, in vain. The head is enough to know.

TestTakenRequestsStay sends a head alone; without the check it waits for the body until the test's time limit.

--- a/internal/connection/http1/body.go
+++ b/internal/connection/http1/body.go
@@ -27,6 +27,9 @@
 	if cnn == nil {
 		return io.ReadAll(req.Body)
 	}
+	if err := cnn.makeRoom(0, func(tab *Table) ([]Closing, bool) { return nil, tab.HasPlace() }); err != nil {
+		return nil, err
+	}
 	cnn.beginBody(timeout)
 	body := []byte(nil)
 	for {
--- a/internal/connection/http1/server_test.go
+++ b/internal/connection/http1/server_test.go
@@ -141,16 +141,18 @@
 	}
 	<-tkr.held
 	<-tkr.held
-	status, retryAfter := receive(dial(t, adr, head("/", 1), "a"))
-	chk.Equal(status, http.StatusServiceUnavailable)
-	chk.Equal(retryAfter, "60")
+	for _, body := range []string{"a", ""} { // A body that isn't there isn't waited for.
+		status, retryAfter := receive(dial(t, adr, head("/", 1), body))
+		chk.Equal(status, http.StatusServiceUnavailable)
+		chk.Equal(retryAfter, "60")
+	}
 	for range 30 {
 		dial(t, adr)
 	}
 	await(func() bool { return srv.Closed(Crowded) >= 10 })
 	close(tkr.release)
 	for _, con := range open {
-		status, _ = receive(con)
+		status, _ := receive(con)
 		chk.Equal(status, http.StatusOK)
 	}
 }
--- a/internal/connection/http1/table.go
+++ b/internal/connection/http1/table.go
@@ -197,11 +197,14 @@
 	}
 }
 
+// HasPlace returns whether another request may be taken; if not, there is no use in reading it.
+func (tab *Table) HasPlace() bool { return tab.working < tab.lim.Working }
+
 // Take takes a request that is read whole, and holds so many bytes until it is answered within timeout: from now on its connection isn't closed for
 // others. It returns the connections that are closed for that, and whether there is room.
 func (tab *Table) Take(id ID, bytes int64, timeout time.Duration) ([]Closing, bool) {
 	rec := tab.records[id]
-	if rec == nil || rec.phase >= working || tab.working >= tab.lim.Working {
+	if rec == nil || rec.phase >= working || !tab.HasPlace() {
 		return nil, false
 	}
 	cls, fits := tab.charge(rec, bytes-rec.charged)
