Show crowds of whole jobs that decode into much, also at their leader

Two more crowds: whole bodies of 262,144 bytes that are valid jobs of 2,600 steps with a task and a long label each, at one instance, and these and the small bodies of 2,600 tasks at eight instances whose orders come to one leader. The memory of each instance is checked.

--- a/internal/process/soak/crowd_test.go
+++ b/internal/process/soak/crowd_test.go
@@ -29,6 +29,11 @@
 // crowdCase is a crowd of clients that send the same, and the limits of the process that they meet.
 type crowdCase struct {
 	connections int
+	// clients are what the crowd is made of, if not of those with the name of the case.
+	clients string
+	// instances is how many there are, 0 for two. The crowd is at the first one, or in equal parts at all of them.
+	instances  int
+	everywhere bool
 	// descriptors is the limit of the process, 0 for the usual one.
 	descriptors int
 	// tasks is how many tasks a request has that the instance takes.
@@ -41,26 +46,30 @@
 const crowdMemoryMB = 96
 
 var crowdCases = map[string]crowdCase{
-	"silent":              {connections: 300, descriptors: 300},
-	"requests-ahead":      {connections: 800},
-	"endless-field":       {connections: 300},
-	"endless-fields":      {connections: 300},
-	"short-fields":        {connections: 800},
-	"empty-lines-first":   {connections: 300},
-	"empty-lines-after":   {connections: 300},
-	"short-body":          {connections: 300},
-	"short-body-pieces":   {connections: 300},
-	"short-body-trickle":  {connections: 300, descriptors: 300},
-	"large-chunk":         {connections: 300},
-	"small-chunks":        {connections: 800},
-	"unread-field":        {connections: 800},
-	"empty-steps":         {connections: 20},
-	"wide-steps":          {connections: 300},
-	"many-dependencies":   {connections: 300, tasks: 2},
-	"large-jobs":          {connections: 800, tasks: 2600, stays: 6 * time.Second},
-	"long-request-id":     {connections: 800},
-	"long-number":         {connections: 300},
-	"whole-body-no-steps": {connections: 800},
+	"silent":             {connections: 300, descriptors: 300},
+	"requests-ahead":     {connections: 800},
+	"endless-field":      {connections: 300},
+	"endless-fields":     {connections: 300},
+	"short-fields":       {connections: 800},
+	"empty-lines-first":  {connections: 300},
+	"empty-lines-after":  {connections: 300},
+	"short-body":         {connections: 300},
+	"short-body-pieces":  {connections: 300},
+	"short-body-trickle": {connections: 300, descriptors: 300},
+	"large-chunk":        {connections: 300},
+	"small-chunks":       {connections: 800},
+	"unread-field":       {connections: 800},
+	"empty-steps":        {connections: 20},
+	"wide-steps":         {connections: 300},
+	// There are few backend servers, so that one instance leads them all and has the orders of all owners.
+	"large-jobs-everywhere":   {clients: "large-jobs", connections: 800, instances: 8, everywhere: true, tasks: 2600, stays: 8 * time.Second},
+	"largest-jobs-everywhere": {clients: "largest-jobs", connections: 800, instances: 8, everywhere: true, tasks: 2600, stays: 8 * time.Second},
+	"many-dependencies":       {connections: 300, tasks: 2},
+	"large-jobs":              {connections: 800, tasks: 2600, stays: 6 * time.Second},
+	"largest-jobs":            {connections: 300, tasks: 2600},
+	"long-request-id":         {connections: 800},
+	"long-number":             {connections: 300},
+	"whole-body-no-steps":     {connections: 800},
 }
 
 const (
@@ -81,15 +90,21 @@
 func TestCrowds(t *testing.T) {
 	program := buildDaemon(t)
 	clients := standin.UnrulyClients()
-	for num, name := range slices.Sorted(maps.Keys(clients)) {
+	for num, name := range slices.Sorted(maps.Keys(crowdCases)) {
 		t.Run(name, func(t *testing.T) {
-			cse, known := crowdCases[name]
+			cse := crowdCases[name]
+			cli, known := clients[cmp.Or(cse.clients, name)]
 			if !known {
-				t.Fatal("no case for these clients")
+				t.Fatal("no such clients")
 			}
-			playCrowd(t, program, uint64(num), cse, clients[name])
+			playCrowd(t, program, uint64(num), cse, cli)
 		})
 	}
+	for name := range clients {
+		if _, known := crowdCases[name]; !known {
+			t.Errorf("no crowd of %s", name)
+		}
+	}
 }
 
 func buildDaemon(t *testing.T) string {
@@ -114,7 +129,7 @@
 	chk := is.New(t)
 	cys := &crowdSystem{grp: &errgroup.Group{}}
 	var err error
-	cys.sys, err = newSystem(Shape{Domains: 1, Entries: 2, Servers: 4}, seed, program, t.TempDir(), cys.grp)
+	cys.sys, err = newSystem(Shape{Domains: 1, Entries: cmp.Or(cse.instances, 2), Servers: 4}, seed, program, t.TempDir(), cys.grp)
 	t.Cleanup(func() {
 		for _, ins := range cys.sys.ins {
 			ins.signal(syscall.SIGKILL)
@@ -177,8 +192,12 @@
 		grp.Go(func() error { return use.watch(ctx) })
 	}
 	for num := range cse.connections {
+		to := ins
+		if cse.everywhere {
+			to = cys.sys.ins[num%len(cys.sys.ins)]
+		}
 		grp.Go(func() error {
-			member(ctx, callerAddress(ins), cli, fmt.Sprintf("c%015x", num))
+			member(ctx, callerAddress(to), cli, fmt.Sprintf("c%015x", num))
 			return nil
 		})
 	}
