Simplify the limits on callers after a newcomer's reading

What stood twice: the bounds on a request were a type of their own with the fields of config.Limits; a server had a map of connections by number beside the Table's. The Table is keyed by the connection itself now, and takes the configuration's limits.

What stood in the wrong place: the platform's 200 descriptors for files, in http1, are taken off where the settings are read (Sockets); the soft limit of the runtime, which is a matter of the process, is computed in the daemon, from what http1 says the kernel may hold.

What was more complicated than need be: closures that return no connections to close.

A check that could not fail: the log of crowds of large jobs was allowed 832 MB, for all tasks that are sent. It is allowed 118 MB now, for the tasks that an instance has room for. No bound or assertion is loosened.

--- a/internal/connection/http1/body.go
+++ b/internal/connection/http1/body.go
@@ -27,10 +27,10 @@
 	if cnn == nil {
 		return io.ReadAll(req.Body)
 	}
-	if err := cnn.makeRoom(0, func(tab *Table) ([]Closing, bool) { return nil, tab.HasPlace() }); err != nil {
+	if err := cnn.makeRoom(0, func(tab *table) ([]closing, bool) { return nil, tab.HasPlace() }); err != nil {
 		return nil, err
 	}
-	cnn.beginBody(timeout)
+	cnn.srv.note(func(tab *table) { tab.BeginBody(cnn, timeout) })
 	body := []byte(nil)
 	for {
 		if len(body) == cap(body) {
@@ -48,10 +48,7 @@
 		num, err := req.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+num]
 		if errors.Is(err, io.EOF) {
-			cnn.srv.decide(func(tab *Table) []Closing {
-				tab.Decode(cnn.id)
-				return nil
-			})
+			cnn.srv.note(func(tab *table) { tab.Decode(cnn) })
 			return body, nil
 		}
 		if err != nil {
@@ -67,7 +64,7 @@
 	if cnn == nil {
 		return nil
 	}
-	return cnn.makeRoom(bytes, func(tab *Table) ([]Closing, bool) { return tab.Take(cnn.id, bytes, timeout) })
+	return cnn.makeRoom(bytes, func(tab *table) ([]closing, bool) { return tab.Take(cnn, bytes, timeout) })
 }
 
 // lingerTime is how long the rest of a refused request is read, so that its client gets the answer before the connection is closed.
--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -19,14 +19,8 @@
 	if err != nil {
 		return nil, err
 	}
-	srv := lis.srv
-	cnn := &conn{Conn: con, srv: srv}
-	srv.decide(func(tab *Table) []Closing {
-		srv.last++
-		cnn.id = srv.last
-		srv.conns[cnn.id] = cnn
-		return tab.Open(cnn.id)
-	})
+	cnn := &conn{Conn: con, srv: lis.srv}
+	lis.srv.decide(func(tab *table) []closing { return tab.Open(cnn) })
 	return cnn, nil
 }
 
@@ -34,7 +28,6 @@
 type conn struct {
 	net.Conn
 	srv *Server
-	id  ID
 }
 
 // NetConn returns the connection inside.
@@ -55,14 +48,14 @@
 	if num == 0 {
 		return 0, err
 	}
-	ended := cnn.srv.apply(func(tab *Table) []Closing { return tab.Receive(cnn.id, num) })
-	rsn, turnedAway := ended[cnn]
-	if turnedAway {
-		_ = cnn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-		_, _ = cnn.Write([]byte(refusals[rsn])) // A client that doesn't take it isn't waited for.
-	}
-	for oth := range ended {
-		_ = oth.Conn.Close() // Its reader finds out, also if it was closed already.
+	turnedAway := false
+	for _, one := range cnn.srv.apply(func(tab *table) []closing { return tab.Receive(cnn, num) }) {
+		if one.Conn == cnn {
+			turnedAway = true
+			_ = cnn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+			_, _ = cnn.Write([]byte(refusals[one.Reason])) // A client that doesn't take it isn't waited for.
+		}
+		_ = one.Conn.Conn.Close() // Its reader finds out, also if it was closed already.
 	}
 	if turnedAway {
 		// An error of the network has net/http answer nothing itself.
@@ -76,31 +69,19 @@
 
 // Close implements net.Conn.
 func (cnn *conn) Close() error {
-	cnn.srv.decide(func(tab *Table) []Closing {
-		tab.Close(cnn.id)
-		delete(cnn.srv.conns, cnn.id)
-		return nil
-	})
+	cnn.srv.note(func(tab *table) { tab.Close(cnn) })
 	return cnn.Conn.Close()
 }
 
-// beginBody takes note that the head of a request is read.
-func (cnn *conn) beginBody(timeout time.Duration) {
-	cnn.srv.decide(func(tab *Table) []Closing {
-		tab.BeginBody(cnn.id, timeout)
-		return nil
-	})
-}
-
 // charge takes room for bytes of a body, or gives it back if num is negative.
 func (cnn *conn) charge(num int) error {
-	return cnn.makeRoom(int64(num), func(tab *Table) ([]Closing, bool) { return tab.Charge(cnn.id, int64(num)) })
+	return cnn.makeRoom(int64(num), func(tab *table) ([]closing, bool) { return tab.Charge(cnn, int64(num)) })
 }
 
 // makeRoom passes the Table to fnc, which takes room for bytes and returns whether there was any, and closes the connections that it returns.
-func (cnn *conn) makeRoom(bytes int64, fnc func(tab *Table) ([]Closing, bool)) error {
+func (cnn *conn) makeRoom(bytes int64, fnc func(tab *table) ([]closing, bool)) error {
 	var err error
-	cnn.srv.decide(func(tab *Table) []Closing {
+	cnn.srv.decide(func(tab *table) []closing {
 		cls, fits := fnc(tab)
 		if !fits {
 			err = &NoRoomError{retryAfter: tab.Wait(bytes)}
--- a/internal/connection/http1/evict.go
+++ b/internal/connection/http1/evict.go
@@ -7,8 +7,8 @@
 const headShare = 8
 
 // charge takes room for bytes of a connection, and has the slowest others closed until there is room. It fails rather than close one that is less slow.
-func (tab *Table) charge(rec *record, num int64) ([]Closing, bool) {
-	var cls []Closing
+func (tab *Table[K]) charge(rec *record[K], num int64) ([]Closing[K], bool) {
+	var cls []Closing[K]
 	for num > 0 && tab.charged+num > tab.lim.Bytes {
 		vic := tab.slowest(tab.newcomers.heads, tab.newcomers.bodies)
 		if vic == nil {
@@ -25,8 +25,8 @@
 }
 
 // chargeHead is charge for a head, within the share of heads unless it is the only one.
-func (tab *Table) chargeHead(rec *record, num int64) ([]Closing, bool) {
-	var cls []Closing
+func (tab *Table[K]) chargeHead(rec *record[K], num int64) ([]Closing[K], bool) {
+	var cls []Closing[K]
 	for tab.headBytes > rec.headCharged && tab.headBytes+num > tab.lim.Bytes/headShare {
 		vic := tab.slowest(tab.newcomers.heads)
 		if vic == nil {
@@ -50,7 +50,7 @@
 const graceTime = 2 * sweepInterval
 
 // leastNeeded returns the connection that is closed for a new one, nil if there is none.
-func (tab *Table) leastNeeded() *record {
+func (tab *Table[K]) leastNeeded() *record[K] {
 	slow := tab.slowest(tab.newcomers.waiting, tab.newcomers.heads, tab.newcomers.bodies, tab.ending)
 	if slow != nil && tab.clock-slow.since >= graceTime {
 		return slow
@@ -65,11 +65,11 @@
 }
 
 // slowest returns the connection that has been for the longest in one of the lists, nil if all are empty.
-func (tab *Table) slowest(lsts ...*list.List) *record {
-	var found *record
+func (tab *Table[K]) slowest(lsts ...*list.List) *record[K] {
+	var found *record[K]
 	for _, lst := range lsts {
 		if elm := lst.Front(); elm != nil {
-			rec := elm.Value.(*record) //nolint:forcetypeassert // the lists have nothing else
+			rec := elm.Value.(*record[K]) //nolint:forcetypeassert // the lists have nothing else
 			if found == nil || rec.entered < found.entered {
 				found = rec
 			}
@@ -79,7 +79,7 @@
 }
 
 // enter begins a phase in which the connection may be closed.
-func (tab *Table) enter(rec *record, phs phase) {
+func (tab *Table[K]) enter(rec *record[K], phs phase) {
 	tab.leave(rec)
 	tab.entered++
 	rec.phase, rec.since, rec.entered = phs, tab.clock, tab.entered
@@ -87,7 +87,7 @@
 	rec.elm = rec.lst.PushBack(rec)
 }
 
-func (tab *Table) listOf(rec *record) *list.List {
+func (tab *Table[K]) listOf(rec *record[K]) *list.List {
 	cls := &tab.newcomers
 	if rec.answered {
 		cls = &tab.established
@@ -104,13 +104,13 @@
 	}
 }
 
-func (tab *Table) lists() []*list.List {
+func (tab *Table[K]) lists() []*list.List {
 	one, two := &tab.newcomers, &tab.established
 	return []*list.List{one.waiting, one.heads, one.bodies, two.waiting, two.heads, two.bodies, tab.ending}
 }
 
 // leave takes a connection out of its list, or ends the work on its request.
-func (tab *Table) leave(rec *record) {
+func (tab *Table[K]) leave(rec *record[K]) {
 	tab.headBytes -= rec.headCharged
 	rec.headCharged = 0
 	if rec.lst != nil {
@@ -121,18 +121,18 @@
 	}
 }
 
-func (tab *Table) release(rec *record) {
+func (tab *Table[K]) release(rec *record[K]) {
 	tab.charged -= rec.charged
 	rec.charged = 0
 }
 
-func (tab *Table) remove(rec *record) {
+func (tab *Table[K]) remove(rec *record[K]) {
 	tab.leave(rec)
 	tab.release(rec)
-	delete(tab.records, rec.id)
+	delete(tab.records, rec.con)
 }
 
-func (tab *Table) evict(rec *record, rsn Reason) Closing {
+func (tab *Table[K]) evict(rec *record[K], rsn Reason) Closing[K] {
 	tab.remove(rec)
-	return Closing{ID: rec.id, Reason: rsn}
+	return Closing[K]{Conn: rec.con, Reason: rsn}
 }
--- a/internal/connection/http1/limits.go
+++ b/internal/connection/http1/limits.go
@@ -1,6 +1,10 @@
 package http1
 
-import "time"
+import (
+	"time"
+
+	"chestnutstack/internal/version/config"
+)
 
 // Limits bound what all clients together take of a process.
 type Limits struct {
@@ -10,14 +14,6 @@
 	Bytes int64
 }
 
-// Bounds are those on one request, which the configuration may change. A zero value stands for the default.
-type Bounds struct {
-	// HeaderBytes bounds the head of a request.
-	HeaderBytes int
-	// HeaderTimeout bounds the wait for a head, from the begin of the connection or the head's first byte, and IdleTimeout that for the next request.
-	HeaderTimeout, IdleTimeout time.Duration
-}
-
 const (
 	defaultHeaderBytes = 16 << 10
 	// maxHeaderBytes is the most that a configuration can allow.
@@ -30,18 +26,20 @@
 	readAhead = 4 << 10
 )
 
-func (bnd Bounds) headerBytes() int {
+func headerBytes(bnd config.Limits) int {
 	if bnd.HeaderBytes <= 0 {
 		return defaultHeaderBytes
 	}
 	return min(bnd.HeaderBytes, maxHeaderBytes)
 }
 
-func (bnd Bounds) headerTimeout() time.Duration {
+func headerTimeout(bnd config.Limits) time.Duration {
 	return timeoutOr(bnd.HeaderTimeout, defaultHeaderTimeout)
 }
 
-func (bnd Bounds) idleTimeout() time.Duration { return timeoutOr(bnd.IdleTimeout, defaultIdleTimeout) }
+func idleTimeout(bnd config.Limits) time.Duration {
+	return timeoutOr(bnd.IdleTimeout, defaultIdleTimeout)
+}
 
 func timeoutOr(dur, byDefault time.Duration) time.Duration {
 	if dur <= 0 {
@@ -59,24 +57,18 @@
 	connectionBytes = 2*ReceiveBuffer + 16<<10
 	// connectionShare and requestShare are shares of the machine's memory: for connections, and for what is held of requests.
 	connectionShare, requestShare = 0.25, 0.25
-	// programBytes is the memory of a process besides its heap.
-	programBytes = 24 << 20
-	// marginShare of the memory stays unused.
-	marginShare = 0.05
-	// fileDescriptors are kept for files by the platform; callers get descriptorShare of the others. The rest is for the store, backend servers and
-	// other instances.
-	fileDescriptors = 200
-	descriptorShare = 0.5
+	// socketShare of the sockets are for callers. The rest is for the store, backend servers and other instances.
+	socketShare = 0.5
 	// workingShare of the connections may have requests that can't be given up, so that one is left to be closed for a new one.
 	workingShare   = 0.875
 	minConnections = 8
 )
 
-// NewLimits returns the limits of a process with so much memory and so many descriptors; 0 descriptors if their number isn't known.
-func NewLimits(memoryBytes int64, descriptors int) Limits {
+// NewLimits returns the limits of a process with so much memory and so many sockets; 0 sockets if their number isn't known.
+func NewLimits(memoryBytes int64, sockets int) Limits {
 	cons := int(connectionShare * float64(memoryBytes) / connectionBytes)
-	if descriptors > 0 {
-		cons = min(cons, int(descriptorShare*float64(descriptors-fileDescriptors)))
+	if sockets > 0 {
+		cons = min(cons, int(socketShare*float64(sockets)))
 	}
 	cons = max(cons, minConnections)
 	return Limits{
@@ -84,9 +76,5 @@
 	}
 }
 
-// HeapLimit returns the soft limit of the runtime in a process with so much memory: what is left by the program and by the bytes that the kernel
-// holds for callers.
-func HeapLimit(memoryBytes int64) int64 {
-	unread := connectionShare * 2 * ReceiveBuffer / connectionBytes
-	return max(int64((1-marginShare-unread)*float64(memoryBytes))-programBytes, programBytes)
-}
+// UnreadBytes returns how much the kernel holds at most of what all connections have received and the process hasn't read.
+func (lim Limits) UnreadBytes() int64 { return int64(lim.Connections) * 2 * ReceiveBuffer }
--- a/internal/connection/http1/server.go
+++ b/internal/connection/http1/server.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"chestnutstack/internal/connection/tcp"
+	"chestnutstack/internal/version/config"
 )
 
 // Config has the dependencies and limits of a Server.
@@ -29,26 +30,30 @@
 	// closed counts the connections that were closed by the Table, by reason.
 	closed [Reasons]atomic.Int64
 
-	mu    sync.Mutex
-	tab   *Table
-	conns map[ID]*conn
-	last  ID
+	mu  sync.Mutex
+	tab *table
 }
 
+// table is the Table of a Server, closing one of its connections.
+type (
+	table   = Table[*conn]
+	closing = Closing[*conn]
+)
+
 // sweepInterval is how often connections are closed that have taken too long.
 const sweepInterval = time.Second
 
 // NewServer returns a server that serves nothing yet; Watch has to run beside Serve.
 func NewServer(cfg Config) *Server {
-	srv := &Server{cfg: cfg, tab: NewTable(cfg.Limits, Bounds{}), conns: map[ID]*conn{}}
+	srv := &Server{cfg: cfg, tab: NewTable[*conn](cfg.Limits, config.Limits{})}
 	srv.http = &http.Server{
 		Handler: http.HandlerFunc(srv.handle), MaxHeaderBytes: maxHeaderBytes, ConnContext: newContext, ConnState: srv.followState,
 	}
 	return srv
 }
 
-// SetBounds changes the bounds on requests.
-func (srv *Server) SetBounds(bnd Bounds) {
+// SetBounds changes the bounds on requests; those on bodies are the handler's.
+func (srv *Server) SetBounds(bnd config.Limits) {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	srv.tab.SetBounds(bnd)
@@ -75,7 +80,7 @@
 	return srv.tab.Held()
 }
 
-// Watch closes connections that take too long, and logs once in a while how many were closed and why, until ctx ends.
+// Watch closes connections that take too long, and logs at most each sweepInterval how many were closed and why, until ctx ends.
 func (srv *Server) Watch(ctx context.Context) error {
 	tck := time.NewTicker(sweepInterval)
 	defer tck.Stop()
@@ -90,7 +95,7 @@
 		// A client isn't slow while this process stands still.
 		elapsed := min(now.Sub(last), 2*sweepInterval)
 		last = now
-		srv.decide(func(tab *Table) []Closing { return tab.Sweep(elapsed) })
+		srv.decide(func(tab *table) []closing { return tab.Sweep(elapsed) })
 		srv.logClosed(&logged)
 	}
 }
@@ -115,48 +120,42 @@
 }
 
 // decide passes the Table to fnc and closes the connections that it returns.
-func (srv *Server) decide(fnc func(tab *Table) []Closing) {
-	for cnn := range srv.apply(fnc) {
-		_ = cnn.Conn.Close() // Its reader finds out, also if it was closed already.
+func (srv *Server) decide(fnc func(tab *table) []closing) {
+	for _, one := range srv.apply(fnc) {
+		_ = one.Conn.Conn.Close() // Its reader finds out, also if it was closed already.
 	}
 }
 
-// apply passes the Table to fnc and returns the connections that are to be closed, with the reasons.
-func (srv *Server) apply(fnc func(tab *Table) []Closing) map[*conn]Reason {
+// note has the Table take note of something that closes no connection.
+func (srv *Server) note(fnc func(tab *table)) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	fnc(srv.tab)
+}
+
+// apply passes the Table to fnc and returns the connections that are to be closed.
+func (srv *Server) apply(fnc func(tab *table) []closing) []closing {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
-	var ended map[*conn]Reason
-	for _, one := range fnc(srv.tab) {
+	cls := fnc(srv.tab)
+	for _, one := range cls {
 		srv.closed[one.Reason].Add(1)
-		if cnn := srv.conns[one.ID]; cnn != nil {
-			if ended == nil {
-				ended = map[*conn]Reason{}
-			}
-			ended[cnn] = one.Reason
-			delete(srv.conns, one.ID)
-		}
 	}
-	return ended
+	return cls
 }
 
 // followState takes note that a request was answered.
 func (srv *Server) followState(con net.Conn, sta http.ConnState) {
 	if cnn, ok := con.(*conn); ok && sta == http.StateIdle {
-		srv.decide(func(tab *Table) []Closing {
-			tab.Await(cnn.id)
-			return nil
-		})
+		srv.note(func(tab *table) { tab.Await(cnn) })
 	}
 }
 
 // handle passes a request to the handler.
 func (srv *Server) handle(wrt http.ResponseWriter, req *http.Request) {
 	cnn := connOf(req.Context())
-	cnn.beginBody(0)
-	defer srv.decide(func(tab *Table) []Closing {
-		tab.End(cnn.id)
-		return nil
-	})
+	srv.note(func(tab *table) { tab.BeginBody(cnn, 0) })
+	defer srv.note(func(tab *table) { tab.End(cnn) })
 	srv.cfg.Handler.ServeHTTP(wrt, req)
 }
 
--- a/internal/connection/http1/server_test.go
+++ b/internal/connection/http1/server_test.go
@@ -14,6 +14,8 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+
+	"chestnutstack/internal/version/config"
 )
 
 // taker answers with the size of a body, or with 503 without room for it; it holds those of /hold until release is closed.
@@ -104,10 +106,10 @@
 	long := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nX: " + strings.Repeat("a", 14_000) + "\r\n\r\n"
 	status, _ := receive(dial(t, adr, long))
 	chk.Equal(status, http.StatusOK)
-	srv.SetBounds(Bounds{HeaderBytes: 2000})
+	srv.SetBounds(config.Limits{HeaderBytes: 2000})
 	receive(dial(t, adr, long)) // The refusal may be lost, as the rest of the head isn't read.
 	await(func() bool { return srv.Closed(LargeHead) == 1 })
-	srv.SetBounds(Bounds{HeaderBytes: 32_000})
+	srv.SetBounds(config.Limits{HeaderBytes: 32_000})
 	status, _ = receive(dial(t, adr, strings.Replace(long, "X: ", "X: "+strings.Repeat("a", 16_000), 1)))
 	chk.Equal(status, http.StatusOK)
 }
--- a/internal/connection/http1/table.go
+++ b/internal/connection/http1/table.go
@@ -5,10 +5,9 @@
 	"container/list"
 	"slices"
 	"time"
-)
 
-// ID names a connection in a Table.
-type ID uint64
+	"chestnutstack/internal/version/config"
+)
 
 // Reason is why a connection is closed.
 type Reason int
@@ -42,8 +41,8 @@
 }
 
 // Closing is a connection that is to be closed; the Table has forgotten it.
-type Closing struct {
-	ID     ID
+type Closing[K comparable] struct {
+	Conn   K
 	Reason Reason
 }
 
@@ -68,8 +67,8 @@
 const headExpansion = 41
 
 // record is the state of a connection.
-type record struct {
-	id    ID
+type record[K comparable] struct {
+	con   K
 	phase phase
 	// answered is set once a request was answered on the connection.
 	answered bool
@@ -91,12 +90,12 @@
 // Table holds the connections of all clients and decides which of them are closed, so that the limits hold: new clients that are slow go before those that
 // have been answered before, and of either the one that has been slow for the longest. A request that was read whole is never given up. It does no I/O, and
 // its clock advances by Sweep.
-type Table struct {
+type Table[K comparable] struct {
 	lim     Limits
-	bnd     Bounds
+	bnd     config.Limits
 	clock   time.Duration
 	entered uint64
-	records map[ID]*record
+	records map[K]*record[K]
 	charged int64
 	working int
 	// headBytes is what is held of heads that aren't read whole.
@@ -112,43 +111,43 @@
 func newClass() class { return class{waiting: list.New(), heads: list.New(), bodies: list.New()} }
 
 // NewTable returns an empty table.
-func NewTable(lim Limits, bnd Bounds) *Table {
-	return &Table{
-		lim: lim, bnd: bnd, records: map[ID]*record{},
+func NewTable[K comparable](lim Limits, bnd config.Limits) *Table[K] {
+	return &Table[K]{
+		lim: lim, bnd: bnd, records: map[K]*record[K]{},
 		newcomers: newClass(), established: newClass(), ending: list.New(),
 	}
 }
 
 // SetBounds changes the bounds on requests, at once also for those that are being read.
-func (tab *Table) SetBounds(bnd Bounds) { tab.bnd = bnd }
+func (tab *Table[K]) SetBounds(bnd config.Limits) { tab.bnd = bnd }
 
 // Open adds a connection and returns those that are closed for it. If nothing can be closed, that is the new one.
-func (tab *Table) Open(id ID) []Closing {
-	var cls []Closing
+func (tab *Table[K]) Open(con K) []Closing[K] {
+	var cls []Closing[K]
 	for len(tab.records) >= tab.lim.Connections {
 		vic := tab.leastNeeded()
 		if vic == nil {
-			return append(cls, Closing{ID: id, Reason: Crowded})
+			return append(cls, Closing[K]{Conn: con, Reason: Crowded})
 		}
 		cls = append(cls, tab.evict(vic, Crowded))
 	}
-	rec := &record{id: id}
-	tab.records[id] = rec
+	rec := &record[K]{con: con}
+	tab.records[con] = rec
 	tab.enter(rec, waiting)
 	return cls
 }
 
 // Close removes a connection that was closed, if the table has it.
-func (tab *Table) Close(id ID) {
-	if rec := tab.records[id]; rec != nil {
+func (tab *Table[K]) Close(con K) {
+	if rec := tab.records[con]; rec != nil {
 		tab.remove(rec)
 	}
 }
 
 // Receive takes note of bytes that were read from a connection. It returns the connections that are closed for their memory; they include this one if
 // its head is too large, or if no other is slower.
-func (tab *Table) Receive(id ID, num int) []Closing {
-	rec := tab.records[id]
+func (tab *Table[K]) Receive(con K, num int) []Closing[K] {
+	rec := tab.records[con]
 	if rec == nil || rec.phase != waiting && rec.phase != readingHead {
 		return nil
 	}
@@ -156,8 +155,8 @@
 		rec.head = 0
 		tab.enter(rec, readingHead)
 	}
-	if rec.head += num; rec.head > tab.bnd.headerBytes()+readAhead {
-		return []Closing{tab.evict(rec, LargeHead)}
+	if rec.head += num; rec.head > headerBytes(tab.bnd)+readAhead {
+		return []Closing[K]{tab.evict(rec, LargeHead)}
 	}
 	cls, fits := tab.chargeHead(rec, int64(num)*headExpansion)
 	if !fits {
@@ -168,8 +167,8 @@
 
 // BeginBody takes note that the head of a request is read. The rest is to be read, and the request taken or answered, within timeout; 0 stands for the time
 // of a head.
-func (tab *Table) BeginBody(id ID, timeout time.Duration) {
-	rec := tab.records[id]
+func (tab *Table[K]) BeginBody(con K, timeout time.Duration) {
+	rec := tab.records[con]
 	if rec == nil || rec.phase >= decoding {
 		return
 	}
@@ -181,8 +180,8 @@
 
 // Charge takes room for bytes of a request's body, and gives it back if num is negative. It returns the connections that are closed for that, and whether
 // there is room.
-func (tab *Table) Charge(id ID, num int64) ([]Closing, bool) {
-	rec := tab.records[id]
+func (tab *Table[K]) Charge(con K, num int64) ([]Closing[K], bool) {
+	rec := tab.records[con]
 	if rec == nil {
 		return nil, false
 	}
@@ -190,20 +189,20 @@
 }
 
 // Decode takes note that a request is read whole. Until it has its answer its connection isn't closed for others: that would free nothing at once.
-func (tab *Table) Decode(id ID) {
-	if rec := tab.records[id]; rec != nil && rec.phase < decoding {
+func (tab *Table[K]) Decode(con K) {
+	if rec := tab.records[con]; rec != nil && rec.phase < decoding {
 		tab.leave(rec)
 		rec.phase, rec.since = decoding, tab.clock
 	}
 }
 
 // HasPlace returns whether another request may be taken; if not, there is no use in reading it.
-func (tab *Table) HasPlace() bool { return tab.working < tab.lim.Working }
+func (tab *Table[K]) HasPlace() bool { return tab.working < tab.lim.Working }
 
 // Take takes a request that is read whole, and holds so many bytes until it is answered within timeout: from now on its connection isn't closed for
 // others. It returns the connections that are closed for that, and whether there is room.
-func (tab *Table) Take(id ID, bytes int64, timeout time.Duration) ([]Closing, bool) {
-	rec := tab.records[id]
+func (tab *Table[K]) Take(con K, bytes int64, timeout time.Duration) ([]Closing[K], bool) {
+	rec := tab.records[con]
 	if rec == nil || rec.phase >= working || !tab.HasPlace() {
 		return nil, false
 	}
@@ -222,8 +221,8 @@
 
 // Wait returns how long it takes until a request of so many bytes surely fits, if no other is taken: requests that aren't read whole give way at once, and
 // those that were taken are answered by their timeouts. Requests that are being decoded are soon taken or refused.
-func (tab *Table) Wait(bytes int64) time.Duration {
-	var taken []*record
+func (tab *Table[K]) Wait(bytes int64) time.Duration {
+	var taken []*record[K]
 	held := int64(0)
 	for _, rec := range tab.records {
 		if rec.phase == working {
@@ -231,7 +230,7 @@
 			held += rec.charged
 		}
 	}
-	slices.SortFunc(taken, func(one, two *record) int { return cmp.Compare(one.since+one.timeout, two.since+two.timeout) })
+	slices.SortFunc(taken, func(one, two *record[K]) int { return cmp.Compare(one.since+one.timeout, two.since+two.timeout) })
 	wait := minWait
 	for num, rec := range taken {
 		if len(taken)-num < tab.lim.Working && held+bytes <= tab.lim.Bytes {
@@ -244,16 +243,16 @@
 }
 
 // End takes note that a request has its answer.
-func (tab *Table) End(id ID) {
-	if rec := tab.records[id]; rec != nil {
+func (tab *Table[K]) End(con K) {
+	if rec := tab.records[con]; rec != nil {
 		tab.release(rec)
 		tab.enter(rec, ending)
 	}
 }
 
 // Await takes note that the answer was written and that the next request is awaited.
-func (tab *Table) Await(id ID) {
-	if rec := tab.records[id]; rec != nil {
+func (tab *Table[K]) Await(con K) {
+	if rec := tab.records[con]; rec != nil {
 		tab.release(rec)
 		rec.answered = true
 		tab.enter(rec, waiting)
@@ -261,12 +260,12 @@
 }
 
 // Sweep advances the clock and returns the connections that are closed as they have taken too long.
-func (tab *Table) Sweep(elapsed time.Duration) []Closing {
+func (tab *Table[K]) Sweep(elapsed time.Duration) []Closing[K] {
 	tab.clock += elapsed
-	var cls []Closing
+	var cls []Closing[K]
 	for _, lst := range tab.lists() {
 		for elm := lst.Front(); elm != nil; {
-			rec := elm.Value.(*record) //nolint:forcetypeassert // the lists have nothing else
+			rec := elm.Value.(*record[K]) //nolint:forcetypeassert // the lists have nothing else
 			elm = elm.Next()
 			if timeout, rsn := tab.timeoutOf(rec); tab.clock-rec.since >= timeout {
 				cls = append(cls, tab.evict(rec, rsn))
@@ -277,20 +276,20 @@
 }
 
 // timeoutOf returns how long the phase of a connection may last, and the reason for which it is closed then.
-func (tab *Table) timeoutOf(rec *record) (time.Duration, Reason) {
+func (tab *Table[K]) timeoutOf(rec *record[K]) (time.Duration, Reason) {
 	switch {
 	case rec.phase == ending:
-		return tab.bnd.idleTimeout(), Deaf
+		return idleTimeout(tab.bnd), Deaf
 	case rec.phase == readingBody:
-		return cmp.Or(rec.timeout, tab.bnd.headerTimeout()), SlowBody
+		return cmp.Or(rec.timeout, headerTimeout(tab.bnd)), SlowBody
 	case rec.phase == waiting && rec.answered:
-		return tab.bnd.idleTimeout(), Idle
+		return idleTimeout(tab.bnd), Idle
 	default:
-		return tab.bnd.headerTimeout(), SlowHead
+		return headerTimeout(tab.bnd), SlowHead
 	}
 }
 
 // Held returns the open connections, the requests that are worked on and the bytes that are held.
-func (tab *Table) Held() (connections, working int, bytes int64) {
+func (tab *Table[K]) Held() (connections, working int, bytes int64) {
 	return len(tab.records), tab.working, tab.charged
 }
--- a/internal/process/cli/platform.go
+++ b/internal/process/cli/platform.go
@@ -61,7 +61,7 @@
 }
 
 func settingLines(set platform.Settings) []settingLine {
-	lim := http1.NewLimits(set.MemoryBytes, set.Descriptors)
+	lim := http1.NewLimits(set.MemoryBytes, set.Sockets)
 	return []settingLine{
 		{"instance", set.Instance, "name of this machine"},
 		{"failure-domain", set.FailureDomain, "of " + strings.Join(set.FailureDomains, ", ")},
@@ -73,8 +73,8 @@
 		{"processor", fmt.Sprintf("%.3g", set.Processor), "cores; instances with more lead more shards"},
 		{"link", fmt.Sprintf("%d bytes a second", set.LinkBytes), "what starts and orders on their way are bounded by; 0 for no bound"},
 		{"memory", fmt.Sprintf("%d MB", set.MemoryBytes>>20), "limit of the process"},
-		{"descriptors", told(set.Descriptors), "limit of the process"},
-		{"caller-connections", strconv.Itoa(lim.Connections), "open at most, by memory and descriptors"},
+		{"sockets", told(set.Sockets), "limit of the process, without its files"},
+		{"caller-connections", strconv.Itoa(lim.Connections), "open at most, by memory and sockets"},
 		{"caller-requests", fmt.Sprintf("%d MB", lim.Bytes>>20), "of memory held at most"},
 		{"longest-lease", set.LongestLease.String(), "that a backend server grants"},
 		{"configuration-bound", set.ConfigurationBound.String(), "until a configuration is in force everywhere; 0s for 2s"},
--- a/internal/process/daemon/clients.go
+++ b/internal/process/daemon/clients.go
@@ -5,8 +5,20 @@
 	"net/http"
 
 	"chestnutstack/internal/connection/http1"
+	"chestnutstack/platform"
 )
 
+// callerLimits returns the limits on what callers take of this machine.
+func callerLimits(set *platform.Settings) http1.Limits {
+	return http1.NewLimits(set.MemoryBytes, set.Sockets)
+}
+
+// heapLimit returns the soft limit of the runtime: what the program and the bytes that the kernel holds for callers leave of the machine's memory.
+func heapLimit(set *platform.Settings) int64 {
+	left := int64((1-marginShare)*float64(set.MemoryBytes)) - callerLimits(set).UnreadBytes() - programBytes
+	return max(left, programBytes)
+}
+
 // metricsHandler serves the metrics as text, one per line.
 func (dmn *Daemon) metricsHandler() http.Handler {
 	counted := dmn.cnt.handler()
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -184,7 +184,7 @@
 		joined:            make(chan struct{}), configured: make(chan struct{}),
 	}
 	dmn.callerServer = http1.NewServer(http1.Config{
-		Handler: platform.Front(dmn), Limits: http1.NewLimits(prm.Settings.MemoryBytes, prm.Settings.Descriptors), Log: prm.Log, Name: "callers",
+		Handler: platform.Front(dmn), Limits: callerLimits(&prm.Settings), Log: prm.Log, Name: "callers",
 	})
 	return dmn
 }
--- a/internal/process/daemon/follow.go
+++ b/internal/process/daemon/follow.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"chestnutstack/internal/connection/http1"
 	"chestnutstack/internal/connection/mesh"
 	"chestnutstack/internal/version/config"
 	"chestnutstack/platform"
@@ -147,8 +146,7 @@
 	}
 	dmn.cfgData.Store(&data)
 	dmn.cfgAt, dmn.cfgFromPeer = now, from != fromStore
-	lim := cfg.Limits()
-	dmn.callerServer.SetBounds(http1.Bounds{HeaderBytes: lim.HeaderBytes, HeaderTimeout: lim.HeaderTimeout, IdleTimeout: lim.IdleTimeout})
+	dmn.callerServer.SetBounds(cfg.Limits())
 	if dmn.cfg.Swap(cfg) == nil {
 		close(dmn.configured)
 	}
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -37,6 +37,9 @@
 	// gcPercent is GOGC: the heap grows to five times its live size between collections. The live heap is some 10 MB of the smallest
 	// machine's 184, and collections cost latency on a fifth of a core.
 	gcPercent = 400
+	// programBytes is the memory of a process besides its heap, marginShare the share of its machine's memory that stays unused.
+	programBytes = 24 << 20
+	marginShare  = 0.05
 	// dialTimeout is the timeout for opening any connection; an unreachable host doesn't answer at all.
 	dialTimeout = 300 * time.Millisecond
 	// connsPerServer is well below the 64 connections that a backend server accepts from all instances together.
@@ -68,7 +71,7 @@
 	}
 	zerolog.TimeFieldFormat = timeFormat
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(http1.HeapLimit(set.MemoryBytes))
+	debug.SetMemoryLimit(heapLimit(&set))
 	cnt := &counters{}
 	wrt := newLineWriter(out, func() { cnt.logsDropped.Add(1) })
 	grp := &errgroup.Group{}
--- a/internal/process/soak/crowd_test.go
+++ b/internal/process/soak/crowd_test.go
@@ -36,8 +36,8 @@
 	everywhere bool
 	// descriptors is the limit of the process, 0 for the usual one.
 	descriptors int
-	// tasks is how many tasks a request has that the instance takes.
-	tasks int
+	// taken is how many tasks an instance logs, in so many lines each, as it has room for them: each time the jobs that are open have ended.
+	taken int
 	// stays is how long the crowd stays, 0 for crowdTime.
 	stays time.Duration
 }
@@ -45,6 +45,9 @@
 // crowdMemoryMB is less than the smallest machine has, so that small crowds show.
 const crowdMemoryMB = 96
 
+// crowdTasks is how many tasks of 1 KB a quarter of that memory holds.
+const crowdTasks = crowdMemoryMB << 10 / 4
+
 var crowdCases = map[string]crowdCase{
 	"silent":             {connections: 300, descriptors: 300},
 	"requests-ahead":     {connections: 800},
@@ -62,11 +65,11 @@
 	"empty-steps":        {connections: 20},
 	"wide-steps":         {connections: 300},
 	// There are few backend servers, so that one instance leads them all and has the orders of all owners.
-	"large-jobs-everywhere":   {clients: "large-jobs", connections: 800, instances: 8, everywhere: true, tasks: 2600, stays: 8 * time.Second},
-	"largest-jobs-everywhere": {clients: "largest-jobs", connections: 800, instances: 8, everywhere: true, tasks: 2600, stays: 8 * time.Second},
-	"many-dependencies":       {connections: 300, tasks: 2},
-	"large-jobs":              {connections: 800, tasks: 2600, stays: 6 * time.Second},
-	"largest-jobs":            {connections: 300, tasks: 2600},
+	"large-jobs-everywhere":   {clients: "large-jobs", connections: 800, instances: 8, everywhere: true, taken: 2 * crowdTasks, stays: 8 * time.Second},
+	"largest-jobs-everywhere": {clients: "largest-jobs", connections: 800, instances: 8, everywhere: true, taken: 2 * crowdTasks, stays: 8 * time.Second},
+	"many-dependencies":       {connections: 300},
+	"large-jobs":              {connections: 800, taken: 2 * crowdTasks, stays: 6 * time.Second},
+	"largest-jobs":            {connections: 300, taken: 2 * crowdTasks},
 	"long-request-id":         {connections: 800},
 	"long-number":             {connections: 300},
 	"whole-body-no-steps":     {connections: 800},
@@ -80,9 +83,11 @@
 	crowdPause   = 100 * time.Millisecond
 	// fileDescriptors is how many of its descriptors a process may use for files only.
 	fileDescriptors = 200
-	// logBytes bounds the log of a process that meets a crowd, besides lineBytes for each request and task that it takes.
+	// logBytes bounds the log of a process that meets a crowd, besides lineBytes for each request and for each of the taskLines of a task that it
+	// takes: its orders, starts, reports and ends.
 	logBytes  = 2 << 20
 	lineBytes = 400
+	taskLines = 6
 )
 
 // TestCrowds guards against clients that end a process, or keep it from serving others: instances stay within the memory and descriptors of their
@@ -214,7 +219,7 @@
 	t.Logf("ordinary jobs served %d of %d", served, asked)
 	for _, ins := range cys.sys.ins {
 		uses[ins].look()
-		uses[ins].check(t, ins, logBytes+int64(lineBytes*cse.connections*(cse.tasks+1)))
+		uses[ins].check(t, ins, logBytes+int64(lineBytes*(cse.connections+taskLines*cse.taken)))
 		cys.awaitAnswer(t, ins)
 	}
 }
