--- a/internal/process/soak/crowd_test.go
+++ b/internal/process/soak/crowd_test.go
@@ -34,6 +34,8 @@
 	// instances is how many there are, 0 for two. The crowd is at the first one, or in equal parts at all of them.
 	instances  int
 	everywhere bool
+	// memoryMB is the memory of each machine, 0 for crowdMemoryMB.
+	memoryMB int
 	// descriptors is the limit of the process, 0 for the usual one.
 	descriptors int
 	// taken is how many tasks an instance logs, in so many lines each, as it has room for them: each time the jobs that are open have ended.
@@ -144,7 +146,7 @@
 	})
 	chk.NoErr(err)
 	for _, ins := range cys.sys.ins {
-		ins.mch.MemoryMB, ins.mch.Descriptors = crowdMemoryMB, cse.descriptors
+		ins.mch.MemoryMB, ins.mch.Descriptors = cmp.Or(cse.memoryMB, crowdMemoryMB), cse.descriptors
 		chk.NoErr(ins.writeSettings())
 		chk.NoErr(cys.sys.start(ins))
 	}
