Send large batches in parts that their receivers take

What callers saw: jobs whose tasks were ordered from another instance had no answer, and neither had all that waited for the same instance.

Cause: a receiver refuses a call of over 16 MB.

Evidence: TestLargeBatchesArrive: orders with different payloads, orders with long labels and configurations of 16 MB together: without the bound, the cancellation behind them doesn't arrive in any of the three cases within 5 s.

Change: a batch has messages of at most 256 KB together, or a single larger one; the rest follows with the receipt. The bytes that count as under way follow the parts: a payload that two of them have is sent twice. A single message over the bound (11 MB) is dropped with a log line, message is too large to be sent, and the metric large-messages.

--- a/internal/connection/mesh/mesh.go
+++ b/internal/connection/mesh/mesh.go
@@ -97,8 +97,12 @@
 }
 
 // Send queues a message for delivery within the current session with an instance. Without a session the message is dropped, as the
-// Handler was or will be told of the loss of that instance.
+// Handler was or will be told of the loss of that instance; so is one that is too large for any batch, of which the Handler is told at once.
 func (msh *Mesh) Send(to shard.InstanceID, msg Message) {
+	if size := messageBytes(msg); size > maxMessage {
+		msh.hdl.HandleTooLarge(to, size)
+		return
+	}
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
 	name, _ := splitID(to)
--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -28,7 +28,9 @@
 	got   []string
 	lost  int
 	stale int
-	heard map[shard.InstanceID]int
+	// others counts the messages received that are neither cancellations nor reports, tooLarge those that could not be sent.
+	others, tooLarge int
+	heard            map[shard.InstanceID]int
 	// skipped is the time by which its clock is ahead; starved makes the clock jump each time it is read.
 	skipped time.Duration
 	starved bool
@@ -114,6 +116,8 @@
 			nod.got = append(nod.got, msg.Task)
 		case mesh.Report:
 			nod.got = append(nod.got, msg.Report.Task)
+		default:
+			nod.others++
 		}
 	}
 	if len(hbt.Leaderships) != 1 || !slices.Equal(hbt.Leaderships[0].Load.FreeMemory, []int64{64, 0}) || hbt.CompleteUpTo != 5 || hbt.ListOffset != 6 || hbt.ListBytes != 11 || hbt.ListRate != 12 || !hbt.WantsList || hbt.TokenRound != 7 || hbt.Processor != 0.4 || hbt.Divisions["a"].Count != 2 ||
@@ -128,6 +132,12 @@
 	nod.stale++
 }
 
+func (nod *node) HandleTooLarge(shard.InstanceID, int) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	nod.tooLarge++
+}
+
 func (nod *node) HandleInstanceLost(id shard.InstanceID, _ mesh.Cause) {
 	nod.mu.Lock()
 	defer nod.mu.Unlock()
--- a/internal/connection/mesh/send.go
+++ b/internal/connection/mesh/send.go
@@ -168,9 +168,7 @@
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
 	if per.established && !per.numbered && len(per.outbox) > 0 {
-		per.inFlight, per.outbox, per.numbered = per.outbox, nil, true
-		per.inFlightBytes, per.outboxBytes = per.outboxBytes, 0
-		per.sentSequence++
+		msh.unackedPayload.Add(per.takeBatch())
 	}
 	if len(per.inFlight) > 0 {
 		per.startAckWait(now)
@@ -206,7 +204,7 @@
 	}
 	con := rpc.WrapConn(raw, &msh.cnt, msh.cfg.CallTimeout)
 	// The connection is used beyond the call that opened it, so it isn't bound to the call's context.
-	ccn.cnn = rpc.NewConn(context.Background(), con, maxMessage, rpc.RefuseAll{})
+	ccn.cnn = rpc.NewConn(context.Background(), con, maxFrame, rpc.RefuseAll{})
 	ccn.address = address
 	return nil
 }
--- a/internal/connection/mesh/serve.go
+++ b/internal/connection/mesh/serve.go
@@ -46,7 +46,7 @@
 // serveConn handles the batches of one connection until it is closed or ctx is done.
 func (msh *Mesh) serveConn(ctx context.Context, raw net.Conn) {
 	con := rpc.WrapConn(raw, &msh.cnt, msh.cfg.CallTimeout)
-	cnn := rpc.NewConn(ctx, con, maxMessage, deliveryHandler{msh: msh})
+	cnn := rpc.NewConn(ctx, con, maxFrame, deliveryHandler{msh: msh})
 	select {
 	case <-cnn.DisconnectNotify():
 	case <-ctx.Done():
--- a/internal/connection/mesh/session.go
+++ b/internal/connection/mesh/session.go
@@ -216,6 +216,7 @@
 	per.inFlight, per.numbered, per.unackedSince = nil, false, time.Time{}
 	if slices.ContainsFunc(per.outbox, func(msg Message) bool { return !isDeferrable(msg) }) {
 		per.startAckWait(now) // A deferrable message waits for the next batch, however long that takes.
+		signal(per.wake)
 	}
 	bytes, per.inFlightBytes = per.inFlightBytes, 0
 	return bytes
--- a/internal/connection/mesh/types.go
+++ b/internal/connection/mesh/types.go
@@ -106,7 +106,7 @@
 func (ServerList) message()    {}
 func (ServerSpeeds) message()  {}
 
-// Handler handles what arrives from other instances. Its methods are called one at a time for each instance.
+// Handler handles what arrives from other instances. Its methods are called one at a time for each instance, but for HandleTooLarge.
 type Handler interface {
 	// Heartbeat returns the current heartbeat of this instance.
 	Heartbeat() Heartbeat
@@ -119,6 +119,9 @@
 	HandleStaleBatch(from shard.InstanceID, age time.Duration, messages int)
 	// HandleInstanceLost is called when the session with an instance has ended; no message of that session follows.
 	HandleInstanceLost(id shard.InstanceID, cause Cause)
+	// HandleTooLarge is called by Send, which drops a message of a number of bytes as it is too large for a batch. The caller of Send may
+	// hold locks.
+	HandleTooLarge(to shard.InstanceID, bytes int)
 }
 
 // Cause says why a session has ended.
--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -15,9 +15,6 @@
 // task at 850 jobs a second in place of 1,709 us.
 const methodDeliver = "deliver"
 
-// maxMessage bounds a batch, in bytes; the largest batches carry configurations of a few hundred routes, some 100 KB.
-const maxMessage = 16 << 20
-
 // encode returns the epoch as batches and receipts have it.
 func (epo epoch) encode() *meshpb.Epoch {
 	return &meshpb.Epoch{Life: epo.incarnation, Generation: epo.generation}
--- a/internal/process/daemon/count.go
+++ b/internal/process/daemon/count.go
@@ -36,7 +36,7 @@
 
 // counters are the metrics of a daemon: monotonic counters, except those that are described as gauges.
 type counters struct {
-	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, pauses,
+	submissions, refusals, stops, renewals, storeReads, listReads, digests, badDigests, badClosings, logsDropped, lateBatches, largeMessages, pauses,
 	configsSent, changesSent, roomChanges, listReadsDeferred, listsSent atomic.Int64
 	// callersGone counts the requests that were not handled, and the jobs that were ended by a look, as their callers had left.
 	callersGone atomic.Int64
@@ -148,6 +148,7 @@
 		line("servers-over-their-room", cnt.overfullServers.Load())
 		line("list-age-millis", cnt.listAge.Load()/int64(time.Millisecond))
 		line("late-batches", cnt.lateBatches.Load())
+		line("large-messages", cnt.largeMessages.Load())
 		line("held-up", cnt.pauses.Load())
 		line("log-lines-dropped", cnt.logsDropped.Load())
 		cnt.writeOrders(line)
--- a/internal/process/daemon/heard.go
+++ b/internal/process/daemon/heard.go
@@ -198,6 +198,12 @@
 	dmn.log.Warn().Str("peer", string(from)).Dur("age", age).Int("messages", messages).Msg("batch comes too late")
 }
 
+// HandleTooLarge implements mesh.Handler: it logs and counts a message that is too large to be sent.
+func (dmn *Daemon) HandleTooLarge(to shard.InstanceID, bytes int) {
+	dmn.cnt.largeMessages.Add(1)
+	dmn.log.Error().Str("peer", string(to)).Int("bytes", bytes).Msg("message is too large to be sent")
+}
+
 // HandleInstanceLost implements mesh.Handler: it passes the loss of an instance to all decision types.
 func (dmn *Daemon) HandleInstanceLost(id shard.InstanceID, cau mesh.Cause) {
 	now := dmn.beginEvent()
