--- /dev/null
+++ b/internal/process/daemon/odd_entries_test.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutstack/platform"
+)
+
+// oddText is a part of long texts in odd entries.
+const oddText = "oddity"
+
+// oddServer returns the ID of the server of a failure domain whose entry is odd; it answers.
+func oddServer(dom int) string { return fmt.Sprintf("server-odd-%d", dom+1) }
+
+// oddEntry is an odd entry of the list of servers: its key, if that is odd, and the fields that differ from a good one.
+type oddEntry struct {
+	key    string
+	hasKey bool
+	fields map[string]any
+	// raw is the whole entry, if it is none of fields.
+	raw string
+	// inUse is set if a server may have such an entry, so that it is called.
+	inUse bool
+}
+
+func oddEntries() map[string]oddEntry {
+	long := func(length int) string { return strings.Repeat(oddText, length/len(oddText)) }
+	labels := make([]string, 200)
+	for num := range labels {
+		labels[num] = fmt.Sprint(num, long(40))
+	}
+	return map[string]oddEntry{
+		"port out of range":    {fields: map[string]any{"Address": "10.0.0.1:99999"}},
+		"negative port":        {fields: map[string]any{"Address": "10.0.0.1:-1"}},
+		"port zero":            {fields: map[string]any{"Address": "10.0.0.1:0"}},
+		"port is a word":       {fields: map[string]any{"Address": "10.0.0.1:http"}},
+		"long port":            {fields: map[string]any{"Address": "10.0.0.1:" + strings.Repeat("1", 5000)}},
+		"odd host":             {fields: map[string]any{"Address": "no such host:80"}},
+		"host is a name":       {fields: map[string]any{"Address": oddText + ".example:80"}},
+		"empty key":            {hasKey: true},
+		"key with a line feed": {hasKey: true, key: "server\r\nodd"},
+		"key not UTF-8":        {hasKey: true, key: "server-\xff"},
+		"long failure domain":  {fields: map[string]any{"Zone": long(9000)}, inUse: true},
+		"long service":         {fields: map[string]any{"Service": long(9000)}},
+		"long state":           {fields: map[string]any{"State": long(9000)}},
+		"many labels":          {fields: map[string]any{"Labels": labels}, inUse: true},
+		"nested deeply":        {raw: strings.Repeat("[", 9000) + strings.Repeat("]", 9000)},
+		"empty value":          {raw: `""`},
+	}
+}
+
+// put writes the entry of a failure domain to the list.
+func (odd *oddEntry) put(sys *system, dom int) {
+	key := oddServer(dom)
+	if odd.hasKey {
+		key = odd.key
+	}
+	if odd.raw != "" {
+		sys.sto.Put(string(platform.ServersTopic), key, json.RawMessage(odd.raw))
+		return
+	}
+	ent := map[string]any{
+		"Service": service, "Address": sys.addresses[oddServer(dom)], "Zone": domainName(dom), "State": "ready",
+		"Capacity": map[string]any{"Cpu": 32000, "MemMb": 1024},
+	}
+	for fld, val := range odd.fields {
+		ent[fld] = val
+	}
+	sys.sto.Put(string(platform.ServersTopic), key, ent)
+}
+
+// TestOddEntries guards against an entry of the list of servers that costs more than itself: jobs that are refused though the other servers are
+// free, lists, digests or pages that are refused with all that stands in them, calls and lines in the log for as long as it stands.
+func TestOddEntries(t *testing.T) {
+	for name, odd := range oddEntries() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runTestSystemWith(t, &system{bound: 2 * time.Second}, 2, 2, 2, func(sys *system) { playOddEntry(t, sys, &odd) })
+				time.Sleep(20 * time.Second) // The stand-ins' timers must have fired before the bubble ends.
+			})
+		})
+	}
+}
+
+// playOddEntry has an odd entry stand in the list of a system while it serves, learns of a further server, and starts again.
+func playOddEntry(t *testing.T, sys *system, odd *oddEntry) {
+	t.Helper()
+	chk := is.NewRelaxed(t)
+	number := 0
+	served := func() {
+		for _, prc := range sys.runningProcesses() {
+			number++
+			chk.Equal(sys.send(sys.ctx, prc.name, jobSpec{id: jobID(number), tasks: 2, payload: payload{Millis: 50}}), http.StatusOK)
+		}
+	}
+	for dom := range 2 {
+		sys.serveUnlisted(oddServer(dom))
+		odd.put(sys, dom)
+	}
+	time.Sleep(2 * time.Second)
+	served()
+	// The list goes on behind the entry.
+	sys.startServer("server-1-9", domainName(0))
+	time.Sleep(2 * time.Second)
+	chk.Equal(sys.count(func(prc *process) bool { return prc.dmn.entries["server-1-9"].Address != "" }), 4)
+	served()
+	// An instance that starts is given the list by others, and then all read it anew.
+	sys.sto.CompactServers()
+	sys.kill("entry-1-1")
+	sys.startInstance("entry-1-1", domainName(0))
+	time.Sleep(2 * time.Second)
+	served()
+	sys.restartAll()
+	time.Sleep(2 * time.Second)
+	chk.Equal(sys.count(func(prc *process) bool { return prc.dmn.entries["server-1-9"].Address != "" }), 4)
+	served()
+	for _, msg := range []string{"digest of the list of servers is refused", "changes of the list of servers are refused", "list of servers is refused", "is not written"} {
+		chk.True(!strings.Contains(sys.logText(), msg))
+	}
+	chk.True(len(sys.logText()) < 4<<20)
+	for _, lin := range strings.Split(sys.logText(), "\n") {
+		chk.True(strings.Count(lin, oddText) < 200)
+		called := strings.Contains(lin, "look failed") && !strings.Contains(lin, `"server":"server-1-`) && !strings.Contains(lin, `"server":"server-2-`)
+		chk.True(odd.inUse || !called)
+	}
+}
--- a/internal/process/daemon/server_faults_test.go
+++ b/internal/process/daemon/server_faults_test.go
@@ -273,15 +273,15 @@
 			}
 		}
 		sys.sto.Put(topic, "bytes", "not an entry")
-		sys.sto.Put(topic, "state", entry("nowhere-1:1", service, "warming"))
-		sys.sto.Put(topic, "service", entry("nowhere-2:1", "another", "ready"))
+		sys.sto.Put(topic, "state", entry("192.0.2.1:1", service, "warming"))
+		sys.sto.Put(topic, "service", entry("192.0.2.2:1", "another", "ready"))
 		sys.sto.Put(topic, "server-1-3", 7)
 		time.Sleep(time.Second)
 		began := time.Now()
 		job := jobSpec{id: jobID(1), tasks: 4, payload: payload{Millis: 100}}
 		chk.Equal(sys.send(sys.ctx, "entry-1-1", job), http.StatusOK)
 		chk.True(time.Since(began) < 150*time.Millisecond)
-		chk.True(!strings.Contains(sys.logText(), "nowhere"))
+		chk.True(!strings.Contains(sys.logText(), "192.0.2."))
 		sys.listServer("server-1-3", "domain-1", "ready")
 		time.Sleep(time.Second)
 		began = time.Now()
--- a/internal/process/daemon/system_test.go
+++ b/internal/process/daemon/system_test.go
@@ -57,6 +57,8 @@
 	clocksAhead map[string]time.Duration
 	// services are the services of backend servers whose tasks are not of the usual one.
 	services map[string]string
+	// addresses are those of the backend servers.
+	addresses map[string]string
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -113,7 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	sys.t, sys.net, sys.grp, sys.ctx = t, pipe.New(), &errgroup.Group{}, ctx
 	sys.sto, sys.ldg = standin.NewStore(), standin.NewLedger()
-	sys.servers, sys.instances = map[string]*standin.Server{}, map[string]*process{}
+	sys.servers, sys.instances, sys.addresses = map[string]*standin.Server{}, map[string]*process{}, map[string]string{}
 	sys.serve(storeHost+":1", sys.sto)
 	sys.publishRoutes("/thumb/", "/deck/")
 	for dom := range domains {
@@ -185,6 +187,12 @@
 
 // startServer starts a stand-in backend server and lists it as ready.
 func (sys *system) startServer(id, domain string) {
+	sys.serveUnlisted(id)
+	sys.listServer(id, domain, "ready")
+}
+
+// serveUnlisted starts a stand-in backend server that has no entry in the list.
+func (sys *system) serveUnlisted(id string) {
 	size := int64(serverProcessor)
 	if len(sys.serverSizes) > 0 {
 		size = sys.serverSizes[len(sys.servers)%len(sys.serverSizes)]
@@ -203,8 +211,10 @@
 		srv.HideIncarnation()
 	}
 	sys.servers[id] = srv
+	ip := fmt.Sprintf("10.0.%d.%d", len(sys.addresses)/250, len(sys.addresses)%250+1)
+	sys.net.Name(ip, id)
+	sys.addresses[id] = ip + ":1"
 	sys.serve(id+":1", srv)
-	sys.listServer(id, domain, "ready")
 }
 
 // loseStops has all backend servers neither carry out nor answer orders to stop, or ends that.
@@ -220,7 +230,7 @@
 	if oth := sys.services[id]; oth != "" {
 		svc = oth
 	}
-	sys.sto.List(sys.servers[id], svc, id+":1", domain, state == "draining")
+	sys.sto.List(sys.servers[id], svc, sys.addresses[id], domain, state == "draining")
 }
 
 // startInstance starts an instance on a machine of its own. A name that was started before gets a new incarnation, on a new machine.
--- a/internal/process/pipe/pipe.go
+++ b/internal/process/pipe/pipe.go
@@ -28,17 +28,34 @@
 	stalled map[string]bool
 	// ways has those, from a host to another, on which everything is held up.
 	ways map[[2]string]bool
-	grp  errgroup.Group
+	// names are those of hosts by their IP addresses.
+	names map[string]string
+	grp   errgroup.Group
 }
 
 // New returns a network without hosts.
 func New() *Network {
 	return &Network{
 		listeners: map[string]*listener{}, cut: map[[2]string]bool{}, dead: map[string]bool{}, links: map[string]*link{},
-		stalled: map[string]bool{}, ways: map[[2]string]bool{},
+		stalled: map[string]bool{}, ways: map[[2]string]bool{}, names: map[string]string{},
 	}
 }
 
+// Name gives a host an IP address, by which it can be dialled as by its name.
+func (ntw *Network) Name(ip, host string) {
+	ntw.mu.Lock()
+	defer ntw.mu.Unlock()
+	ntw.names[ip] = host
+}
+
+// named returns an address with the name of its host in place of the IP address; the caller holds the lock.
+func (ntw *Network) named(addr string) string {
+	if ip, prt, err := net.SplitHostPort(addr); err == nil && ntw.names[ip] != "" {
+		return net.JoinHostPort(ntw.names[ip], prt)
+	}
+	return addr
+}
+
 type address string
 
 func (adr address) Network() string { return "pipe" }
@@ -96,6 +113,7 @@
 func (ntw *Network) Dialer(host string) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, _, addr string) (net.Conn, error) {
 		ntw.mu.Lock()
+		addr = ntw.named(addr)
 		lis := ntw.listenerAt(addr)
 		// A machine without power takes no connection either; that of a killed process refuses it, as nobody listens there.
 		silent := ntw.cut[pair(host, hostOf(addr))] || ntw.heldWay(host, hostOf(addr)) || ntw.dead[host] || lis != nil && ntw.dead[hostOf(addr)]
