Keep numbers of other programs far from what overflows in a sum

What callers saw: with one odd entry of a server that answers, Cpu 2^63-1 or 4e18, in each failure domain every job got 503, no backend server answers (120 of 120 with whole daemons, after a restart 240 of 240).

Cause: the service rate of a shard is an integer sum over its servers, which overflowed; a negative rate counts as no server that answers. Waits are quotients of such sums, as floats, that are converted to integers: out of their range the result is the lowest integer on x86-64 and the largest on arm64, a negative wait on the one and an endless one on the other.

Evidence: TestOddEntries: 47 jobs refused in its rows on 4e18, the largest processor and the largest room, none with the change.

Change, where numbers come in: an entry with more than 100,000 cores or 1 PB names no server, nor does one whose incarnation begins over a hundred years after 1970, as each later one would count as former. Numbers in the heartbeats and orders of other instances are clamped.

--- a/internal/connection/mesh/wire.go
+++ b/internal/connection/mesh/wire.go
@@ -72,17 +72,18 @@
 		hbt.ClosedDomains = domainlist.View{End: cld.GetEnd(), Closed: cld.GetNames()}
 	}
 	for _, dvn := range msg.GetDivisions() {
-		if dvn.GetCount() > 0 {
+		if dvn.GetCount() > 0 && dvn.GetCount() <= maxShards {
 			hbt.Divisions[dvn.GetDomain()] = shard.Division{Count: int(dvn.GetCount()), Stamp: dvn.GetStamp()}
 		}
 	}
 	for _, led := range msg.GetLeads() {
 		lod := shard.Load{
-			Number: led.GetNumber(), Free: led.GetFree(), FreeMemory: led.GetFreeMemory(), ServiceRate: led.GetTurnover(),
-			LinkWindow: led.GetLinkWindow(), LinkBusy: led.GetLinkBusy(), Closed: led.GetClosed(), FreeFactors: led.GetFreeFactors(),
+			Number: led.GetNumber(), Free: within(shard.MaxProcessor, led.GetFree()), FreeMemory: within(shard.MaxMemory, led.GetFreeMemory()),
+			ServiceRate: clamp(led.GetTurnover(), maxToldSum), Closed: led.GetClosed(), FreeFactors: led.GetFreeFactors(),
+			LinkWindow: clamp(led.GetLinkWindow(), maxToldSum), LinkBusy: clamp(led.GetLinkBusy(), maxToldSum),
 		}
 		for rnk, num := range led.GetWaitsMicros()[:min(len(led.GetWaitsMicros()), shard.Ranks)] {
-			lod.RankWaits[rnk] = micros(num)
+			lod.RankWaits[rnk] = max(0, micros(num))
 		}
 		decodeHeadroom(led.GetHeadroom(), &lod)
 		hbt.Leaderships = append(hbt.Leaderships, Leadership{Shard: shard.Name(led.GetShard()), Token: led.GetToken(), Load: lod})
@@ -214,7 +215,7 @@
 func decodeOrder(wir *meshpb.Order, payload string, now time.Time, from shard.InstanceID) shard.Order {
 	ord := shard.Order{
 		Task: wir.GetTask(), Owner: from, Service: wir.GetService(), Payload: payload,
-		Processor: wir.GetProcessor(), Memory: wir.GetMemory(), Priority: int(wir.GetPriority()),
+		Processor: clamp(wir.GetProcessor(), shard.MaxProcessor), Memory: clamp(wir.GetMemory(), shard.MaxMemory), Priority: int(wir.GetPriority()),
 		Arrived: now.Add(-micros(wir.GetAgeMicros())), Due: now.Add(micros(wir.GetAimMicros())), UsefulUntil: now.Add(micros(wir.GetUsefulMicros())),
 		ExpectedRunTime: micros(wir.GetExpectedMicros()), Label: wir.GetLabel(), Rack: wir.GetRack(),
 		MaxPerServer: int(wir.GetPerServer()), Step: wir.GetStep(),
@@ -230,4 +231,25 @@
 // milli is the number of units of processor time on the wire in one core.
 const milli = 1000
 
-func micros(num int64) time.Duration { return time.Duration(num) * time.Microsecond }
+// What is beyond these bounds, no instance tells: numbers of shards, sums over the servers of a shard, and times in microseconds, a hundred years. Sums of
+// numbers within them don't overflow.
+const (
+	maxShards  = 1 << 16
+	maxToldSum = 1 << 50
+	maxMicros  = 100 * 365 * 24 * 60 * 60 * 1_000_000
+)
+
+// clamp returns a number that another instance tells, at least 0 and at most a bound.
+func clamp(num, most int64) int64 { return max(0, min(num, most)) }
+
+// within clamps numbers that another instance tells.
+func within(most int64, nums []int64) []int64 {
+	for idx, num := range nums {
+		nums[idx] = clamp(num, most)
+	}
+	return nums
+}
+
+func micros(num int64) time.Duration {
+	return time.Duration(max(-maxMicros, min(num, maxMicros))) * time.Microsecond
+}
--- a/internal/connection/mesh/wire_test.go
+++ b/internal/connection/mesh/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -108,3 +109,28 @@
 	told := func(msg Message) bool { ord, ok := msg.(Order); return ok && ord.Order.FormerShards == 3 }
 	is.New(t).True(slices.ContainsFunc(decodeMessages(dlv, now, "one/1"), told))
 }
+
+// Guards against numbers of a faulty instance that overflow in sums over shards, or become negative as times.
+func TestOddNumbersOnTheWire(t *testing.T) {
+	for name, num := range map[string]int64{"largest": math.MaxInt64, "lowest": math.MinInt64, "negative": -1} {
+		t.Run(name, func(t *testing.T) {
+			chk := is.New(t)
+			hbt := decodeHeartbeat(&meshpb.Beat{
+				Divisions: []*meshpb.Division{{Domain: "a", Count: num}},
+				Leads: []*meshpb.Lead{{
+					Shard: "a.0", Free: []int64{num, 7}, FreeMemory: []int64{num, 7}, Turnover: num, LinkWindow: num, LinkBusy: num, WaitsMicros: []int64{num},
+				}},
+			})
+			lod := hbt.Leaderships[0].Load
+			chk.Equal(len(hbt.Divisions), 0)
+			for _, got := range []int64{lod.Free[0], lod.FreeMemory[0], lod.ServiceRate, lod.LinkWindow, lod.LinkBusy, int64(lod.RankWaits[0])} {
+				chk.True(got >= 0 && got < math.MaxInt64/2)
+			}
+			chk.Equal(lod.Free[1], int64(7))
+			ord := decodeOrder(&meshpb.Order{Processor: num, Memory: num, AgeMicros: num, AimMicros: num, RunsMicros: num}, "", time.Unix(1000, 0), "one/1")
+			chk.True(ord.Processor >= 0 && ord.Memory >= 0)
+			chk.Equal(ord.Arrived.After(time.Unix(1000, 0)), num < 0)
+			chk.Equal(ord.Due.After(time.Unix(1000, 0)), num > 0)
+		})
+	}
+}
--- a/internal/process/daemon/odd_entries_test.go
+++ b/internal/process/daemon/odd_entries_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -37,23 +38,33 @@
 	for num := range labels {
 		labels[num] = fmt.Sprint(num, long(40))
 	}
+	room := func(processor, memory any) map[string]any {
+		return map[string]any{"Capacity": map[string]any{"Cpu": processor, "MemMb": memory}}
+	}
 	return map[string]oddEntry{
-		"port out of range":    {fields: map[string]any{"Address": "10.0.0.1:99999"}},
-		"negative port":        {fields: map[string]any{"Address": "10.0.0.1:-1"}},
-		"port zero":            {fields: map[string]any{"Address": "10.0.0.1:0"}},
-		"port is a word":       {fields: map[string]any{"Address": "10.0.0.1:http"}},
-		"long port":            {fields: map[string]any{"Address": "10.0.0.1:" + strings.Repeat("1", 5000)}},
-		"odd host":             {fields: map[string]any{"Address": "no such host:80"}},
-		"host is a name":       {fields: map[string]any{"Address": oddText + ".example:80"}},
-		"empty key":            {hasKey: true},
-		"key with a line feed": {hasKey: true, key: "server\r\nodd"},
-		"key not UTF-8":        {hasKey: true, key: "server-\xff"},
-		"long failure domain":  {fields: map[string]any{"Zone": long(9000)}, inUse: true},
-		"long service":         {fields: map[string]any{"Service": long(9000)}},
-		"long state":           {fields: map[string]any{"State": long(9000)}},
-		"many labels":          {fields: map[string]any{"Labels": labels}, inUse: true},
-		"nested deeply":        {raw: strings.Repeat("[", 9000) + strings.Repeat("]", 9000)},
-		"empty value":          {raw: `""`},
+		"largest processor":      {fields: room(math.MaxInt64, 1024)},
+		"processor of 4e18":      {fields: room(int64(4e18), 1024)},
+		"processor of 1e18":      {fields: room(int64(1e18), 1024)},
+		"largest memory":         {fields: room(32000, math.MaxInt64)},
+		"largest room":           {fields: room(math.MaxInt64, math.MaxInt64)},
+		"processor out of range": {fields: room(json.Number("1e400"), 1024)},
+		"latest incarnation":     {fields: map[string]any{"born": math.MaxInt64}},
+		"port out of range":      {fields: map[string]any{"Address": "10.0.0.1:99999"}},
+		"negative port":          {fields: map[string]any{"Address": "10.0.0.1:-1"}},
+		"port zero":              {fields: map[string]any{"Address": "10.0.0.1:0"}},
+		"port is a word":         {fields: map[string]any{"Address": "10.0.0.1:http"}},
+		"long port":              {fields: map[string]any{"Address": "10.0.0.1:" + strings.Repeat("1", 5000)}},
+		"odd host":               {fields: map[string]any{"Address": "no such host:80"}},
+		"host is a name":         {fields: map[string]any{"Address": oddText + ".example:80"}},
+		"empty key":              {hasKey: true},
+		"key with a line feed":   {hasKey: true, key: "server\r\nodd"},
+		"key not UTF-8":          {hasKey: true, key: "server-\xff"},
+		"long failure domain":    {fields: map[string]any{"Zone": long(9000)}, inUse: true},
+		"long service":           {fields: map[string]any{"Service": long(9000)}},
+		"long state":             {fields: map[string]any{"State": long(9000)}},
+		"many labels":            {fields: map[string]any{"Labels": labels}, inUse: true},
+		"nested deeply":          {raw: strings.Repeat("[", 9000) + strings.Repeat("]", 9000)},
+		"empty value":            {raw: `""`},
 	}
 }
 
--- a/internal/request/shard/place.go
+++ b/internal/request/shard/place.go
@@ -322,7 +322,7 @@
 
 // CapacityWait estimates how long a task of a rank waits for free capacity, behind others that need behind thousandths of a core.
 func (lod *Load) CapacityWait(rnk Rank, behind int64) time.Duration {
-	return lod.RankWaits[rnk] + time.Duration(float64(behind)/float64(max(lod.ServiceRate, 1))*float64(time.Second))
+	return lod.RankWaits[rnk] + waitOf(float64(behind)/float64(max(lod.ServiceRate, 1))*float64(time.Second))
 }
 
 // LinkWait estimates how long a start of a number of bytes waits for the leader's link.
--- a/internal/request/shard/preempt.go
+++ b/internal/request/shard/preempt.go
@@ -189,7 +189,7 @@
 	rate := max(ldr.serviceRate(), 1)
 	ahead := 0.0
 	for pri := range wts {
-		wts[pri] = time.Duration(ahead / rate * float64(time.Millisecond))
+		wts[pri] = waitOf(ahead / rate * float64(time.Millisecond))
 		rnks := RanksOf(pri)
 		ahead += float64(waiting[rnks[0]] + waiting[rnks[1]])
 	}
--- a/internal/request/shard/rank.go
+++ b/internal/request/shard/rank.go
@@ -98,7 +98,7 @@
 	for rnk := range wts {
 		ahead += float64(waiting[rnk])
 		own := float64(waiting[rnk]) / max(drn.rate[rnk], minRateShare*all)
-		wts[rnk] = time.Duration(max(ahead/all, own) * float64(time.Millisecond))
+		wts[rnk] = waitOf(max(ahead/all, own) * float64(time.Millisecond))
 	}
 	return wts
 }
--- a/internal/request/shard/toolate.go
+++ b/internal/request/shard/toolate.go
@@ -21,7 +21,7 @@
 		own := 0.0
 		rate := max(ldr.rates.rate[rnk], minRateShare*all)
 		for _, ord := range ords {
-			wait := time.Duration(max(ahead/all, own/rate) * float64(time.Millisecond))
+			wait := waitOf(max(ahead/all, own/rate) * float64(time.Millisecond))
 			if ord.tooLate(now.Add(wait)) {
 				ldr.returnTooLate(ord)
 				continue
--- a/internal/request/shard/types.go
+++ b/internal/request/shard/types.go
@@ -91,6 +91,13 @@
 	return names[res]
 }
 
+// MaxProcessor, in thousandths of a core, and MaxMemory, in MB, are more than any backend server has and any task needs. Sums over all servers and tasks
+// of a system stay far below the largest integer.
+const (
+	MaxProcessor = 100_000_000
+	MaxMemory    = 1_000_000_000
+)
+
 // ServerEntry is a backend server as the platform lists it.
 type ServerEntry struct {
 	ID ServerID
@@ -99,7 +106,7 @@
 	Address       string
 	FailureDomain string
 	Service       string
-	// Processor is in thousandths of a core, Memory in MB.
+	// Processor is in thousandths of a core, Memory in MB; from 0 to MaxProcessor and MaxMemory.
 	Processor, Memory int64
 	Labels            []string
 	Leaving           bool
--- a/internal/request/shard/uplink.go
+++ b/internal/request/shard/uplink.go
@@ -84,7 +84,7 @@
 
 // linkDelay returns how long the last of a number of bytes waits for a link that carries window bytes per queueTime.
 func linkDelay(window, bytes int64) time.Duration {
-	return time.Duration(float64(queueTime) * float64(max(0, bytes-window)) / float64(max(window, 1)))
+	return waitOf(float64(queueTime) * float64(max(0, bytes-window)) / float64(max(window, 1)))
 }
 
 // StartBytes returns how many bytes a start with a payload sends.
--- a/internal/request/submission/submission.go
+++ b/internal/request/submission/submission.go
@@ -101,6 +101,9 @@
 		if stp.Count < 1 || stp.Processor < 0 || stp.Memory < 0 || stp.ExpectedRunTime < 0 || stp.PerServer < 0 {
 			return "a step needs at least one task and no negative numbers"
 		}
+		if stp.Processor > shard.MaxProcessor || stp.Memory > shard.MaxMemory {
+			return "a task needs more than any backend server may have"
+		}
 		if tasks += stp.Count; stp.Count > MaxTasks || tasks > MaxTasks {
 			return "too many tasks"
 		}
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -55,9 +55,13 @@
 // Timeout returns the time that a request of the route may take; 0 if the configuration sets none.
 func (rte Route) Timeout() time.Duration { return rte.timeout }
 
-// Objective returns the response time that callers expect of a job whose work takes a given time without waiting.
+// maxObjective bounds response times, so that sums and small multiples of them don't overflow.
+const maxObjective = 365 * 24 * time.Hour
+
+// Objective returns the response time that callers expect of a job whose work takes a given time without waiting, at most a year.
 func (rte Route) Objective(work time.Duration) time.Duration {
-	return rte.target + time.Duration(rte.stretch*float64(work))
+	obj := float64(rte.target) + rte.stretch*float64(work)
+	return time.Duration(max(0, min(obj, float64(maxObjective))))
 }
 
 // Limits bound the size and the reading time of requests.
