Bound the size of a server's entry, and of a digest of the list

What operators saw: nothing yet. Found by a test for the same class: an odd entry of 200,000 bytes (the store takes records of 262,144), also in place of a server's, made the digest with it larger than the store takes. It was written again and again, 60 times in 10 s of one test, and no later change got into a digest: every other instance reads the list itself, for which the store of a large system has no room.

Cause: a digest is bounded by its number of changes, 200, not by their size.

Change: a record of over 16 KB names no server (an ordinary one has some 300 bytes); in a digest only its begin stands in for it, which is as unreadable. A digest has at most 128 KB of keys and values, encoded some 180 KB; a part of a full read that is larger isn't published, as one of too many changes.

--- a/internal/process/daemon/list.go
+++ b/internal/process/daemon/list.go
@@ -135,7 +135,7 @@
 	}
 	for _, rec := range snp.Records {
 		if dmn.applyServerRecord(now, rec) {
-			note(serverlist.Change{Offset: rec.Offset, Key: rec.Key, Value: rec.Value})
+			note(changeOf(rec.Offset, rec))
 		}
 	}
 	if known {
@@ -147,6 +147,15 @@
 	dmn.unloggedChanges = serverChanges{}
 }
 
+// changeOf returns a record at an offset as a change. Of one that is too large for a server it has only the begin, which is as unreadable as the whole:
+// others need no more, and the store takes no digest with all of it.
+func changeOf(offset int64, rec platform.Record) serverlist.Change {
+	if len(rec.Value) > platform.MaxServerBytes {
+		rec.Value = rec.Value[:1]
+	}
+	return serverlist.Change{Offset: offset, Key: rec.Key, Value: rec.Value}
+}
+
 // applyListChanges applies the records of the list from an offset on, of a read that began at a time, and keeps the changes for the next
 // digest. Records that are known from a digest are skipped. The list counts as read at that time once the end that it had then is reached.
 func (dmn *Daemon) applyListChanges(began time.Time, from int64, chk *platform.Chunk) {
@@ -169,7 +178,7 @@
 			continue
 		}
 		changed = true
-		chg := serverlist.Change{Offset: from + int64(num), Key: rec.Key, Value: rec.Value}
+		chg := changeOf(from+int64(num), rec)
 		dmn.follower.HandleChange(chg)
 		dmn.recent.Add(now, chg)
 		dmn.changesFromPeer = false
--- a/internal/version/serverlist/digest.go
+++ b/internal/version/serverlist/digest.go
@@ -41,14 +41,32 @@
 	return ""
 }
 
-// split cuts a digest into consecutive ones with at most limit changes each.
+// maxDigestBytes bounds the keys and values in one digest. Encoded, which makes values a third larger, it fits into a record of the store, of 256 KB.
+const maxDigestBytes = 128 << 10
+
+// split cuts a digest into consecutive ones with at most limit changes each, and of a bounded size.
 func (dig *Digest) split(limit int) []Digest {
 	var digs []Digest
 	rest := *dig
-	for len(rest.Changes) > limit {
-		cut := rest.Changes[limit].Offset
-		digs = append(digs, Digest{Reader: dig.Reader, From: rest.From, To: cut, Reread: dig.Reread, Changes: rest.Changes[:limit]})
-		rest.From, rest.Changes = cut, rest.Changes[limit:]
+	for {
+		num := fitting(rest.Changes, limit)
+		if num == len(rest.Changes) {
+			return append(digs, rest)
+		}
+		cut := rest.Changes[num].Offset
+		digs = append(digs, Digest{Reader: dig.Reader, From: rest.From, To: cut, Reread: dig.Reread, Changes: rest.Changes[:num]})
+		rest.From, rest.Changes = cut, rest.Changes[num:]
+	}
+}
+
+// fitting returns how many of the first changes fit into one digest, which has at most limit of them and at least one.
+func fitting(chgs []Change, limit int) int {
+	size := 0
+	for num := range chgs {
+		size += len(chgs[num].Key) + len(chgs[num].Value)
+		if num >= limit || num > 0 && size > maxDigestBytes {
+			return num
+		}
 	}
-	return append(digs, rest)
+	return len(chgs)
 }
--- a/internal/version/serverlist/follower.go
+++ b/internal/version/serverlist/follower.go
@@ -284,7 +284,7 @@
 			dig.Changes = append(dig.Changes, chg)
 		}
 	}
-	if dig.Reread && len(dig.Changes) > maxChanges {
+	if dig.Reread && fitting(dig.Changes, maxChanges) < len(dig.Changes) {
 		fol.stopDigests() // A part of a full read is of no use: its offsets don't tell what the parts before it have.
 		return nil
 	}
