--- a/internal/process/daemon/process_test.go
+++ b/internal/process/daemon/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chestnutstack/internal/process/pipe"
@@ -18,7 +19,9 @@
 	ended bool
 	// poweredOff is set once the machine of the process has lost power.
 	poweredOff bool
-	mu         sync.Mutex
+	// killed is set once the process was killed: its listeners may be closed before it is stopped.
+	killed atomic.Bool
+	mu     sync.Mutex
 	// suspendedFor is the total time for which the machine was suspended; the process's clock counts it.
 	suspendedFor time.Duration
 	// pausedSince is when the process stopped getting processor time; zero while it runs.
