--- a/internal/connection/mesh/batch.go
+++ b/internal/connection/mesh/batch.go
@@ -1,8 +1,6 @@
 package mesh
 
-import (
-	"slices"
-)
+import "slices"
 
 const (
 	// maxFrame bounds a call between two instances, in bytes as the connection carries it.
