--- a/internal/process/daemon/odd_entries_test.go
+++ b/internal/process/daemon/odd_entries_test.go
@@ -160,7 +160,7 @@
 	time.Sleep(2 * time.Second)
 	chk.Equal(sys.count(func(prc *process) bool { return prc.dmn.entries["server-1-9"].Address != "" }), 4)
 	served()
-	// An instance that starts is given the list by others, and then all read it anew.
+	// An instance that starts reads the whole list, and then all do.
 	sys.sto.CompactServers()
 	sys.kill("entry-1-1")
 	sys.startInstance("entry-1-1", domainName(0))
