Name the overhead of list elements in a message for what it is

speedBytes counted the servers that an order avoids, too. Read as a newcomer would; no change of behaviour.

--- a/internal/connection/mesh/batch.go
+++ b/internal/connection/mesh/batch.go
@@ -14,7 +14,8 @@
 	maxBatch = 256 << 10
 	// messageOverhead is what a message has besides its texts and data: some 20 numbers of up to ten bytes, and the keys of its fields.
 	messageOverhead = 256
-	speedBytes      = 32
+	// elementOverhead is what each element of a list in a message has besides its text.
+	elementOverhead = 32
 )
 
 // messageBytes returns how many bytes a message takes in a batch at most, without an order's payload, which equal orders share.
@@ -25,7 +26,7 @@
 		ord := &msg.Order
 		num += len(msg.Shard) + len(ord.Task) + len(ord.Service) + len(ord.Label) + len(ord.Rack) + len(ord.Step) + len(ord.LastServer)
 		for _, id := range ord.Avoid {
-			num += len(id) + speedBytes
+			num += len(id) + elementOverhead
 		}
 	case Cancellation:
 		num += len(msg.Shard) + len(msg.Task)
@@ -37,7 +38,7 @@
 		num += len(msg.Route) + len(msg.Job)
 	case ServerSpeeds:
 		for _, spd := range msg.Told.Speeds {
-			num += len(spd.Server) + speedBytes
+			num += len(spd.Server) + elementOverhead
 		}
 	case ServerChanges:
 		num += len(msg.Data)
