review: a runner that starts again as a smaller kind gets too much

LIMIT breaks: an idle runner that starts again under its ID with fewer processors is told to start a task that needs more. Shown by a script with one runner that crashes.

--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,20 +14,34 @@
 	"time"
 )
 
-// job is a job of a client: a chain of steps of one task each, whose answer comes when it has ended.
+// job is a job of a client: a chain of steps of the same tasks each, whose answer comes when it has ended.
 type job struct {
 	id, prefix string
 	steps      int
-	takes      time.Duration
-	patience   time.Duration
+	// tasks is how many each step has, 0 for one, cpu what each takes in thousandths of a core, 0 for 500; label is one that runners must have.
+	tasks    int
+	cpu      int64
+	label    string
+	takes    time.Duration
+	patience time.Duration
 }
 
-func (jb *job) spec() string { return fmt.Sprintf("job %s takes %d", jb.id, jb.takes.Milliseconds()) }
+// spec returns the payload: what the runners and the record need to know.
+func (jb *job) spec() string {
+	txt := fmt.Sprintf("job %s cpu %d takes %d", jb.id, cmp.Or(jb.cpu, 500), jb.takes.Milliseconds())
+	if jb.label != "" {
+		txt += " on " + jb.label
+	}
+	return txt
+}
 
 func (jb *job) body() []byte {
 	stps := []map[string]any{}
 	for num := range jb.steps {
-		stp := map[string]any{"Count": 1, "Cpu": 500, "MemMb": 64, "EstRuntimeMs": jb.takes.Milliseconds()}
+		stp := map[string]any{"Count": cmp.Or(jb.tasks, 1), "Cpu": cmp.Or(jb.cpu, 500), "MemMb": 64, "EstRuntimeMs": jb.takes.Milliseconds()}
+		if jb.label != "" {
+			stp["RequiredLabel"] = jb.label
+		}
 		if num > 0 {
 			stp["DependsOn"] = []int{num - 1}
 		}
@@ -37,11 +52,11 @@
 }
 
 // call sends one request on a channel of its own. The status is 0 if no answer comes.
-func (dep *deployment) call(ctx context.Context, dmn *daemon, method string, jb *job, body []byte) (status int, text string) {
+func (dep *deployment) call(ctx context.Context, dmn *daemon, method string, jb *job, body []byte) (status int) {
 	url := fmt.Sprintf("http://%s:%d%s%s", dmn.ip, frontPort, jb.prefix, jb.id)
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return 0, err.Error()
+		return 0
 	}
 	req.Host, req.GetBody = host, nil
 	if body != nil {
@@ -52,16 +67,15 @@
 	rep, err := dep.client.Do(req)
 	if err != nil {
 		dep.rec.note("client %s %s%s at %s: no answer (%v)", method, jb.prefix, jb.id, dmn.name, shorten(err))
-		return 0, ""
+		return 0
 	}
 	defer func() { _ = rep.Body.Close() }() // It was read to its end, or the answer counts as lost.
 	data, err := io.ReadAll(rep.Body)
 	if err != nil {
-		return 0, ""
+		return 0
 	}
-	text = strings.TrimSpace(string(data))
-	dep.rec.note("client %s %s%s at %s: %d %s", method, jb.prefix, jb.id, dmn.name, rep.StatusCode, text)
-	return rep.StatusCode, text
+	dep.rec.note("client %s %s%s at %s: %d %s", method, jb.prefix, jb.id, dmn.name, rep.StatusCode, strings.TrimSpace(string(data)))
+	return rep.StatusCode
 }
 
 // shorten returns the last part of an error of the network.
--- a/review/rig-3/deployment.go
+++ b/review/rig-3/deployment.go
@@ -119,20 +119,18 @@
 }
 
 func (dep *deployment) addRunner(id, zone string, num int) error {
-	rnr := newRunner(id, zone, dep.rec)
-	adr, err := dep.serve(rnr)
-	if err != nil {
+	rnr := newRunner(id, zone, dep.rec, "a", fmt.Sprintf("r-%s-%d", zone, num/2))
+	if err := rnr.listen(); err != nil {
 		return err
 	}
-	rnr.address = adr
 	dep.runners = append(dep.runners, rnr)
-	dep.sto.Put("keyed.servers", id, map[string]any{
-		"Service": service, "Address": adr, "Zone": zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "ClockMs": rnr.clock(), "SeqNo": 1,
-		"Capacity": map[string]int64{"Cpu": 32000, "MemMb": 131072, "Gpu": 0}, "Labels": []string{"a", fmt.Sprintf("r-%s-%d", zone, num/2)},
-	})
+	dep.list(rnr)
 	return nil
 }
 
+// list writes the entry of a runner.
+func (dep *deployment) list(rnr *runner) { dep.sto.Put("keyed.servers", rnr.id, rnr.entry()) }
+
 // route is a queue of the desired state.
 type route struct{ name, prefix string }
 
@@ -251,6 +249,9 @@
 		}
 	}
 	for _, srv := range dep.servers {
-		_ = srv.Close()
+		_ = srv.Close() // Nobody needs an answer any more.
+	}
+	for _, rnr := range dep.runners {
+		_ = rnr.srv.Close() // As above.
 	}
 }
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -35,6 +35,8 @@
 	"restart-wave":   restartWave,
 	"late-copy":      lateCopy,
 	"zone-refuses":   zoneRefuses,
+	"other-kind":     otherKind,
+	"other-label":    otherLabel,
 }
 
 func main() { os.Exit(play()) }
@@ -96,7 +98,7 @@
 		return unfit
 	}
 	for _, line := range brk {
-		rec.note("broken UNASKED: %s", line)
+		rec.note("broken %s: %s", ruleOf(os.Args[1]), line)
 	}
 	if len(brk) > 0 {
 		return broken
@@ -105,6 +107,17 @@
 	return held
 }
 
+// ruleOf returns the rule that a case is about.
+func ruleOf(name string) string {
+	switch name {
+	case "other-kind":
+		return "LIMIT"
+	case "other-label":
+		return "ROUTE"
+	}
+	return "UNASKED"
+}
+
 const firstQueue = "/lohu930/"
 
 // chain returns a client's job of a chain of tasks.
@@ -123,7 +136,7 @@
 func (dep *deployment) cancelJob(ctx context.Context, dmn *daemon, jb *job) *cancelOf {
 	cnc := &cancelOf{jb: jb, sent: time.Now()}
 	for num := slices.Index(dep.daemons, dmn); time.Since(cnc.sent) < ackTime; num++ {
-		if cnc.status, _ = dep.call(ctx, dep.daemons[num%len(dep.daemons)], http.MethodDelete, jb, nil); acknowledged(cnc.status) {
+		if cnc.status = dep.call(ctx, dep.daemons[num%len(dep.daemons)], http.MethodDelete, jb, nil); acknowledged(cnc.status) {
 			cnc.acked = time.Now()
 			return cnc
 		}
--- a/review/rig-3/record.go
+++ b/review/rig-3/record.go
@@ -14,6 +14,8 @@
 	began  time.Time
 	fil    *os.File
 	starts []start
+	// overfull are the starts that brought a runner over its capacity, unlabelled those on a runner of another kind than their job requires.
+	overfull, unlabelled []string
 }
 
 // start is the begin of a run.
@@ -38,12 +40,26 @@
 	fmt.Fprintf(rec.fil, "%8.3f  %s\n", time.Since(rec.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (rec *record) started(runner string, rn *run, spec string) {
+func (rec *record) started(rnr *runner, rn *run, spec string, used int64) {
 	job, _, _ := strings.Cut(rn.task, ".")
 	rec.mu.Lock()
 	rec.starts = append(rec.starts, start{job: job, task: rn.task, number: rn.number, at: time.Now()})
+	if used > rnr.capacity {
+		rec.overfull = append(rec.overfull, fmt.Sprintf("task %s run %d starts at %.3f and brings %s to %d of its %d", rn.task, rn.number,
+			time.Since(rec.began).Seconds(), rnr.id, used, rnr.capacity))
+	}
+	if kind := requiredKind(spec); kind != "" && kind != rnr.labels[0] {
+		rec.unlabelled = append(rec.unlabelled, fmt.Sprintf("task %s run %d requires %s and starts at %.3f on %s, which is %s", rn.task, rn.number, kind,
+			time.Since(rec.began).Seconds(), rnr.id, rnr.labels[0]))
+	}
 	rec.mu.Unlock()
-	rec.note("run    %s run %d begins on %s (%s)", rn.task, rn.number, runner, spec)
+	rec.note("run    %s run %d begins on %s, %d of %d used (%s)", rn.task, rn.number, rnr.id, used, rnr.capacity, spec)
+}
+
+// requiredKind returns the label that the tasks of a job with a payload require, or "".
+func requiredKind(spec string) string {
+	_, kind, _ := strings.Cut(spec, " on ")
+	return kind
 }
 
 func (rec *record) ended(runner string, rn *run, how string) {
--- a/review/rig-3/runner.go
+++ b/review/rig-3/runner.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -19,9 +19,15 @@
 type runner struct {
 	id, zone, address string
 	rec               *record
-	began             time.Time
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// began is the start of the present life, capacity its processor in thousandths of a core, labels its kind and rack.
+	began    time.Time
+	capacity int64
+	labels   []string
+	srv      *http.Server
+	// over is closed when the life ends.
+	over     chan struct{}
 	fence    int64
 	until    time.Time
 	running  map[string]*run
@@ -36,13 +42,70 @@
 type run struct {
 	task     string
 	number   int64
+	cpu      int64
 	takes    time.Duration
 	startAt  time.Time
 	stopping bool
 }
 
-func newRunner(id, zone string, rec *record) *runner {
-	return &runner{id: id, zone: zone, rec: rec, began: time.Now(), running: map[string]*run{}, highest: map[string]int64{}, changed: make(chan struct{})}
+func newRunner(id, zone string, rec *record, labels ...string) *runner {
+	rnr := &runner{id: id, zone: zone, rec: rec, labels: labels, capacity: 32000}
+	rnr.beginLife()
+	return rnr
+}
+
+// beginLife begins a life that runs nothing and knows nothing of a former one; the lock is held or nobody else has the runner.
+func (rnr *runner) beginLife() {
+	rnr.began, rnr.fence, rnr.until, rnr.ends, rnr.finished = time.Now(), 0, time.Time{}, 0, nil
+	rnr.running, rnr.highest = map[string]*run{}, map[string]int64{}
+	rnr.changed, rnr.over = make(chan struct{}), make(chan struct{})
+}
+
+// listen serves calls at the runner's address, or at a free one if it has none yet.
+func (rnr *runner) listen() error {
+	adr := rnr.address
+	if adr == "" {
+		adr = "127.0.0.1:0"
+	}
+	lis, err := net.Listen("tcp", adr)
+	if err != nil {
+		return err
+	}
+	rnr.address = lis.Addr().String()
+	rnr.srv = &http.Server{Handler: rnr, ReadHeaderTimeout: time.Minute}
+	go func() { _ = rnr.srv.Serve(lis) }() // It ends with the life.
+	return nil
+}
+
+// restart crashes the runner and starts it again under its ID after a while, as a machine of another kind.
+func (rnr *runner) restart(down time.Duration, capacity int64, kind string) error {
+	rnr.rec.note("runner %s crashes", rnr.id)
+	rnr.mu.Lock()
+	for _, rn := range rnr.running {
+		rn.stopping = true
+		rnr.rec.ended(rnr.id, rn, "lost with its runner")
+	}
+	close(rnr.over)
+	rnr.mu.Unlock()
+	_ = rnr.srv.Close() // All channels break.
+	time.Sleep(down)
+	rnr.mu.Lock()
+	defer rnr.mu.Unlock()
+	rnr.beginLife()
+	rnr.capacity, rnr.labels = capacity, append([]string{kind}, rnr.labels[1:]...)
+	rnr.rec.note("runner %s has started again: Cpu %d, kind %s, born %d", rnr.id, capacity, kind, rnr.began.UnixMilli())
+	return rnr.listen()
+}
+
+// entry returns what the runner says of itself in the store.
+func (rnr *runner) entry() map[string]any {
+	rnr.mu.Lock()
+	defer rnr.mu.Unlock()
+	return map[string]any{
+		"Service": service, "Address": rnr.address, "Zone": rnr.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
+		"ClockMs": rnr.clock(), "SeqNo": 1, "born": rnr.began.UnixMilli(),
+		"Capacity": map[string]int64{"Cpu": rnr.capacity, "MemMb": 131072, "Gpu": 0}, "Labels": rnr.labels,
+	}
 }
 
 // order is the body of any call of a runner.
@@ -145,9 +208,14 @@
 		return "late"
 	}
 	rnr.renew(ord.UntilMs)
-	rn := &run{task: ord.Task, number: ord.RunID, takes: workOf(ord.Spec), startAt: time.Now()}
+	rn := &run{task: ord.Task, number: ord.RunID, startAt: time.Now()}
+	rn.cpu, rn.takes = workOf(ord.Spec)
 	rnr.highest[ord.Task], rnr.running[ord.Task] = ord.RunID, rn
-	rnr.rec.started(rnr.id, rn, ord.Spec)
+	used := int64(0)
+	for _, oth := range rnr.running {
+		used += oth.cpu
+	}
+	rnr.rec.started(rnr, rn, ord.Spec, used)
 	time.AfterFunc(rn.takes, func() {
 		rnr.mu.Lock()
 		defer rnr.mu.Unlock()
@@ -158,11 +226,12 @@
 	return ""
 }
 
-// workOf returns how long a task with a payload takes: the milliseconds after its last blank.
-func workOf(spec string) time.Duration {
+// workOf returns the thousandths of a core that a task with a payload takes, and for how long.
+func workOf(spec string) (cpu int64, takes time.Duration) {
+	var id string
 	var ms int64
-	_, _ = fmt.Sscan(spec[strings.LastIndexByte(spec, ' ')+1:], &ms) // The rig has written it.
-	return time.Duration(ms) * time.Millisecond
+	_, _ = fmt.Sscanf(spec, "job %s cpu %d takes %d", &id, &cpu, &ms) // The rig has written it.
+	return cpu, time.Duration(ms) * time.Millisecond
 }
 
 func (rnr *runner) kill(rn *run, how string) {
@@ -179,7 +248,7 @@
 
 func (rnr *runner) end(rn *run, how string) {
 	if rnr.running[rn.task] != rn {
-		return
+		return // Its end is known, or its life is over.
 	}
 	delete(rnr.running, rn.task)
 	rnr.ends++
@@ -201,16 +270,21 @@
 	}
 	rnr.finished = kept
 	if len(kept) == 0 && ord.WaitMs > 0 {
-		chn := rnr.changed
+		chn, over := rnr.changed, rnr.over
 		rnr.mu.Unlock()
 		select {
 		case <-chn:
+		case <-over:
 		case <-time.After(time.Duration(ord.WaitMs) * time.Millisecond):
 		case <-req.Context().Done():
 		}
 		rnr.mu.Lock()
+		if rnr.over != over {
+			panic(http.ErrAbortHandler) // The life that was asked is over.
+		}
 	}
 	ans := rnr.answer("")
+	ans["born"] = rnr.began.UnixMilli()
 	rows := [][]any{}
 	for _, rn := range rnr.running {
 		percent := min(100, int64(time.Since(rn.startAt)*100/max(rn.takes, time.Millisecond)))
--- a/review/rig-3/ways.go
+++ b/review/rig-3/ways.go
@@ -126,7 +126,7 @@
 	}
 	rdr, cdc := bufio.NewReader(src), rpc.BoundedCodec{Max: 16 << 20}
 	for {
-		var msg raw
+		var msg json.RawMessage
 		if cdc.ReadObject(rdr, &msg) != nil {
 			return
 		}
@@ -136,23 +136,11 @@
 	}
 }
 
-// raw is a message between daemons.
-type raw struct{ data []byte }
-
-// MarshalJSON implements json.Marshaler.
-func (msg raw) MarshalJSON() ([]byte, error) { return msg.data, nil }
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (msg *raw) UnmarshalJSON(data []byte) error {
-	msg.data = append([]byte(nil), data...)
-	return nil
-}
-
 // translated returns a message with the address of the way back.
-func (wy *way) translated(msg raw) raw {
+func (wy *way) translated(msg json.RawMessage) json.RawMessage {
 	fields := map[string]json.RawMessage{}
 	var data []byte
-	if json.Unmarshal(msg.data, &fields) != nil || json.Unmarshal(fields["params"], &data) != nil {
+	if json.Unmarshal(msg, &fields) != nil || json.Unmarshal(fields["params"], &data) != nil {
 		return msg
 	}
 	dlv := &meshpb.Delivery{}
@@ -163,7 +151,7 @@
 	data, _ = proto.Marshal(dlv) // It was just decoded.
 	fields["params"], _ = json.Marshal(data)
 	text, _ := json.Marshal(fields)
-	return raw{data: text}
+	return text
 }
 
 // joinZones puts ways between all machines of different zones, and has each daemon's view of the store lead to its ways.
