--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -19,10 +19,14 @@
 	id, prefix string
 	steps      int
 	// tasks is how many each step has, 0 for one, cpu what each takes in thousandths of a core, 0 for 500; label is one that runners must have.
-	tasks    int
-	cpu      int64
-	label    string
-	takes    time.Duration
+	tasks int
+	cpu   int64
+	// perServer is how many of a step may run on one runner, 0 for any number.
+	perServer int
+	label     string
+	takes     time.Duration
+	// estimate is what the client says of takes, 0 for that.
+	estimate time.Duration
 	patience time.Duration
 }
 
@@ -38,7 +42,10 @@
 func (jb *job) body() []byte {
 	stps := []map[string]any{}
 	for num := range jb.steps {
-		stp := map[string]any{"Count": cmp.Or(jb.tasks, 1), "Cpu": cmp.Or(jb.cpu, 500), "MemMb": 64, "EstRuntimeMs": jb.takes.Milliseconds()}
+		stp := map[string]any{"Count": cmp.Or(jb.tasks, 1), "Cpu": cmp.Or(jb.cpu, 500), "MemMb": 64, "EstRuntimeMs": cmp.Or(jb.estimate, jb.takes).Milliseconds()}
+		if jb.perServer > 0 {
+			stp["MaxPerServer"] = jb.perServer
+		}
 		if jb.label != "" {
 			stp["RequiredLabel"] = jb.label
 		}
--- a/review/rig-3/deployment.go
+++ b/review/rig-3/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -38,7 +39,9 @@
 	servers  []*http.Server
 	ways     []*way
 	version  int
-	client   *http.Client
+	// timeout is TimeoutMs of all routes.
+	timeout time.Duration
+	client  *http.Client
 	// disturbedAt is when the last daemon was disturbed.
 	disturbedAt time.Time
 }
@@ -57,7 +60,7 @@
 
 func newDeployment(rec *record, dir string, trouble bool) (*deployment, error) {
 	dep := &deployment{
-		rec: rec, dir: dir, trouble: trouble, sto: standin.NewStore(), zones: []string{"riga-a", "riga-b", "riga-c"},
+		rec: rec, dir: dir, trouble: trouble, timeout: 30 * time.Second, sto: standin.NewStore(), zones: []string{"riga-a", "riga-b", "riga-c"},
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	dep.sto.SetDelay(storeAnswer)
@@ -141,7 +144,7 @@
 	names := []string{}
 	for _, rte := range rts {
 		rows = append(rows, map[string]any{
-			"Name": rte.name, "Host": host, "PathPrefix": rte.prefix, "Kind": "non_idempotent", "TimeoutMs": 30000, "TargetLatencyMs": 60, "Priority": 1,
+			"Name": rte.name, "Host": host, "PathPrefix": rte.prefix, "Kind": "non_idempotent", "TimeoutMs": dep.timeout.Milliseconds(), "TargetLatencyMs": 60, "Priority": 1,
 			"Service": service, "Attempts": 4, "Stretch": 1.6,
 		})
 		names = append(names, rte.name+" "+rte.prefix)
@@ -205,9 +208,18 @@
 	}
 }
 
-// ready returns the status of a daemon's readiness.
+// readyTimeout is how long the platform's check of readiness waits.
+const readyTimeout = time.Second
+
+// ready returns the status of a daemon's readiness, 0 without an answer.
 func (dep *deployment) ready(dmn *daemon) int {
-	rep, err := dep.client.Get(fmt.Sprintf("http://%s:%d/api/ready", dmn.ip, readyPort))
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/api/ready", dmn.ip, readyPort), nil)
+	if err != nil {
+		return 0
+	}
+	rep, err := dep.client.Do(req)
 	if err != nil {
 		return 0
 	}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -36,6 +36,8 @@
 	"late-copy":      lateCopy,
 	"zone-refuses":   zoneRefuses,
 	"other-kind":     otherKind,
+	"many-large":     manyLarge,
+	"bounded-large":  boundedLarge,
 	"other-label":    otherLabel,
 }
 
@@ -114,6 +116,8 @@
 		return "LIMIT"
 	case "other-label":
 		return "ROUTE"
+	case "many-large", "bounded-large":
+		return "Fault"
 	}
 	return "UNASKED"
 }
