--- a/review/rig-3/crowd.go
+++ b/review/rig-3/crowd.go
@@ -51,7 +51,7 @@
 		for num := range jobs {
 			jb := &job{
 				id: fmt.Sprintf("5c0e7a21d94b%04x", num), prefix: firstQueue, steps: 1, tasks: largeTasks, cpu: 10, perServer: 100,
-				takes: 20 * time.Second, patience: time.Minute,
+				takes: 7 * time.Second, patience: 30 * time.Second,
 			}
 			dep.submit(ctx, &wgr, dep.daemons[num%len(dep.daemons)], jb)
 		}
--- a/review/rig-3/kinds.go
+++ b/review/rig-3/kinds.go
@@ -17,8 +17,8 @@
 	// downTime is how long a runner is down that crashes.
 	downTime = 50 * time.Millisecond
 	// settleTime is how long nothing happens between two rounds.
-	settleTime = 5 * time.Second
-	rounds     = 2
+	settleTime = 4 * time.Second
+	rounds     = 3
 )
 
 // loadAll has as many jobs come at once, each of one task, and waits for their answers.
@@ -61,9 +61,9 @@
 	return nil
 }
 
-// otherKind has the runner come back with fewer processors than the tasks need, for which it was the only one.
+// otherKind has the runner come back with room for one task in place of two.
 func otherKind(ctx context.Context, dep *deployment) ([]string, error) {
-	err := loadRestarted(ctx, dep, len(dep.daemons), 40000, "")
+	err := loadRestarted(ctx, dep, 2*len(dep.runners), 20000, "")
 	return dep.rec.overfull, err
 }
 
